--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Targets of a checkout. `make test` and `make demo` set up .venv on first use.
+PYTHON ?= python3
+SEED ?= 1
+STEPS ?= 1000000
+BIN := .venv/bin
+PACKAGES := core wire entry operator rig
+TOOLS := black ruff mypy pytest hypothesis types-PyYAML types-protobuf grpc-stubs
+
+.PHONY: test lint demo soak setup generate format
+
+setup: .venv/ready
+
+.venv/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt \
+		$(foreach p,$(PACKAGES),-e packages/coriandershelf-$(p)) $(TOOLS)
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check --quiet packages tests
+	$(BIN)/ruff check --quiet packages tests
+	$(BIN)/mypy packages/*/src
+
+format: setup
+	$(BIN)/ruff check --quiet --fix packages tests
+	$(BIN)/black --quiet packages tests
+
+demo: setup
+	$(BIN)/python -m coriandershelf_rig demo --seed $(SEED)
+
+soak: setup
+	$(BIN)/python -m coriandershelf_rig soak --seed $(SEED) --steps $(STEPS)
+
+# Needs grpcio-tools; the result is committed, so a build needs no generator.
+generate:
+	$(BIN)/pip install --quiet -c constraints.txt grpcio-tools
+	cd packages/coriandershelf-wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I. \
+		--python_out=. --pyi_out=. --grpc_python_out=. coriandershelf_wire/internal/peer.proto
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/actions.py
@@ -0,0 +1,110 @@
+"""Everything the core asks the process around it to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.messages import Message
+from coriandershelf_core.internal.outcome import Outcome
+from coriandershelf_core.internal.records import Entry
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Send a request to a replica.
+
+    :param resume_payloads: what was generated before; the stream goes on behind it.
+    :param fresh_connection: do not take a pooled connection.
+    :param priority: the engine's scheduling class; 0 comes first.
+    :param kv_source: address of the replica whose KV cache to import, or empty.
+    """
+
+    attempt_id: str
+    request_id: str
+    kind: ServiceKind
+    replica_id: str
+    address: str
+    path: str
+    body: bytes
+    deadline_s: float
+    priority: int = 0
+    resume_payloads: tuple[bytes, ...] = ()
+    fresh_connection: bool = False
+    kv_source: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Close an attempt's connection; nothing of it is awaited any more."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendTokens:
+    """Relay payloads to the caller."""
+
+    request_id: str
+    payloads: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SendFinal:
+    """Finish the answer to the caller."""
+
+    request_id: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Append one record to a stream of the platform's log."""
+
+    append_id: int
+    stream: str
+    sequence: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Send a message to another entry VM, without a promise of delivery."""
+
+    vm_id: str
+    address: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Raise a counter."""
+
+    name: str
+    amount: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Write a structured log line; fields never hold a key or a prompt."""
+
+    event: str
+    fields: tuple[tuple[str, str | int | float], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """Everything in flight is finished or handed over; the process may end."""
+
+
+Action = (
+    StartAttempt
+    | CancelAttempt
+    | SendTokens
+    | SendFinal
+    | Append
+    | TellPeer
+    | Count
+    | LogLine
+    | Stopped
+)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/authenticate.py
@@ -0,0 +1,17 @@
+"""Filter: find the customer behind a request's key."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.inventory import Customer, Inventory
+from coriandershelf_core.internal.outcome import NotRun
+from coriandershelf_core.internal.reasons import RefusalReason
+
+
+def authenticate(inventory: Inventory | None, credential_hash: str) -> Customer | NotRun:
+    """Return the customer who owns the key, or the refusal."""
+    if inventory is None:
+        return NotRun(RefusalReason.NO_CONFIGURATION, retry_after_s=2.0)
+    customer = inventory.customer_of(credential_hash)
+    if customer is None:
+        return NotRun(RefusalReason.UNKNOWN_KEY)
+    return customer
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/context.py
@@ -0,0 +1,98 @@
+"""What the parts of one entry VM's core share: identity, settings, configuration, outbox."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.actions import Action, Count, LogLine, SendFinal
+from coriandershelf_core.internal.inventory import Inventory
+from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.reasons import Counter, RefusalReason, RetryReason
+from coriandershelf_core.internal.settings import CoreSettings
+
+
+@dataclass(frozen=True, slots=True)
+class VmIdentity:
+    """Who this entry VM is; ``incarnation`` grows with every start of the process."""
+
+    vm_id: str
+    zone: str
+    incarnation: int
+    peer_address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TraceStep:
+    """One step of a request's way, kept for ``explain``."""
+
+    at_s: float
+    step: str
+    detail: str
+
+
+@dataclass(slots=True)
+class Context:
+    """State that every part of the core reads; parts answer by adding to ``outbox``.
+
+    ``disabled`` names mechanisms that a test has taken out; it is empty in production.
+    """
+
+    identity: VmIdentity
+    settings: CoreSettings
+    rng: random.Random
+    disabled: frozenset[str] = frozenset()
+    inventory: Inventory | None = None
+    outbox: list[Action] = field(default_factory=list)
+    stopping: bool = False
+    stop_deadline_s: float = 0.0
+    traces: OrderedDict[str, list[TraceStep]] = field(default_factory=OrderedDict)
+
+    def enabled(self, mechanism: str) -> bool:
+        """Return whether a mechanism is in force."""
+        return mechanism not in self.disabled
+
+    def emit(self, action: Action) -> None:
+        """Queue an action for the process."""
+        self.outbox.append(action)
+
+    def count(self, counter: Counter | RefusalReason | RetryReason, amount: int = 1) -> None:
+        """Raise the counter of an event, a refusal reason or a retry reason."""
+        if isinstance(counter, RefusalReason):
+            name = f"refusal.{counter.code}"
+        elif isinstance(counter, RetryReason):
+            name = f"retry.{counter.code}"
+        else:
+            name = counter.code
+        self.emit(Count(name, amount))
+
+    def log(self, event: str, **fields: str | int | float) -> None:
+        """Queue a structured log line."""
+        self.emit(LogLine(event, tuple(fields.items())))
+
+    def trace(self, request_id: str, now_s: float, step: str, detail: str = "") -> None:
+        """Remember a step of a request's way, within the limit on kept traces."""
+        steps = self.traces.get(request_id)
+        if steps is None:
+            steps = self.traces[request_id] = []
+            while len(self.traces) > self.settings.trace_keep_count:
+                self.traces.popitem(last=False)
+        steps.append(TraceStep(now_s, step, detail))
+
+    def finish(self, request_id: str, outcome: Outcome, now_s: float) -> None:
+        """Answer a caller for good and account for the outcome."""
+        if isinstance(outcome, Done):
+            self.count(Counter.ANSWERS_DONE)
+            self.trace(request_id, now_s, "done", str(outcome.status))
+        elif isinstance(outcome, NotRun):
+            self.count(outcome.reason)
+            self.trace(request_id, now_s, "not-run", outcome.reason.code)
+            self.log("refused", request_id=request_id, reason=outcome.reason.code)
+        else:
+            assert isinstance(outcome, Unknown)
+            self.count(Counter.ANSWERS_UNKNOWN)
+            self.count(outcome.reason)
+            self.trace(request_id, now_s, "unknown", outcome.reason.code)
+            self.log("outcome unknown", request_id=request_id, reason=outcome.reason.code)
+        self.emit(SendFinal(request_id, outcome))
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -0,0 +1,289 @@
+"""The state machine of one entry VM: typed events in, typed actions out."""
+
+from __future__ import annotations
+
+import random
+
+from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
+from coriandershelf_core.internal.admit import admit
+from coriandershelf_core.internal.authenticate import authenticate
+from coriandershelf_core.internal.claims import Claims
+from coriandershelf_core.internal.classify import is_repeatable, make_work
+from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
+from coriandershelf_core.internal.context import Context, VmIdentity
+from coriandershelf_core.internal.events import (
+    AppendAnswered,
+    AppendFailed,
+    AttemptFailed,
+    AttemptOpened,
+    CallerGone,
+    Event,
+    JobRead,
+    LoadReported,
+    LogRead,
+    PeerMessageArrived,
+    PlainAnswered,
+    ReclaimNotice,
+    RequestArrived,
+    StopAsked,
+    StreamEnded,
+    Tick,
+    TokensArrived,
+    VmListRead,
+    VmRole,
+    VmState,
+)
+from coriandershelf_core.internal.inventory import Inventory
+from coriandershelf_core.internal.jobs import Jobs
+from coriandershelf_core.internal.ledger import Ledger
+from coriandershelf_core.internal.membership import Membership
+from coriandershelf_core.internal.messages import Heartbeat, JobQuery, JobReply, Message
+from coriandershelf_core.internal.outcome import NotRun, Outcome
+from coriandershelf_core.internal.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.records import (
+    Claim,
+    ClaimFinished,
+    ClaimReleased,
+    ConfigurationProposed,
+    Entry,
+    JobAccepted,
+    JobFinished,
+)
+from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.serving import Serving
+from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.work import Work, WorkOwner
+
+
+class EntryCore:
+    """Every decision of one entry VM, without socket, clock or global random numbers.
+
+    :param identity: who this VM is.
+    :param settings: limits and periods.
+    :param rng: the only source of random numbers.
+    :param parse: validates a configuration's texts; a pure function.
+    :param disabled: mechanisms taken out by a test; empty in production.
+    """
+
+    def __init__(
+        self,
+        identity: VmIdentity,
+        settings: CoreSettings,
+        rng: random.Random,
+        parse: ParseConfiguration,
+        disabled: frozenset[str] = frozenset(),
+    ) -> None:
+        self.context = Context(identity, settings, rng, disabled)
+        self.ledger = Ledger(self.context)
+        self.membership = Membership(self.context)
+        self.configuration = Configuration(parse)
+        self.serving = Serving(self.context, self._deliver, self._finish)
+        self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
+        self.jobs = Jobs(self.context, self.ledger, self.serving.enqueue, self._ask_peer)
+        self._heartbeat_at_s = 0.0
+        self._stopped = False
+
+    def step(self, event: Event, now_s: float) -> list[Action]:
+        """Apply one event and return what the process has to do.
+
+        :param now_s: the present time in seconds; it never goes back.
+        :raises AssertionError: an invariant is broken; the process must stop.
+        """
+        self._handle(event, now_s)
+        actions = self.context.outbox
+        self.context.outbox = []
+        return actions
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self.context.inventory is not None and not self.context.stopping
+
+    def _handle(self, event: Event, now_s: float) -> None:
+        match event:
+            case TokensArrived():
+                self.serving.on_tokens(event, now_s)
+            case Tick():
+                self._on_tick(now_s)
+            case RequestArrived(request):
+                self._on_request(request, now_s)
+            case CallerGone(request_id):
+                self._on_caller_gone(request_id)
+            case AttemptOpened():
+                self.serving.on_opened(event, now_s)
+            case StreamEnded():
+                self.serving.on_stream_ended(event, now_s)
+            case PlainAnswered():
+                self.serving.on_plain_answered(event, now_s)
+            case AttemptFailed():
+                self.serving.on_failed(event, now_s)
+            case JobRead():
+                self._on_job_read(event, now_s)
+            case LogRead():
+                self._on_log_read(event, now_s)
+            case AppendAnswered(append_id):
+                self.ledger.on_answered(append_id)
+            case AppendFailed(append_id, uncertain):
+                self.ledger.on_failed(append_id, uncertain, now_s)
+            case PeerMessageArrived(sender, message):
+                self._on_peer_message(sender, message, now_s)
+            case VmListRead(vms):
+                self.membership.on_vm_list(vms, now_s)
+                self._mark_replicas()
+            case ReclaimNotice(vm_id):
+                self.membership.on_notice(vm_id)
+                self._mark_replicas()
+            case LoadReported():
+                self.serving.on_load(event)
+            case StopAsked(deadline_s):
+                self.context.stopping = True
+                self.context.stop_deadline_s = deadline_s
+
+    def _on_request(self, request: Request, now_s: float) -> None:
+        self.context.count(Counter.REQUESTS)
+        self.context.trace(request.request_id, now_s, "arrived", request.kind.value)
+        customer = authenticate(self.context.inventory, request.credential_hash)
+        if isinstance(customer, NotRun):
+            self.context.finish(request.request_id, customer, now_s)
+            return
+        inventory = self.context.inventory
+        assert inventory is not None, "authenticated without a configuration"
+        refusal = admit(
+            request,
+            inventory,
+            self.serving.queue,
+            self.context.settings,
+            self.context.stopping,
+            now_s,
+        )
+        if refusal is not None:
+            self.context.finish(request.request_id, refusal, now_s)
+            return
+        if request.kind is RequestKind.JOB:
+            work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
+            self.jobs.request(work, now_s)
+        elif is_repeatable(request, inventory):
+            work = make_work(request, customer, inventory, WorkOwner.CALLER, now_s)
+            self.serving.enqueue(work, now_s)
+        elif request.idempotency_key is None:
+            outcome = NotRun(RefusalReason.KEY_MISSING)
+            self.context.finish(request.request_id, outcome, now_s)
+        else:
+            work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
+            self.claims.request(work, now_s)
+
+    def _on_caller_gone(self, request_id: str) -> None:
+        work = self.serving.works.get(request_id)
+        if work is not None and work.owner is WorkOwner.CALLER:
+            self.context.count(Counter.CALLER_GONE)
+            self.serving.cancel(request_id)
+
+    def _on_job_read(self, event: JobRead, now_s: float) -> None:
+        customer = authenticate(self.context.inventory, event.credential_hash)
+        if isinstance(customer, NotRun):
+            self.context.finish(event.request_id, customer, now_s)
+            return
+        self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
+
+    def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        for record in event.records:
+            if self.ledger.is_first(event.stream, record):
+                for entry in record.entries:
+                    self._on_entry(entry, now_s)
+
+    def _on_entry(self, entry: Entry, now_s: float) -> None:
+        match entry:
+            case Claim():
+                self.claims.on_claim(entry, now_s)
+            case ClaimReleased():
+                self.claims.on_released(entry)
+            case ClaimFinished():
+                self.claims.on_finished(entry)
+            case JobAccepted():
+                self.jobs.on_accepted(entry, now_s)
+            case JobFinished():
+                self.jobs.on_finished(entry)
+            case ConfigurationProposed():
+                self._on_proposal(entry, now_s)
+
+    def _on_proposal(self, proposal: ConfigurationProposed, now_s: float) -> None:
+        inventory = self.configuration.apply(proposal)
+        if inventory is not None:
+            self._adopt(inventory, now_s)
+
+    def _adopt(self, inventory: Inventory, now_s: float) -> None:
+        self.context.inventory = inventory
+        self.serving.replicas.adopt(inventory)
+        self._mark_replicas()
+        self.context.log("configuration in force", version=inventory.version)
+        self.serving.pump(now_s)
+
+    def _mark_replicas(self) -> None:
+        for state in self.serving.replicas:
+            vm_state = self.membership.state_of(state.replica.replica_id)
+            state.leaving = vm_state is VmState.LEAVING
+            state.gone = vm_state is VmState.GONE
+
+    def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
+        match message:
+            case JobQuery():
+                self._tell(sender, self.jobs.answer_query(message))
+            case JobReply():
+                self.jobs.on_reply(message, now_s)
+            case Heartbeat():
+                pass
+
+    def _ask_peer(self, vm_id: str, query: JobQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _tell(self, vm_id: str, message: Message) -> bool:
+        address = self.membership.address_of(vm_id)
+        if address is None:
+            return False
+        self.context.count(Counter.PEER_MESSAGES)
+        self.context.emit(TellPeer(vm_id, address, message))
+        return True
+
+    def _on_tick(self, now_s: float) -> None:
+        self.ledger.on_tick(now_s)
+        self.claims.on_tick(now_s)
+        self.jobs.on_tick(now_s)
+        self.serving.on_tick(now_s)
+        if now_s >= self._heartbeat_at_s:
+            self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
+            self._send_heartbeats()
+        if self.context.stopping:
+            self._try_to_stop(now_s)
+
+    def _send_heartbeats(self) -> None:
+        identity = self.context.identity
+        heartbeat = Heartbeat(
+            identity.vm_id,
+            identity.incarnation,
+            self.configuration.version,
+            self.context.stopping,
+        )
+        for peer in self.membership.peers(identity):
+            if peer.role is VmRole.ENTRY and peer.zone == identity.zone:
+                self._tell(peer.vm_id, heartbeat)
+
+    def _try_to_stop(self, now_s: float) -> None:
+        idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
+        if not self._stopped and (idle or now_s >= self.context.stop_deadline_s):
+            self._stopped = True
+            self.context.emit(Stopped())
+
+    def _deliver(self, work: Work, payloads: tuple[bytes, ...], now_s: float) -> None:
+        if work.owner is WorkOwner.JOB:
+            self.jobs.deliver(work, payloads)
+            return
+        self.context.count(Counter.TOKENS_RELAYED, len(payloads))
+        self.context.emit(SendTokens(work.work_id, payloads))
+
+    def _finish(self, work: Work, outcome: Outcome, now_s: float) -> None:
+        if work.owner is WorkOwner.JOB:
+            self.jobs.finish(work, outcome, now_s)
+        elif work.owner is WorkOwner.CLAIM:
+            self.claims.finish(work, outcome, now_s)
+        else:
+            self.context.finish(work.work_id, outcome, now_s)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -0,0 +1,87 @@
+"""Reasons for refusals and retries, and the counters, declared in one place."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class RefusalReason(Enum):
+    """Why a request was answered with something other than its result.
+
+    Each member holds its code, the HTTP status and the remedy told to the caller.
+    """
+
+    UNKNOWN_KEY = ("unknown-key", 401, "Send a bearer key that the inventory lists.")
+    UNKNOWN_SERVICE = ("unknown-service", 404, "Name a service that the inventory lists.")
+    UNKNOWN_JOB = ("unknown-job", 404, "Check the job id; outputs are kept for a limited time.")
+    BAD_REQUEST = ("bad-request", 400, "Mend the request as the message says.")
+    BODY_TOO_LARGE = ("body-too-large", 413, "Send a smaller body.")
+    KEY_MISSING = ("key-missing", 400, "Send an Idempotency-Key with a non-idempotent call.")
+    KEY_REUSED = ("key-reused", 422, "Use a new Idempotency-Key for another body.")
+    KEY_EXPIRED = ("key-expired", 422, "Use a new Idempotency-Key; this one is past its window.")
+    IN_PROGRESS = ("in-progress", 409, "Ask again with the same key after the stated time.")
+    OVERLOADED = ("overloaded", 429, "Come back after the stated time.")
+    OVER_SHARE = ("over-share", 429, "Come back after the stated time or send less at once.")
+    DEADLINE = ("deadline", 504, "Send a later deadline or come back after the stated time.")
+    NO_UPSTREAM = ("no-upstream", 503, "Come back after the stated time.")
+    LOG_UNAVAILABLE = ("log-unavailable", 503, "Come back after the stated time.")
+    NO_CONFIGURATION = ("no-configuration", 503, "Come back after the stated time.")
+    STOPPING = ("stopping", 503, "Send again at once; another entry VM answers.")
+    POISON = ("poison", 422, "Do not send this request again; it crashed upstreams.")
+    RETRIES_EXHAUSTED = ("retries-exhausted", 503, "Come back after the stated time.")
+    OUTCOME_LOST = ("outcome-lost", 504, "Ask again with the same key; it may have run.")
+
+    def __init__(self, code: str, status: int, remedy: str) -> None:
+        self.code = code
+        self.status = status
+        self.remedy = remedy
+
+
+class RetryReason(Enum):
+    """Why another attempt was started for a request.
+
+    Each member holds its code and what it means.
+    """
+
+    CONNECT_FAILED = ("connect-failed", "The upstream refused or did not take the connection.")
+    CONNECTION_LOST = ("connection-lost", "The connection closed before the end marker.")
+    FIRST_TOKEN_LATE = ("first-token-late", "No first token came within the limit.")
+    TOKEN_GAP = ("token-gap", "A stream went silent for longer than the limit.")
+    UPSTREAM_REFUSED = ("upstream-refused", "The upstream refused the work as overloaded.")
+    UPSTREAM_ERROR = ("upstream-error", "The upstream answered with a server error.")
+    UPSTREAM_LEAVING = ("upstream-leaving", "The upstream is being reclaimed or drained.")
+    HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
+
+    def __init__(self, code: str, meaning: str) -> None:
+        self.code = code
+        self.meaning = meaning
+
+
+class Counter(Enum):
+    """Counters besides one for each refusal and retry reason.
+
+    Each member holds its statsd name and what it counts.
+    """
+
+    REQUESTS = ("requests", "Requests that arrived.")
+    ANSWERS_DONE = ("answers.done", "Requests answered with their result.")
+    ANSWERS_UNKNOWN = ("answers.unknown", "Requests answered with an unknown outcome.")
+    CALLER_GONE = ("caller-gone", "Callers that closed before their answer was whole.")
+    TOKENS_RELAYED = ("tokens.relayed", "Tokens relayed to callers.")
+    TOKENS_DROPPED = ("tokens.dropped", "Late, crossed or repeated tokens dropped.")
+    APPENDS = ("log.appends", "Records appended to the log.")
+    APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
+    APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
+
+    def __init__(self, code: str, meaning: str) -> None:
+        self.code = code
+        self.meaning = meaning
+
+
+def counter_names() -> dict[str, str]:
+    """Return every counter name with its meaning, as the docs must list them."""
+    names = {f"refusal.{reason.code}": reason.remedy for reason in RefusalReason}
+    names.update({f"retry.{reason.code}": reason.meaning for reason in RetryReason})
+    names.update({counter.code: counter.meaning for counter in Counter})
+    return names
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -0,0 +1,115 @@
+"""Entries that entry VMs and operators append to the platform's log.
+
+Each data class here is one kind of entry; its class name is its kind on the wire. Fields may be
+added with a default, never removed or given another meaning.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+CONFIGURATION_STREAM = "configuration"
+LEDGER_STREAM = "ledger"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A right to run one non-idempotent call; the first in log order wins."""
+
+    key_hash: str
+    body_hash: str
+    request_id: str
+    holder: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReleased:
+    """The holder of a claim gives it up before anything was sent."""
+
+    key_hash: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimFinished:
+    """The result of a claimed call; ``known`` is false where it may have run."""
+
+    key_hash: str
+    request_id: str
+    known: bool
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """A job that some entry VM must finish."""
+
+    job_id: str
+    customer: str
+    service: str
+    body: bytes
+    prompt_tokens: int
+    max_tokens: int
+    holder: str
+    at_s: float
+    key_hash: str = ""
+    body_hash: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobMoved:
+    """A job's new holder."""
+
+    job_id: str
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobFinished:
+    """A job reached its end."""
+
+    job_id: str
+    holder: str
+    succeeded: bool
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationProposed:
+    """A proposal that is accepted if ``base_version`` is the version in force."""
+
+    publish_id: str
+    base_version: int
+    operator: str
+    at_s: float
+    inventory_text: str
+    rules_text: str
+
+
+Entry = (
+    Claim
+    | ClaimReleased
+    | ClaimFinished
+    | JobAccepted
+    | JobMoved
+    | JobFinished
+    | ConfigurationProposed
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One appended record: entries of one writer, numbered by it.
+
+    :param offset: place in the stream.
+    :param time_s: when the log took it.
+    """
+
+    offset: int
+    time_s: float
+    writer: str
+    incarnation: int
+    sequence: int
+    entries: tuple[Entry, ...]
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
@@ -0,0 +1,49 @@
+"""Filter: decide what follows a failed attempt."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from coriandershelf_core.internal.events import FailureCause
+from coriandershelf_core.internal.outcome import NotRun, Unknown
+from coriandershelf_core.internal.reasons import RefusalReason, RetryReason
+from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.work import Work
+
+RETRY_REASONS = {
+    FailureCause.CONNECT: RetryReason.CONNECT_FAILED,
+    FailureCause.CONNECT_TIMEOUT: RetryReason.CONNECT_FAILED,
+    FailureCause.CLOSED: RetryReason.CONNECTION_LOST,
+    FailureCause.REFUSED: RetryReason.UPSTREAM_REFUSED,
+    FailureCause.SERVER_ERROR: RetryReason.UPSTREAM_ERROR,
+    FailureCause.FIRST_TOKEN_TIMEOUT: RetryReason.FIRST_TOKEN_LATE,
+    FailureCause.GAP_TIMEOUT: RetryReason.TOKEN_GAP,
+    FailureCause.ANSWER_TIMEOUT: RetryReason.FIRST_TOKEN_LATE,
+    FailureCause.LEAVING: RetryReason.UPSTREAM_LEAVING,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Start another attempt, for this reason."""
+
+    reason: RetryReason
+
+
+def decide_recovery(
+    work: Work, cause: FailureCause, sent: bool, settings: CoreSettings, now_s: float
+) -> Retry | NotRun | Unknown:
+    """Return whether a work is tried again or given up with its final outcome.
+
+    :param sent: whether bytes of any attempt may have reached an upstream.
+    """
+    if sent and not work.repeatable:
+        return Unknown(RefusalReason.OUTCOME_LOST, retry_after_s=5.0)
+    spent = work.attempt_count >= settings.attempts_max_count
+    late = now_s >= work.request.deadline_s
+    if spent or late:
+        reason = RefusalReason.DEADLINE if late else RefusalReason.RETRIES_EXHAUSTED
+        if sent:
+            return Unknown(reason, retry_after_s=2.0)
+        return NotRun(reason, retry_after_s=2.0)
+    return Retry(RETRY_REASONS[cause])
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/request.py
@@ -0,0 +1,45 @@
+"""A caller's request as the core sees it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RequestKind(Enum):
+    """What a caller asks for."""
+
+    CHAT = "chat"
+    JOB = "job"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a caller.
+
+    :param request_id: unique over all entry VMs.
+    :param credential_hash: hex SHA-256 of the bearer key.
+    :param service: model or plain service by its inventory name.
+    :param path: path below the plain service; empty for models.
+    :param body: the body as it goes to the upstream.
+    :param idempotency_key: the caller's key, or ``None``.
+    :param deadline_s: absolute time after which the answer is of no use.
+    :param prompt_tokens: estimated tokens of the prompt.
+    :param max_tokens: upper bound of generated tokens.
+    :param prefix_hashes: hashes of the prompt's growing prefixes, shortest first.
+    :param stream: whether the caller reads tokens as they come.
+    """
+
+    request_id: str
+    kind: RequestKind
+    credential_hash: str
+    service: str
+    deadline_s: float
+    path: str = ""
+    body: bytes = b""
+    idempotency_key: str | None = None
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    stream: bool = True
--- /dev/null
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Package coriandershelf-entry."""
--- /dev/null
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m coriandershelf_entry``."""
+
+from coriandershelf_entry.internal.cli import main
+
+main()
--- /dev/null
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -0,0 +1,186 @@
+"""The entry VM's process as one object with life-cycle hooks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from functools import partial
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from coriandershelf_core import CoreSettings, EntryCore, VmIdentity
+from coriandershelf_core.internal.actions import (
+    Action,
+    Append,
+    CancelAttempt,
+    Count,
+    LogLine,
+    SendFinal,
+    SendTokens,
+    StartAttempt,
+    Stopped,
+    TellPeer,
+)
+from coriandershelf_core.internal.events import StopAsked
+from coriandershelf_core.internal.records import CONFIGURATION_STREAM, LEDGER_STREAM
+from coriandershelf_entry.internal.callers import Callers, make_application, wait_room
+from coriandershelf_entry.internal.clock import make_clock
+from coriandershelf_entry.internal.core_task import CoreTask
+from coriandershelf_entry.internal.log_client import LogClient
+from coriandershelf_entry.internal.mailbox import CallerMailbox
+from coriandershelf_entry.internal.metrics import Metrics
+from coriandershelf_entry.internal.peers import PeerSender, PeerServer
+from coriandershelf_entry.internal.platform import poll_notices, poll_vm_list
+from coriandershelf_entry.internal.settings import EntrySettings
+from coriandershelf_entry.internal.upstream import ConnectionPool, run_attempt
+from coriandershelf_wire import parse_or_none
+
+STOP_LIMIT_S = 600.0
+METRICS_PERIOD_S = 1.0
+ANSWER_POLL_S = 0.02
+
+
+class EntryApplication:
+    """Owns every task of the process; ``start``, ``wait`` and ``stop`` are its hooks."""
+
+    def __init__(self, settings: EntrySettings, core_settings: CoreSettings, log: Any) -> None:
+        self._settings = settings
+        self._log = log
+        self._clock = make_clock()
+        incarnation = settings.incarnation or time.time_ns() // 1_000_000
+        identity = VmIdentity(settings.vm_id, settings.zone, incarnation, settings.peer_listen)
+        seed = settings.seed or random.SystemRandom().getrandbits(63)
+        disabled = frozenset(filter(None, settings.disabled.split(",")))
+        core = EntryCore(identity, core_settings, random.Random(seed), parse_or_none, disabled)
+        self._core_task = CoreTask(core, self._clock, self._perform, self._fail, log)
+        self._metrics = Metrics(settings.statsd_address)
+        self._mailboxes: dict[str, CallerMailbox] = {}
+        self._pool = ConnectionPool()
+        self._attempts: dict[str, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
+        self._exit_code = 0
+        self._stop_signals = 0
+        # Long polls of two streams and notices hold connections, so the default of 10 is raised.
+        client = SimpleAsyncHTTPClient(max_clients=64, force_instance=True)
+        self._client = client
+        self._log_client = LogClient(client, settings.log_address, settings.vm_id, incarnation, log)
+        post = self._core_task.post
+        self._peer_server = PeerServer(settings.peer_listen, post, log)
+        self._peer_sender = PeerSender(settings.vm_id, incarnation)
+        callers = Callers(settings, self._core_task, self._clock, self._metrics, self._mailboxes)
+        self._server = HTTPServer(make_application(callers))
+
+    async def start(self) -> None:
+        """Listen and start every task."""
+        settings = self._settings
+        post = self._core_task.post
+        host, _, port = settings.listen.rpartition(":")
+        self._server.listen(int(port), host)
+        await self._peer_server.start()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._on_stop_signal)
+        loop.add_signal_handler(signal.SIGINT, self._on_stop_signal)
+        self._spawn(self._core_task.tick_forever(settings.tick_s))
+        self._spawn(self._log_client.read_forever(CONFIGURATION_STREAM, post))
+        self._spawn(self._log_client.read_forever(LEDGER_STREAM, post))
+        address = settings.platform_address
+        self._spawn(poll_vm_list(self._client, address, settings.poll_s, post))
+        self._spawn(poll_notices(self._client, address, settings.poll_s, post))
+        self._spawn(self._flush_metrics())
+        self._log.info("listening", address=settings.listen)
+
+    async def wait(self) -> int:
+        """Wait for the end and return the exit code."""
+        await self._ended.wait()
+        return self._exit_code
+
+    async def stop(self) -> None:
+        """Close everything this process owns."""
+        self._server.stop()
+        for task in [*self._tasks, *self._attempts.values()]:
+            task.cancel()
+        await asyncio.gather(*self._tasks, *self._attempts.values(), return_exceptions=True)
+        await self._server.close_all_connections()
+        await self._peer_sender.stop()
+        await self._peer_server.stop()
+        self._pool.close()
+        self._client.close()
+        self._metrics.flush()
+        self._log.info("stopped")
+
+    def _on_stop_signal(self) -> None:
+        self._stop_signals += 1
+        if self._stop_signals > 1:
+            self._log.warning("second stop signal, ending at once")
+            self._ended.set()
+            return
+        self._log.info("stopping")
+        self._core_task.post(StopAsked(self._clock() + STOP_LIMIT_S))
+
+    def _fail(self) -> None:
+        self._exit_code = 70
+        self._ended.set()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("task failed", error=repr(task.exception()))
+            self._fail()
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await asyncio.sleep(METRICS_PERIOD_S)
+            self._metrics.flush()
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case Count(name, amount):
+                self._metrics.count(name, amount)
+            case SendTokens(request_id, payloads):
+                mailbox = self._mailboxes.get(request_id)
+                if mailbox is not None:
+                    mailbox.put_payloads(payloads)
+            case SendFinal(request_id, outcome):
+                mailbox = self._mailboxes.get(request_id)
+                if mailbox is not None:
+                    mailbox.put_outcome(outcome)
+            case StartAttempt():
+                self._start_attempt(action)
+            case CancelAttempt(attempt_id):
+                task = self._attempts.pop(attempt_id, None)
+                if task is not None:
+                    task.cancel()
+            case Append():
+                self._spawn(self._log_client.append(action, self._core_task.post))
+            case TellPeer():
+                self._peer_sender.tell(action)
+            case LogLine(event, fields):
+                self._log.info(event, **dict(fields))
+            case Stopped():
+                self._spawn(self._end_after_answers())
+
+    def _start_attempt(self, action: StartAttempt) -> None:
+        room = partial(wait_room, self._mailboxes)
+        work = run_attempt(action, self._pool, self._core_task.post, room)
+        task = self._spawn(work)
+        self._attempts[action.attempt_id] = task
+        task.add_done_callback(lambda _: self._attempts.pop(action.attempt_id, None))
+
+    async def _end_after_answers(self) -> None:
+        """Let the last answers reach their callers, then end."""
+        self._server.stop()
+        while self._mailboxes:
+            await asyncio.sleep(ANSWER_POLL_S)
+        self._ended.set()
--- /dev/null
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
@@ -0,0 +1,82 @@
+"""The platform's log over HTTP: one task reads each stream, one task each append."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from coriandershelf_core.internal.actions import Append
+from coriandershelf_core.internal.events import AppendAnswered, AppendFailed, LogRead
+from coriandershelf_core.internal.records import Record
+from coriandershelf_entry.internal.core_task import Post
+from coriandershelf_wire import Malformed, decode_record, encode_record
+
+APPEND_LIMIT_S = 2.0
+READ_WAIT_S = 5.0
+READ_MAX_COUNT = 500
+READ_RETRY_S = 0.5
+REFUSED_STATUSES = (429, 503)
+
+
+class LogClient:
+    """Reads streams from their oldest offset and appends records."""
+
+    def __init__(
+        self, client: AsyncHTTPClient, address: str, writer: str, incarnation: int, log: Any
+    ) -> None:
+        self._client = client
+        self._url = f"http://{address}/streams"
+        self._writer = writer
+        self._incarnation = incarnation
+        self._log = log
+
+    async def append(self, action: Append, post: Post) -> None:
+        """Append one record and post whether the log took it."""
+        data = encode_record(self._writer, self._incarnation, action.sequence, action.entries)
+        request = HTTPRequest(
+            f"{self._url}/{action.stream}",
+            method="POST",
+            body=data,
+            request_timeout=APPEND_LIMIT_S,
+            connect_timeout=APPEND_LIMIT_S,
+        )
+        try:
+            response = await self._client.fetch(request)
+        except HTTPClientError as error:
+            uncertain = error.code not in REFUSED_STATUSES
+            post(AppendFailed(action.append_id, uncertain))
+        except (OSError, ValueError) as error:
+            uncertain = not isinstance(error, ConnectionRefusedError)
+            post(AppendFailed(action.append_id, uncertain))
+        else:
+            post(AppendAnswered(action.append_id, json.loads(response.body)["offset"]))
+
+    async def read_forever(self, stream: str, post: Post) -> None:
+        """Read a stream from its oldest record on, across outages."""
+        offset = 0
+        while True:
+            url = f"{self._url}/{stream}?from={offset}&wait_s={READ_WAIT_S}&max={READ_MAX_COUNT}"
+            try:
+                response = await self._client.fetch(url, request_timeout=READ_WAIT_S * 2)
+                answer = json.loads(response.body)
+            except (HTTPClientError, OSError, ValueError):
+                await asyncio.sleep(READ_RETRY_S)
+                continue
+            records = self._decode(answer["records"])
+            offset = answer["next_offset"]
+            post(LogRead(stream, records, answer["first_offset"], offset))
+
+    def _decode(self, raw: list[dict[str, Any]]) -> tuple[Record, ...]:
+        records = []
+        for item in raw:
+            data = base64.b64decode(item["data"])
+            record = decode_record(data, item["offset"], item["time_s"])
+            if isinstance(record, Malformed):
+                self._log.error("record skipped", offset=item["offset"], reason=record.reason)
+                continue
+            records.append(record)
+        return tuple(records)
--- /dev/null
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m coriandershelf_operator``."""
+
+from coriandershelf_operator.internal.cli import main
+
+main()
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m coriandershelf_rig``."""
+
+from coriandershelf_rig.internal.cli import main
+
+main()
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -0,0 +1,556 @@
+"""Cores, engines, plain services and the log in one process and virtual time.
+
+Only small fakes stand at the interfaces of the core; the core itself is the one that serves. All
+random numbers come from one seed, so a run repeats exactly.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from coriandershelf_core import (
+    CoreSettings,
+    Done,
+    EntryCore,
+    Outcome,
+    Request,
+    RequestKind,
+    VmIdentity,
+)
+from coriandershelf_core.internal.actions import (
+    Action,
+    Append,
+    CancelAttempt,
+    Count,
+    SendFinal,
+    SendTokens,
+    StartAttempt,
+    TellPeer,
+)
+from coriandershelf_core.internal.events import (
+    AppendAnswered,
+    AppendFailed,
+    AttemptFailed,
+    AttemptOpened,
+    CallerGone,
+    Event,
+    FailureCause,
+    LoadReported,
+    LogRead,
+    PeerMessageArrived,
+    PlainAnswered,
+    RequestArrived,
+    StreamEnded,
+    Tick,
+    TokensArrived,
+    VmListRead,
+    VmRole,
+    VmState,
+    VmStatus,
+)
+from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.records import (
+    CONFIGURATION_STREAM,
+    LEDGER_STREAM,
+    ConfigurationProposed,
+    Record,
+)
+from coriandershelf_rig.internal.deployments import (
+    Deployment,
+    hash_of,
+    inventory_yaml,
+    rules_yaml,
+)
+from coriandershelf_rig.internal.engine_model import EngineModel, EngineToken, Sequence
+from coriandershelf_rig.internal.log_model import AppendFate, LogModel
+from coriandershelf_wire import parse_or_none
+
+TICK_S = 0.05
+LOG_LATENCY_S = 0.004
+LOG_READ_PERIOD_S = 0.01
+LOAD_REPORT_PERIOD_S = 1.0
+LOAD_REPORT_LAG_S = 1.0
+PLAIN_DURATION_S = 0.02
+APPEND_LIMIT_S = 2.0
+
+
+@dataclass(slots=True)
+class Call:
+    """One caller's request and what came back."""
+
+    request: Request
+    vm_id: str
+    sent_at_s: float
+    first_token_at_s: float | None = None
+    last_token_at_s: float | None = None
+    token_gaps_s: list[float] = field(default_factory=list)
+    payloads: list[bytes] = field(default_factory=list)
+    outcome: Outcome | None = None
+    ended_at_s: float | None = None
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Return the time to the first token."""
+        if self.first_token_at_s is None:
+            return None
+        return self.first_token_at_s - self.sent_at_s
+
+
+@dataclass(slots=True)
+class BenchEntry:
+    """One entry VM: its core, and whether it is paused or dead."""
+
+    core: EntryCore
+    zone: str
+    alive: bool = True
+    paused: bool = False
+    held: list[Event] = field(default_factory=list)
+    offsets: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class BenchUpstream:
+    """One upstream: a model engine, or a plain service that counts executions."""
+
+    zone: str
+    engine: EngineModel | None
+    alive: bool = True
+    stepping: bool = False
+    silent: set[str] = field(default_factory=set)
+    attempts: dict[str, str] = field(default_factory=dict)
+    executions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """The true shape of one generated answer, which the core does not see."""
+
+    length: int
+    crashes: bool = False
+
+
+class Bench:
+    """An event heap around cores and fakes.
+
+    :param deployment: whose zones, replicas and customers to build.
+    :param seed: of every random number.
+    :param disabled: mechanisms taken out of every core.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        settings: CoreSettings | None = None,
+        disabled: frozenset[str] = frozenset(),
+    ) -> None:
+        self.deployment = deployment
+        self.rng = random.Random(seed)
+        self.settings = settings or CoreSettings()
+        self.disabled = disabled
+        self.now_s = 1000.0
+        self.log = LogModel(self.rng)
+        self.entries: dict[str, BenchEntry] = {}
+        self.upstreams: dict[str, BenchUpstream] = {}
+        self.calls: dict[str, Call] = {}
+        self.shapes: dict[str, Shape] = {}
+        self.counters: dict[str, int] = {}
+        self.vms: dict[str, VmStatus] = {}
+        self.cut: Callable[[str, str], bool] = lambda source, target: False
+        self.on_final: Callable[[Call], None] = lambda call: None
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._incarnation = 0
+        for shape in deployment.replicas:
+            engine = EngineModel(shape.engine) if shape.engine else None
+            self.upstreams[shape.replica_id] = BenchUpstream(shape.zone, engine)
+            self._list_vm(shape.replica_id, VmRole.UPSTREAM, shape.zone)
+        for vm_id, zone in deployment.entries:
+            self.start_entry(vm_id, zone)
+        self.publish("initial", 0)
+        self.at(LOAD_REPORT_PERIOD_S, self._report_loads)
+
+    def at(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Run ``call`` after a delay."""
+        self._sequence += 1
+        heapq.heappush(self._heap, (self.now_s + delay_s, self._sequence, call))
+
+    def run(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        until_s = self.now_s + duration_s
+        while self._heap and self._heap[0][0] <= until_s:
+            self.now_s, _, call = heapq.heappop(self._heap)
+            call()
+        self.now_s = until_s
+
+    def start_entry(self, vm_id: str, zone: str) -> BenchEntry:
+        """Start an entry VM, or start it again with nothing kept."""
+        self._incarnation += 1
+        identity = VmIdentity(vm_id, zone, self._incarnation, vm_id)
+        rng = random.Random(self.rng.getrandbits(63))
+        core = EntryCore(identity, self.settings, rng, parse_or_none, self.disabled)
+        entry = BenchEntry(core, zone)
+        self.entries[vm_id] = entry
+        self._list_vm(vm_id, VmRole.ENTRY, zone)
+        self.at(self.rng.random() * TICK_S, lambda: self._tick(entry, vm_id))
+        self.at(self.rng.random() * LOG_READ_PERIOD_S, lambda: self._read_log(entry, vm_id))
+        return entry
+
+    def kill_entry(self, vm_id: str) -> None:
+        """Let an entry VM die without a word; its attempts' connections close."""
+        self.entries[vm_id].alive = False
+        for upstream in self.upstreams.values():
+            for attempt_id, owner in list(upstream.attempts.items()):
+                if owner == vm_id:
+                    self._drop_attempt(upstream, attempt_id)
+
+    def pause_entry(self, vm_id: str) -> None:
+        """Freeze an entry VM."""
+        self.entries[vm_id].paused = True
+
+    def resume_entry(self, vm_id: str) -> None:
+        """Wake a frozen entry VM; what came meanwhile is applied in order."""
+        entry = self.entries[vm_id]
+        entry.paused = False
+        held, entry.held = entry.held, []
+        for event in held:
+            self.feed(vm_id, event)
+
+    def kill_upstream(self, replica_id: str) -> None:
+        """Let an upstream die; connections to it close."""
+        upstream = self.upstreams[replica_id]
+        upstream.alive = False
+        for attempt_id, owner in list(upstream.attempts.items()):
+            self._fail(owner, replica_id, attempt_id, FailureCause.CLOSED)
+        upstream.attempts.clear()
+
+    def restart_upstream(self, replica_id: str) -> None:
+        """Start an upstream with an empty cache; its record goes on."""
+        upstream = self.upstreams[replica_id]
+        if upstream.engine is not None:
+            record = upstream.engine.record
+            upstream.engine = EngineModel(upstream.engine.shape)
+            upstream.engine.record = record
+        upstream.alive = True
+        upstream.stepping = False
+
+    def set_vm_state(self, vm_id: str, state: VmState) -> None:
+        """Change a VM's state in the platform's list."""
+        status = self.vms[vm_id]
+        self.vms[vm_id] = VmStatus(
+            vm_id, status.incarnation, status.role, status.zone, state, status.address
+        )
+
+    def publish(self, publish_id: str, base_version: int, rules_text: str | None = None) -> None:
+        """Append a proposal of the deployment's configuration."""
+        inventory_text = inventory_yaml(self.deployment, {})
+        rules_text = rules_text or rules_yaml(self.deployment)
+        proposal = ConfigurationProposed(
+            publish_id, base_version, "operator", self.now_s, inventory_text, rules_text
+        )
+        self._sequence += 1
+        data = ("operator", 1, self._sequence, (proposal,))
+        self.log.append(CONFIGURATION_STREAM, data, self.now_s)
+
+    def send(self, vm_id: str, request: Request, shape: Shape | None = None) -> Call:
+        """Send a request to an entry VM."""
+        call = Call(request, vm_id, self.now_s)
+        self.calls[request.request_id] = call
+        self.shapes[request.request_id] = shape or Shape(request.max_tokens)
+        self.feed(vm_id, RequestArrived(request))
+        return call
+
+    def leave(self, call: Call) -> None:
+        """Let a caller close its connection."""
+        self.feed(call.vm_id, CallerGone(call.request.request_id))
+
+    def chat(
+        self,
+        customer: str,
+        prompt_tokens: int = 100,
+        max_tokens: int = 100,
+        deadline_s: float = 60.0,
+        kind: RequestKind = RequestKind.CHAT,
+        prefix_hashes: tuple[int, ...] = (),
+    ) -> Request:
+        """Return a model request with a fresh id."""
+        self._sequence += 1
+        return Request(
+            request_id=f"r{self._sequence}",
+            kind=kind,
+            credential_hash=hash_of(f"{customer}-demo-key"),
+            service=self.deployment.model,
+            deadline_s=self.now_s + deadline_s,
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            prefix_hashes=prefix_hashes,
+        )
+
+    def plain_call(
+        self, customer: str, path: str, body: bytes, key: str | None, deadline_s: float = 30.0
+    ) -> Request:
+        """Return a call of the deployment's plain service with a fresh id."""
+        self._sequence += 1
+        return Request(
+            request_id=f"r{self._sequence}",
+            kind=RequestKind.SERVICE,
+            credential_hash=hash_of(f"{customer}-demo-key"),
+            service=self.deployment.plain,
+            path=path,
+            body=body,
+            idempotency_key=key,
+            deadline_s=self.now_s + deadline_s,
+        )
+
+    def feed(self, vm_id: str, event: Event) -> None:
+        """Give an event to an entry VM's core and perform its actions."""
+        entry = self.entries[vm_id]
+        if not entry.alive:
+            return
+        if entry.paused:
+            if not isinstance(event, Tick):
+                entry.held.append(event)
+            return
+        for action in entry.core.step(event, self.now_s):
+            self._perform(vm_id, action)
+
+    def latency_s(self, source_zone: str, target_zone: str) -> float:
+        """Return the one-way time between two zones."""
+        return 0.0001 if source_zone == target_zone else self.deployment.zone_latency_s
+
+    def _list_vm(self, vm_id: str, role: VmRole, zone: str) -> None:
+        status = VmStatus(vm_id, self._incarnation, role, zone, VmState.LIVE, vm_id)
+        self.vms[vm_id] = status
+
+    def _tick(self, entry: BenchEntry, vm_id: str) -> None:
+        if not entry.alive or self.entries[vm_id] is not entry:
+            return
+        self.feed(vm_id, Tick())
+        self.feed(vm_id, VmListRead(tuple(self.vms.values())))
+        self.at(TICK_S, lambda: self._tick(entry, vm_id))
+
+    def _read_log(self, entry: BenchEntry, vm_id: str) -> None:
+        if not entry.alive or self.entries[vm_id] is not entry:
+            return
+        if not entry.paused and not self.cut(vm_id, "log"):
+            for stream in (CONFIGURATION_STREAM, LEDGER_STREAM):
+                start = entry.offsets.get(stream, 0)
+                answer = self.log.read(stream, start, 500, self.now_s)
+                if answer is None:
+                    continue
+                stored, first, upcoming = answer
+                entry.offsets[stream] = upcoming
+                if not stored and upcoming == start:
+                    continue
+                records = tuple(Record(item.offset, item.time_s, *item.data) for item in stored)
+                self.feed(vm_id, LogRead(stream, records, first, upcoming))
+        self.at(LOG_READ_PERIOD_S, lambda: self._read_log(entry, vm_id))
+
+    def _perform(self, vm_id: str, action: Action) -> None:
+        match action:
+            case SendTokens(request_id, payloads):
+                self._on_payloads(request_id, payloads)
+            case StartAttempt():
+                upstream = self.upstreams[action.replica_id]
+                delay_s = self.latency_s(self.entries[vm_id].zone, upstream.zone)
+                self.at(delay_s, lambda: self._start_attempt(vm_id, action))
+            case CancelAttempt(attempt_id):
+                for upstream in self.upstreams.values():
+                    if attempt_id in upstream.attempts:
+                        self._drop_attempt(upstream, attempt_id)
+            case SendFinal(request_id, outcome):
+                self._on_final(request_id, outcome)
+            case Append():
+                self.at(LOG_LATENCY_S, lambda: self._append(vm_id, action))
+            case TellPeer():
+                self._tell(vm_id, action)
+            case Count(name, amount):
+                self.counters[name] = self.counters.get(name, 0) + amount
+            case _:
+                pass
+
+    def _on_payloads(self, request_id: str, payloads: tuple[bytes, ...]) -> None:
+        call = self.calls[request_id]
+        if call.first_token_at_s is None:
+            call.first_token_at_s = self.now_s
+        elif call.last_token_at_s is not None:
+            call.token_gaps_s.append((self.now_s - call.last_token_at_s) / len(payloads))
+        call.last_token_at_s = self.now_s
+        call.payloads.extend(payloads)
+
+    def _on_final(self, request_id: str, outcome: Outcome) -> None:
+        call = self.calls.get(request_id)
+        if call is None:
+            return
+        assert call.outcome is None, f"{request_id} is answered twice"
+        call.outcome = outcome
+        call.ended_at_s = self.now_s
+        self.on_final(call)
+
+    def _append(self, vm_id: str, action: Append) -> None:
+        identity = self.entries[vm_id].core.context.identity
+        data = (vm_id, identity.incarnation, action.sequence, action.entries)
+        if self.cut(vm_id, "log"):
+            fate, offset = AppendFate.LOST, -1
+        else:
+            fate, offset = self.log.append(action.stream, data, self.now_s)
+        answer: Event
+        if fate is AppendFate.TAKEN:
+            answer = AppendAnswered(action.append_id, offset)
+            delay_s = LOG_LATENCY_S
+        else:
+            answer = AppendFailed(action.append_id, fate is not AppendFate.REFUSED)
+            delay_s = LOG_LATENCY_S if fate is AppendFate.REFUSED else APPEND_LIMIT_S
+        entry = self.entries[vm_id]
+
+        def deliver() -> None:
+            if self.entries[vm_id] is entry:
+                self.feed(vm_id, answer)
+
+        self.at(delay_s, deliver)
+
+    def _tell(self, vm_id: str, action: TellPeer) -> None:
+        if action.vm_id not in self.entries or self.cut(vm_id, action.vm_id):
+            return
+        delay_s = self.latency_s(self.entries[vm_id].zone, self.entries[action.vm_id].zone)
+        event = PeerMessageArrived(vm_id, action.message)
+        self.at(delay_s, lambda: self.feed(action.vm_id, event))
+
+    def _start_attempt(self, vm_id: str, action: StartAttempt) -> None:
+        upstream = self.upstreams[action.replica_id]
+        if self.cut(vm_id, action.replica_id):
+            return
+        if not upstream.alive:
+            event = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
+            self._send_back(vm_id, action.replica_id, event)
+            return
+        upstream.attempts[action.attempt_id] = vm_id
+        if action.kind is ServiceKind.PLAIN:
+            self._run_plain(vm_id, upstream, action)
+        else:
+            self._run_sequence(vm_id, upstream, action)
+
+    def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+        identity = hashlib.sha256(action.path.encode() + action.body).hexdigest()
+        upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
+
+        def answer() -> None:
+            if upstream.attempts.pop(action.attempt_id, None) is not None:
+                event = PlainAnswered(action.attempt_id, 200, b'{"ok":true}')
+                self._send_back(vm_id, action.replica_id, event)
+
+        self.at(PLAIN_DURATION_S, answer)
+
+    def _run_sequence(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+        engine = upstream.engine
+        assert engine is not None, f"{action.replica_id} runs no model"
+        request = self.calls[action.request_id].request
+        shape = self.shapes[action.request_id]
+        position = len(action.resume_payloads)
+        if action.kv_source in self.upstreams:
+            source = self.upstreams[action.kv_source]
+            if source.alive and source.engine is not None:
+                engine.import_kv(action.request_id, source.engine.export_kv(action.request_id))
+        sequence = Sequence(
+            attempt_id=action.attempt_id,
+            request_id=action.request_id,
+            content_key=0,
+            prompt_tokens=request.prompt_tokens,
+            prefix_hashes=request.prefix_hashes,
+            length=shape.length,
+            position=position,
+            priority=action.priority,
+            crashes=shape.crashes,
+        )
+        if not engine.submit(sequence, self.now_s):
+            del upstream.attempts[action.attempt_id]
+            self._fail(vm_id, action.replica_id, action.attempt_id, FailureCause.REFUSED)
+            return
+        self._send_back(vm_id, action.replica_id, AttemptOpened(action.attempt_id))
+        if engine.crashed:
+            self.kill_upstream(action.replica_id)
+            return
+        self._schedule_step(action.replica_id, upstream)
+
+    def _schedule_step(self, replica_id: str, upstream: BenchUpstream) -> None:
+        engine = upstream.engine
+        if upstream.stepping or engine is None or engine.next_step_s is None:
+            return
+        upstream.stepping = True
+
+        def step() -> None:
+            if upstream.engine is not engine or not upstream.alive:
+                return
+            upstream.stepping = False
+            for token in engine.advance(self.now_s):
+                self._relay(replica_id, upstream, token)
+            if engine.crashed:
+                self.kill_upstream(replica_id)
+                return
+            self._schedule_step(replica_id, upstream)
+
+        self.at(max(0.0, engine.next_step_s - self.now_s), step)
+
+    def _relay(self, replica_id: str, upstream: BenchUpstream, token: EngineToken) -> None:
+        vm_id = upstream.attempts.get(token.attempt_id)
+        if vm_id is None or token.attempt_id in upstream.silent:
+            return
+        payload = b"%d" % token.position
+        attempt_id = token.attempt_id
+        event = TokensArrived(attempt_id, attempt_id, token.position, (payload,))
+        self._send_back(vm_id, replica_id, event)
+        if token.finished:
+            del upstream.attempts[attempt_id]
+            ended = StreamEnded(attempt_id, attempt_id, token.position + 1)
+            self._send_back(vm_id, replica_id, ended)
+
+    def _drop_attempt(self, upstream: BenchUpstream, attempt_id: str) -> None:
+        del upstream.attempts[attempt_id]
+        if upstream.engine is not None:
+            upstream.engine.cancel(attempt_id)
+
+    def _fail(self, vm_id: str, replica_id: str, attempt_id: str, cause: FailureCause) -> None:
+        self._send_back(vm_id, replica_id, AttemptFailed(attempt_id, cause, sent=True))
+
+    def _send_back(self, vm_id: str, replica_id: str, event: Event) -> None:
+        if self.cut(replica_id, vm_id):
+            return
+        entry = self.entries[vm_id]
+        delay_s = self.latency_s(self.upstreams[replica_id].zone, entry.zone)
+
+        def deliver() -> None:
+            if self.entries[vm_id] is entry:
+                self.feed(vm_id, event)
+
+        self.at(delay_s, deliver)
+
+    def _report_loads(self) -> None:
+        """Let every engine report its load, which arrives late."""
+        for replica_id, upstream in self.upstreams.items():
+            if upstream.engine is None or not upstream.alive:
+                continue
+            engine = upstream.engine
+            event = LoadReported(replica_id, engine.running_count, engine.waiting_count, self.now_s)
+            for vm_id in self.entries:
+                self.at(LOAD_REPORT_LAG_S, lambda v=vm_id, e=event: self.feed(v, e))  # type: ignore[misc]
+        self.at(LOAD_REPORT_PERIOD_S, self._report_loads)
+
+
+def executions_by_body(bench: Bench) -> dict[str, int]:
+    """Return how often each plain call's body was run over all upstreams."""
+    totals: dict[str, int] = {}
+    for upstream in bench.upstreams.values():
+        for identity, count in upstream.executions.items():
+            totals[identity] = totals.get(identity, 0) + count
+    return totals
+
+
+def is_whole(call: Call, shape: Shape) -> bool:
+    """Return whether a finished call holds each payload once, in order."""
+    if not isinstance(call.outcome, Done):
+        return False
+    return call.payloads == [b"%d" % position for position in range(shape.length + 1)]
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/demo.py
@@ -0,0 +1,93 @@
+"""The demo: three zones, requests of every kind, one zone's upstreams reclaimed halfway."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import signal
+from typing import Any
+
+import click
+
+from coriandershelf_rig.internal.cluster import Cluster
+from coriandershelf_rig.internal.deployments import consorcio
+from coriandershelf_rig.internal.load import LoadResult, Mix, run_load
+
+RATE_PER_S = 12.0
+DURATION_S = 30.0
+NOTICE_S = 5.0
+
+
+async def _reclaim_zone(cluster: Cluster, zone: str) -> None:
+    """Announce the reclaim of a zone's model upstreams, then take them."""
+    await asyncio.sleep(DURATION_S / 2)
+    names = [
+        shape.replica_id
+        for shape in cluster.deployment.replicas
+        if shape.zone == zone and shape.engine is not None
+    ]
+    for name in names:
+        await cluster.announce_reclaim(name, NOTICE_S)
+    await asyncio.sleep(NOTICE_S)
+    for name in names:
+        cluster.processes.signal(name, signal.SIGKILL)
+
+
+async def executions(cluster: Cluster) -> dict[str, int]:
+    """Return how often each booking ran, as the plain services counted."""
+    totals: dict[str, int] = {}
+    for shape in cluster.deployment.replicas:
+        if shape.engine is None and cluster.processes.running(shape.replica_id):
+            url = f"http://{cluster.addresses[shape.replica_id]}/record"
+            record = await cluster.get(url)
+            for identity, count in record["by_body"].items():
+                totals[identity] = totals.get(identity, 0) + count
+    return totals
+
+
+def booking_identity(path: str, booking: str) -> str:
+    """Return the identity under which the plain service counts a booking."""
+    return hashlib.sha256(path.encode() + booking.encode()).hexdigest()
+
+
+def _print_table(result: LoadResult, doubled: int, missing: int) -> None:
+    document: dict[str, Any] = result.to_document()
+    rows = [
+        ("requests sent", result.sent),
+        ("answers whole and right", result.whole),
+        ("answers wrong or cut", result.wrong),
+        ("answers refused", sum(result.refused.values())),
+        ("bookings run twice", doubled),
+        ("bookings answered but not run", missing),
+        ("first token p95 (ms)", round(document["first_token_ms"]["p95"], 1)),
+        ("token gap p95 (ms)", round(document["token_gap_ms"]["p95"], 1)),
+    ]
+    for name, value in rows:
+        click.echo(f"{name:34} {value:>10}")
+    for reason, count in sorted(result.refused.items()):
+        click.echo(f"  refused: {reason:23} {count:>10}")
+
+
+async def run_demo(seed: int) -> bool:
+    """Run the demo and return whether every promise held."""
+    deployment = consorcio()
+    async with Cluster(deployment, seed) as cluster:
+        click.echo(
+            f"{len(deployment.entries)} entry VMs, {len(deployment.replicas)} upstreams, "
+            f"{len(deployment.zones)} zones; zone {deployment.zones[0]} is reclaimed halfway"
+        )
+        reclaim = asyncio.create_task(_reclaim_zone(cluster, deployment.zones[0]))
+        result = await run_load(
+            cluster.description(), RATE_PER_S, DURATION_S, seed, Mix(), progress=True
+        )
+        await reclaim
+        counts = await executions(cluster)
+    doubled = sum(count > 1 for count in counts.values())
+    missing = sum(
+        booking_identity("visits/new", booking) not in counts for booking in result.bookings
+    )
+    refused_plain = result.sent - result.whole - result.wrong
+    _print_table(result, doubled, missing)
+    good = not doubled and not result.wrong and missing <= refused_plain
+    click.echo("verdict: every promise held" if good else "verdict: a promise was broken")
+    return good
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/deployments.py
@@ -0,0 +1,211 @@
+"""Both users' deployments as they are today, as shapes that become inventory files."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+import yaml
+
+from coriandershelf_rig.internal.engine_model import EngineShape
+
+OPERATOR_KEY = "operator-demo-key"
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaShape:
+    """One upstream VM of a deployment."""
+
+    replica_id: str
+    service: str
+    zone: str
+    engine: EngineShape | None
+    machine_class: str
+    purchase: str
+    price_per_hour: float
+    checks_fencing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerShape:
+    """One customer of a deployment; its demo key is ``<name>-demo-key``."""
+
+    name: str
+    share: float
+    priority: int
+
+    @property
+    def key(self) -> str:
+        """Return the customer's bearer key in demos and tests."""
+        return f"{self.name}-demo-key"
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """A user's zones, entry VMs, replicas and customers."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    entries: tuple[tuple[str, str], ...]
+    model: str
+    plain: str
+    non_idempotent_paths: tuple[str, ...]
+    replicas: tuple[ReplicaShape, ...]
+    customers: tuple[CustomerShape, ...]
+    zone_latency_s: float
+    budget_per_hour: float
+
+
+def hash_of(key: str) -> str:
+    """Return the hash under which a key stands in the inventory."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+FAST = EngineShape(slots=24, step_base_s=0.008, step_per_sequence_s=0.0003)
+MIDDLE = EngineShape(slots=16, step_base_s=0.011, step_per_sequence_s=0.0004)
+SLOW = EngineShape(
+    slots=8, step_base_s=0.016, step_per_sequence_s=0.0006, prefill_tokens_per_s=8_000.0
+)
+CLASSES = (("fast", FAST, 2.4), ("middle", MIDDLE, 1.4), ("slow", SLOW, 0.7))
+
+
+def _model_replicas(
+    prefix: str, service: str, zones: tuple[str, ...], count: int
+) -> list[ReplicaShape]:
+    replicas = []
+    for index in range(count):
+        machine_class, engine, price = CLASSES[(index // len(zones) + index) % len(CLASSES)]
+        replicas.append(
+            ReplicaShape(
+                f"{prefix}-{index + 1}",
+                service,
+                zones[index % len(zones)],
+                engine,
+                machine_class,
+                "reclaimable",
+                price,
+                index % 3 != 2,
+            )
+        )
+    return replicas
+
+
+def _plain_replicas(prefix: str, service: str, zones: tuple[str, ...]) -> list[ReplicaShape]:
+    return [
+        ReplicaShape(f"{prefix}-{zone}", service, zone, None, "plain", "on-demand", 0.3, False)
+        for zone in zones
+    ]
+
+
+def _entries(zones: tuple[str, ...], count: int) -> tuple[tuple[str, str], ...]:
+    return tuple((f"entry-{index + 1}", zones[index % len(zones)]) for index in range(count))
+
+
+def consorcio() -> Deployment:
+    """Return the Consorcio's deployment."""
+    zones = ("vc-a", "vc-b", "vc-c")
+    replicas = _model_replicas("route", "route-model", zones, 9)
+    replicas += _plain_replicas("dispatch", "dispatch", zones)
+    return Deployment(
+        name="consorcio",
+        region="valle-central",
+        zones=zones,
+        entries=_entries(zones, 9),
+        model="route-model",
+        plain="dispatch",
+        non_idempotent_paths=("visits", "bills"),
+        replicas=tuple(replicas),
+        customers=(
+            CustomerShape("canaletas-norte", 4.0, 0),
+            CustomerShape("limpiatechos", 3.0, 0),
+            CustomerShape("aguas-del-sur", 1.0, 1),
+            CustomerShape("inspeccion-municipal", 1.0, 1),
+            CustomerShape("administradores", 1.0, 2),
+        ),
+        zone_latency_s=0.0004,
+        budget_per_hour=30.0,
+    )
+
+
+def kingston() -> Deployment:
+    """Return Kingston's deployment."""
+    zones = ("jm-a", "jm-b", "jm-c")
+    replicas = _model_replicas("inspect", "inspection-model", zones, 5)
+    replicas += _plain_replicas("orders", "work-orders", zones)
+    return Deployment(
+        name="kingston",
+        region="jm-south",
+        zones=zones,
+        entries=_entries(zones, 8),
+        model="inspection-model",
+        plain="work-orders",
+        non_idempotent_paths=("orders",),
+        replicas=tuple(replicas),
+        customers=(
+            CustomerShape("tram-authority", 4.0, 0),
+            CustomerShape("night-crews", 3.0, 0),
+            CustomerShape("depot", 1.0, 1),
+            CustomerShape("archive", 1.0, 2),
+            CustomerShape("training", 1.0, 2),
+        ),
+        zone_latency_s=0.0012,
+        budget_per_hour=20.0,
+    )
+
+
+DEPLOYMENTS = {"consorcio": consorcio, "kingston": kingston}
+
+
+def inventory_yaml(deployment: Deployment, addresses: dict[str, str]) -> str:
+    """Return the inventory file; replicas without an address get one from the examples' range."""
+    replicas = []
+    for index, shape in enumerate(deployment.replicas):
+        replicas.append(
+            {
+                "id": shape.replica_id,
+                "service": shape.service,
+                "zone": shape.zone,
+                "address": addresses.get(shape.replica_id, f"127.0.1.{index + 1}:8000"),
+                "slots": shape.engine.slots if shape.engine else 32,
+                "machine_class": shape.machine_class,
+                "purchase": shape.purchase,
+                "price_per_hour": shape.price_per_hour,
+                "checks_fencing": shape.checks_fencing,
+            }
+        )
+    document = {
+        "format": 1,
+        "zones": [{"name": zone, "region": deployment.region} for zone in deployment.zones],
+        "services": [
+            {"name": deployment.model, "kind": "model"},
+            {
+                "name": deployment.plain,
+                "kind": "plain",
+                "non_idempotent_paths": list(deployment.non_idempotent_paths),
+            },
+        ],
+        "replicas": replicas,
+        "customers": [
+            {
+                "name": customer.name,
+                "key_hashes": [hash_of(customer.key)],
+                "share": customer.share,
+                "priority": customer.priority,
+            }
+            for customer in deployment.customers
+        ],
+    }
+    return yaml.safe_dump(document, sort_keys=False)
+
+
+def rules_yaml(deployment: Deployment) -> str:
+    """Return the rules file."""
+    document = {
+        "format": 1,
+        "first_token_target_s": 0.75,
+        "token_gap_target_s": 0.026,
+        "budget_per_hour": deployment.budget_per_hour,
+        "priority_at_most": 0,
+    }
+    return yaml.safe_dump(document, sort_keys=False)
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Named measurements: one module each, found by its ``NAME``."""
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/load.py
@@ -0,0 +1,264 @@
+"""Load on entry VMs: a stated mix at a stated rate, every answer checked token by token."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tqdm import tqdm
+
+from coriandershelf_rig.internal.engine_model import content_key_of, token_text
+from coriandershelf_rig.internal.standin_engine import answer_length, prompt_text
+
+HISTOGRAM_MAX_US = 600_000_000
+JOB_POLL_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """Shares of request kinds in a load; they need not add up to 1."""
+
+    short: float = 0.8
+    long: float = 0.1
+    whole: float = 0.05
+    plain: float = 0.1
+    job: float = 0.02
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, HISTOGRAM_MAX_US, 3)
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What came of a load; latencies in microseconds."""
+
+    sent: int = 0
+    whole: int = 0
+    wrong: int = 0
+    refused: dict[str, int] = field(default_factory=dict)
+    first_token_us: HdrHistogram = field(default_factory=_histogram)
+    gap_us: HdrHistogram = field(default_factory=_histogram)
+    total_us: HdrHistogram = field(default_factory=_histogram)
+    by_kind: dict[str, int] = field(default_factory=dict)
+    bookings: list[str] = field(default_factory=list)
+
+    def refuse(self, reason: str) -> None:
+        """Count an answer that is no result."""
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the result with percentiles in milliseconds."""
+
+        def percentiles(histogram: HdrHistogram) -> dict[str, float]:
+            shares = (50, 95, 99, 99.9)
+            values = (histogram.get_value_at_percentile(share) / 1000 for share in shares)
+            return dict(zip(("p50", "p95", "p99", "p99_9"), values, strict=True))
+
+        return {
+            "sent": self.sent,
+            "whole": self.whole,
+            "wrong": self.wrong,
+            "refused": self.refused,
+            "by_kind": self.by_kind,
+            "first_token_ms": percentiles(self.first_token_us),
+            "token_gap_ms": percentiles(self.gap_us),
+            "total_ms": percentiles(self.total_us),
+        }
+
+
+def chat_body(model: str, rng: random.Random, length: int, stream: bool) -> dict[str, Any]:
+    """Return a chat body whose answer the stand-in makes ``length`` tokens long."""
+    question = f"question {rng.getrandbits(48):x} " + "word " * rng.randint(20, 200)
+    return {
+        "model": model,
+        "messages": [{"role": "user", "content": question}],
+        "max_tokens": length,
+        "stream": stream,
+    }
+
+
+def expected_tokens(body: dict[str, Any]) -> list[str]:
+    """Return the tokens that an engine makes for a body."""
+    key = content_key_of(prompt_text(body))
+    return [token_text(key, position) for position in range(answer_length(body))]
+
+
+class LoadClient:
+    """Sends requests to entry VMs and checks their answers."""
+
+    def __init__(self, description: dict[str, Any], seed: int) -> None:
+        self._description = description
+        self._entries = list(description["entries"].values())
+        self._keys = list(description["keys"].values())
+        self._rng = random.Random(seed)
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=5000)
+        self.result = LoadResult()
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def send(self, kind: str) -> None:
+        """Send one request of a kind to any entry VM."""
+        address = self._rng.choice(self._entries)
+        key = self._rng.choice(self._keys)
+        result = self.result
+        result.sent += 1
+        result.by_kind[kind] = result.by_kind.get(kind, 0) + 1
+        try:
+            await self._send_kind(kind, address, key)
+        except HTTPClientError as error:
+            headers = error.response.headers if error.response is not None else {}
+            result.refuse(headers.get("X-Outcome-Reason", f"http-{error.code}"))
+        except OSError as error:
+            result.refuse(type(error).__name__)
+
+    async def _send_kind(self, kind: str, address: str, key: str) -> None:
+        model = self._description["model"]
+        if kind == "plain":
+            await self._send_plain(address, key)
+        elif kind == "job":
+            await self._send_job(address, key, chat_body(model, self._rng, 300, True))
+        elif kind == "whole":
+            await self._send_whole(address, key, chat_body(model, self._rng, 60, False))
+        else:
+            length = 600 if kind == "long" else self._rng.randint(20, 120)
+            await self._send_stream(address, key, chat_body(model, self._rng, length, True))
+
+    def _request(self, address: str, key: str, path: str, body: Any, **more: Any) -> HTTPRequest:
+        headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        headers |= more.pop("headers", {})
+        return HTTPRequest(
+            f"http://{address}{path}",
+            method="POST",
+            headers=headers,
+            body=body if isinstance(body, bytes) else json.dumps(body),
+            request_timeout=300.0,
+            **more,
+        )
+
+    async def _send_stream(self, address: str, key: str, body: dict[str, Any]) -> None:
+        started_s = time.monotonic()
+        last_s = 0.0
+        received = bytearray()
+        result = self.result
+
+        def on_chunk(chunk: bytes) -> None:
+            nonlocal last_s
+            now_s = time.monotonic()
+            count = chunk.count(b"data: ")
+            if not received:
+                result.first_token_us.record_value(int((now_s - started_s) * 1e6))
+            elif count:
+                result.gap_us.record_value(max(1, int((now_s - last_s) / count * 1e6)))
+            last_s = now_s
+            received.extend(chunk)
+
+        path = "/v1/chat/completions"
+        request = self._request(address, key, path, body, streaming_callback=on_chunk)
+        await self._client.fetch(request)
+        result.total_us.record_value(int((time.monotonic() - started_s) * 1e6))
+        self._judge(_streamed_tokens(bytes(received)), expected_tokens(body))
+
+    async def _send_whole(self, address: str, key: str, body: dict[str, Any]) -> None:
+        request = self._request(address, key, "/v1/chat/completions", body)
+        response = await self._client.fetch(request)
+        text = json.loads(response.body)["choices"][0]["message"]["content"]
+        self._judge([text], ["".join(expected_tokens(body))])
+
+    async def _send_plain(self, address: str, key: str) -> None:
+        booking = f"booking-{self._rng.getrandbits(64):x}"
+        self.result.bookings.append(booking)
+        plain = self._description["plain"]
+        path = "visits" if plain == "dispatch" else "orders"
+        request = self._request(
+            address,
+            key,
+            f"/v1/services/{plain}/{path}/new",
+            booking.encode(),
+            headers={"Idempotency-Key": booking},
+        )
+        response = await self._client.fetch(request)
+        self._judge([response.headers.get("X-Outcome", "")], ["done"])
+
+    async def _send_job(self, address: str, key: str, body: dict[str, Any]) -> None:
+        response = await self._client.fetch(self._request(address, key, "/v1/jobs", body))
+        job_id = json.loads(response.body)["id"]
+        tokens: list[str] = []
+        position = 0
+        while True:
+            await asyncio.sleep(JOB_POLL_S)
+            url = f"http://{self._rng.choice(self._entries)}/v1/jobs/{job_id}?from={position}"
+            try:
+                answer = await self._client.fetch(url, headers={"Authorization": f"Bearer {key}"})
+            except HTTPClientError as error:
+                if error.code in (503, 404):
+                    continue
+                raise
+            document = json.loads(answer.body)
+            position += len(document["output"])
+            tokens += _contents(document["output"])
+            if document["status"] != "running":
+                break
+        self._judge(tokens, expected_tokens(body))
+
+    def _judge(self, got: list[str], expected: list[str]) -> None:
+        if got == expected:
+            self.result.whole += 1
+        else:
+            self.result.wrong += 1
+
+
+def _contents(chunks: list[dict[str, Any]]) -> list[str]:
+    deltas = [chunk["choices"][0]["delta"] for chunk in chunks]
+    return [delta["content"] for delta in deltas if "content" in delta]
+
+
+def _streamed_tokens(received: bytes) -> list[str]:
+    """Return a stream's tokens; none where its end marker is missing."""
+    events = received.split(b"\n\n")
+    if b"data: [DONE]" not in events:
+        return ["cut"]
+    chunks = [
+        json.loads(event[6:])
+        for event in events
+        if event.startswith(b"data: ") and event != b"data: [DONE]"
+    ]
+    return _contents(chunks)
+
+
+async def run_load(
+    description: dict[str, Any],
+    rate_per_s: float,
+    duration_s: float,
+    seed: int,
+    mix: Mix,
+    progress: bool,
+) -> LoadResult:
+    """Send a mix at a rate and wait for every answer."""
+    client = LoadClient(description, seed)
+    rng = random.Random(seed + 1)
+    kinds = ("short", "long", "whole", "plain", "job")
+    weights = [getattr(mix, kind) for kind in kinds]
+    total = int(rate_per_s * duration_s)
+    started_s = time.monotonic()
+    tasks = []
+    with tqdm(total=total, unit="request", disable=None if progress else True) as bar:
+        for index in range(total):
+            delay_s = started_s + index / rate_per_s - time.monotonic()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            kind = rng.choices(kinds, weights)[0]
+            task = asyncio.create_task(client.send(kind))
+            task.add_done_callback(lambda _: bar.update())
+            tasks.append(task)
+        await asyncio.gather(*tasks)
+    client.close()
+    return client.result
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/processes.py
@@ -0,0 +1,71 @@
+"""Child processes of the rig, each stopped by its id."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+STOP_LIMIT_S = 10.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return that many ports nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [int(item.getsockname()[1]) for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Processes:
+    """The rig's children by name."""
+
+    def __init__(self, log_folder: Path) -> None:
+        self._log_folder = log_folder
+        self._children: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m module`` with its output in a file of its own."""
+        command = [sys.executable, "-m", module, *arguments]
+        with open(self._log_folder / f"{name}.log", "ab") as output:
+            self._children[name] = subprocess.Popen(
+                command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a child that still runs."""
+        child = self._children[name]
+        if child.poll() is None:
+            child.send_signal(number)
+
+    def wait(self, name: str, limit_s: float) -> int | None:
+        """Return a child's exit code, or ``None`` if it still runs after the limit."""
+        try:
+            return self._children[name].wait(limit_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def running(self, name: str) -> bool:
+        """Return whether a child runs."""
+        return self._children[name].poll() is None
+
+    def pid(self, name: str) -> int:
+        """Return a child's process id."""
+        return self._children[name].pid
+
+    def stop_all(self) -> None:
+        """End every child, at last by force."""
+        for child in self._children.values():
+            if child.poll() is None:
+                os.kill(child.pid, signal.SIGCONT)
+                child.kill()
+        deadline_s = time.monotonic() + STOP_LIMIT_S
+        for child in self._children.values():
+            child.wait(max(0.1, deadline_s - time.monotonic()))
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for docs/CAPACITY.md: one module each, found by its ``NAME``."""
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
@@ -0,0 +1,214 @@
+"""A model engine's stand-in over HTTP, driven by :class:`EngineModel` in real time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import time
+from dataclasses import asdict
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from coriandershelf_core.internal.prompt import estimate_tokens, prefix_hashes
+from coriandershelf_rig.internal.engine_model import (
+    EngineModel,
+    EngineShape,
+    EngineToken,
+    Sequence,
+    content_key_of,
+    token_text,
+)
+
+CRASH_EXIT_CODE = 9
+
+
+def prompt_text(body: dict[str, Any]) -> str:
+    """Return the text that decides the answer to a chat body."""
+    return "\0".join(f"{item['role']}\0{item['content']}" for item in body["messages"])
+
+
+def answer_length(body: dict[str, Any]) -> int:
+    """Return how many tokens the stand-in generates for a chat body."""
+    limit = body.get("max_completion_tokens") or body.get("max_tokens") or 256
+    return min(int(limit), int(body.get("x_output_tokens", limit)))
+
+
+def payload_of(token: EngineToken) -> bytes:
+    """Return the payload of a token as callers' libraries read it."""
+    delta = {} if token.finished else {"content": token_text(token.content_key, token.position)}
+    finish = "stop" if token.finished else None
+    chunk = {
+        "id": f"chatcmpl-{token.request_id}",
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+    }
+    return json.dumps(chunk, separators=(",", ":")).encode()
+
+
+class EngineServer:
+    """Owns the model, the task that steps it, and a queue for each open stream."""
+
+    def __init__(self, shape: EngineShape) -> None:
+        self.model = EngineModel(shape)
+        self.fencing_number = 0
+        self.orders: list[dict[str, Any]] = []
+        self._queues: dict[str, asyncio.Queue[EngineToken]] = {}
+        self._work = asyncio.Event()
+
+    def open(self, sequence: Sequence) -> asyncio.Queue[EngineToken] | None:
+        """Submit a sequence; ``None`` where the engine is overloaded."""
+        if not self.model.submit(sequence, time.monotonic()):
+            return None
+        if self.model.crashed:
+            os._exit(CRASH_EXIT_CODE)
+        queue: asyncio.Queue[EngineToken] = asyncio.Queue()
+        self._queues[sequence.attempt_id] = queue
+        self._work.set()
+        return queue
+
+    def close(self, attempt_id: str) -> None:
+        """Forget a stream; cancels the sequence if it still runs."""
+        if self._queues.pop(attempt_id, None) is not None:
+            self.model.cancel(attempt_id)
+
+    async def step_forever(self) -> None:
+        """Make tokens as time passes."""
+        while True:
+            due_s = self.model.next_step_s
+            if due_s is None:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            for token in self.model.advance(time.monotonic()):
+                queue = self._queues.get(token.attempt_id)
+                if queue is not None:
+                    queue.put_nowait(token)
+            if self.model.crashed:
+                os._exit(CRASH_EXIT_CODE)
+
+
+class CompletionsHandler(RequestHandler):
+    """Streams tokens; each event's id is ``attempt:position``."""
+
+    def initialize(self, server: EngineServer) -> None:
+        """Take the engine."""
+        self._server = server
+        self._attempt_id = ""
+
+    async def post(self) -> None:
+        """Generate."""
+        body = json.loads(self.request.body)
+        headers = self.request.headers
+        self._attempt_id = headers.get("X-Attempt-Id", os.urandom(8).hex())
+        text = prompt_text(body)
+        sequence = Sequence(
+            attempt_id=self._attempt_id,
+            request_id=headers.get("X-Request-Id", self._attempt_id),
+            content_key=content_key_of(text),
+            prompt_tokens=estimate_tokens(text),
+            prefix_hashes=prefix_hashes(text),
+            length=answer_length(body),
+            position=int(headers.get("X-Resume-From", "0")),
+            priority=int(headers.get("X-Priority", "0")),
+            crashes=bool(body.get("x_crash")),
+        )
+        await self._import_kv(sequence.request_id, headers.get("X-Kv-Source"))
+        queue = self._server.open(sequence)
+        if queue is None:
+            self.set_status(429)
+            return
+        self.set_header("Content-Type", "text/event-stream")
+        try:
+            await self.flush()
+            await self._stream(queue)
+        except StreamClosedError:
+            pass
+        finally:
+            self._server.close(self._attempt_id)
+
+    async def _stream(self, queue: asyncio.Queue[EngineToken]) -> None:
+        finished = False
+        while not finished:
+            tokens = [await queue.get()]
+            while not queue.empty():
+                tokens.append(queue.get_nowait())
+            parts = [
+                b"id: %s:%d\ndata: %s\n\n"
+                % (self._attempt_id.encode(), token.position, payload_of(token))
+                for token in tokens
+            ]
+            finished = tokens[-1].finished
+            if finished:
+                end = tokens[-1].position + 1
+                parts.append(b"id: %s:%d\ndata: [DONE]\n\n" % (self._attempt_id.encode(), end))
+            self.write(b"".join(parts))
+            await self.flush()
+
+    async def _import_kv(self, request_id: str, source: str | None) -> None:
+        if source is None:
+            return
+        try:
+            answer = await AsyncHTTPClient().fetch(
+                f"http://{source}/kv/{request_id}", request_timeout=2.0
+            )
+        except (HTTPClientError, OSError):
+            return
+        tokens = json.loads(answer.body)["tokens"]
+        await asyncio.sleep(self._server.model.import_kv(request_id, tokens))
+
+    def on_connection_close(self) -> None:
+        """Cancel the sequence of a client that went away."""
+        self._server.close(self._attempt_id)
+
+
+class EngineAdminHandler(RequestHandler):
+    """``/load``, ``/record``, ``/kv/{request}``, ``/slow`` and ``/orders``."""
+
+    def initialize(self, server: EngineServer, checks_fencing: bool) -> None:
+        """Take the engine."""
+        self._server = server
+        self._checks_fencing = checks_fencing
+
+    def get(self, what: str, argument: str | None = None) -> None:
+        """Answer with JSON."""
+        model = self._server.model
+        if what == "load":
+            self.write({"running": model.running_count, "waiting": model.waiting_count})
+        elif what == "record":
+            self.write({**asdict(model.record), "orders": self._server.orders})
+        elif what == "kv":
+            self.write({"tokens": model.export_kv(argument or "")})
+
+    def post(self, what: str, argument: str | None = None) -> None:
+        """Slow the engine down, or take an order."""
+        body = json.loads(self.request.body)
+        if what == "slow":
+            self._server.model.slow_factor = float(body["factor"])
+            return
+        number = int(body["fencing_number"])
+        if self._checks_fencing and number < self._server.fencing_number:
+            self.set_status(409)
+            return
+        self._server.fencing_number = max(number, self._server.fencing_number)
+        self._server.orders.append(body)
+
+
+async def serve_engine(port: int, shape: EngineShape, checks_fencing: bool) -> None:
+    """Serve until cancelled."""
+    server = EngineServer(shape)
+    shared = {"server": server, "checks_fencing": checks_fencing}
+    application = Application(
+        [
+            (r"/v1/chat/completions", CompletionsHandler, {"server": server}),
+            (r"/(load|record|slow|orders)", EngineAdminHandler, shared),
+            (r"/(kv)/(.+)", EngineAdminHandler, shared),
+        ],
+        log_function=lambda handler: None,
+    )
+    application.listen(port, "127.0.0.1")
+    await server.step_forever()
--- /dev/null
+++ b/packages/coriandershelf-wire/src/coriandershelf_wire/internal/codec.py
@@ -0,0 +1,77 @@
+"""Data classes to bytes and back, checked against their types on the way in."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, get_args
+
+import msgspec
+
+from coriandershelf_core.internal.messages import Message
+from coriandershelf_core.internal.records import Entry, Record
+from coriandershelf_wire.internal.peer_pb2 import Batch, LogRecord, Typed
+
+MESSAGE_TYPES = {cls.__name__: cls for cls in get_args(Message)}
+ENTRY_TYPES = {cls.__name__: cls for cls in get_args(Entry)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Malformed:
+    """Bytes that could not be decoded, and why."""
+
+    reason: str
+
+
+def _to_typed(value: Any) -> Typed:
+    return Typed(kind=type(value).__name__, body=msgspec.msgpack.encode(value))
+
+
+def _from_typed(typed: Typed, types: dict[str, type]) -> Any:
+    """Return the decoded value, or ``None`` for a kind of a newer version."""
+    cls = types.get(typed.kind)
+    if cls is None:
+        return None
+    return msgspec.msgpack.decode(typed.body, type=cls)
+
+
+def encode_batch(sender: str, incarnation: int, messages: tuple[Message, ...]) -> Batch:
+    """Return the protobuf batch of some messages."""
+    typed = [_to_typed(message) for message in messages]
+    return Batch(sender=sender, incarnation=incarnation, messages=typed)
+
+
+def decode_batch(batch: Batch) -> tuple[Message, ...] | Malformed:
+    """Return the messages whose kind is known, or why the batch is malformed."""
+    try:
+        decoded = [_from_typed(typed, MESSAGE_TYPES) for typed in batch.messages]
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Malformed(str(error))
+    return tuple(message for message in decoded if message is not None)
+
+
+def encode_record(
+    writer: str, incarnation: int, sequence: int, entries: tuple[Entry, ...]
+) -> bytes:
+    """Return the bytes of one log record."""
+    typed = [_to_typed(entry) for entry in entries]
+    record = LogRecord(writer=writer, incarnation=incarnation, sequence=sequence, entries=typed)
+    return bytes(record.SerializeToString())
+
+
+def decode_record(data: bytes, offset: int, time_s: float) -> Record | Malformed:
+    """Return the record with the entries whose kind is known, or why it is malformed."""
+    parsed = LogRecord()
+    try:
+        parsed.ParseFromString(data)
+        decoded = [_from_typed(typed, ENTRY_TYPES) for typed in parsed.entries]
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Malformed(str(error))
+    except Exception as error:  # protobuf's DecodeError has no stable import path
+        return Malformed(str(error))
+    entries = tuple(entry for entry in decoded if entry is not None)
+    return Record(offset, time_s, parsed.writer, parsed.incarnation, parsed.sequence, entries)
+
+
+def to_json(value: Any) -> bytes:
+    """Return a data class as JSON for people; bytes become base64."""
+    return msgspec.json.encode(value)
