--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/overhead.py
@@ -0,0 +1,184 @@
+"""What an entry VM adds to a stream: time, processor time and memory, against going direct."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+import psutil
+from hdrh.histogram import HdrHistogram
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from coriandershelf_rig.internal.cluster import Cluster
+from coriandershelf_rig.internal.deployments import CustomerShape, Deployment, ReplicaShape
+from coriandershelf_rig.internal.engine_model import EngineShape
+from coriandershelf_rig.internal.load import chat_body
+from coriandershelf_rig.internal.report import Report
+
+NAME = "overhead"
+ENGINE_COUNT = 4
+ENGINE = EngineShape(slots=128, step_base_s=0.02, step_per_sequence_s=0.0, prefill_tokens_per_s=1e6)
+LENGTHS = (1, 50, 100, 200)
+REQUEST_COUNT = 200
+CONCURRENCY_COUNT = 40
+OPEN_STREAM_COUNTS = (50, 100, 200, 400)
+SETTLE_S = 1.0
+
+
+@dataclass(slots=True)
+class Timing:
+    """Times of one run, in microseconds."""
+
+    first_token_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
+    gap_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
+
+    def document(self) -> dict[str, float]:
+        """Return the percentiles in milliseconds."""
+        return {
+            f"{name}_p{share}_ms": histogram.get_value_at_percentile(share) / 1000
+            for name, histogram in (("first_token", self.first_token_us), ("gap", self.gap_us))
+            for share in (50, 95, 99)
+        }
+
+
+def _deployment() -> Deployment:
+    replicas = tuple(
+        ReplicaShape(f"engine-{index}", "model", "z", ENGINE, "c", "on-demand", 1.0, True)
+        for index in range(ENGINE_COUNT)
+    )
+    return Deployment(
+        name="overhead",
+        region="r",
+        zones=("z",),
+        entries=(("entry-1", "z"),),
+        model="model",
+        plain="none",
+        non_idempotent_paths=(),
+        replicas=replicas,
+        customers=(CustomerShape("caller", 1.0, 0),),
+        zone_latency_s=0.0,
+        budget_per_hour=0.0,
+    )
+
+
+async def _stream(
+    client: AsyncHTTPClient, address: str, key: str, body: dict[str, Any], timing: Timing
+) -> None:
+    started_s = time.monotonic()
+    last_s = 0.0
+
+    def on_chunk(chunk: bytes) -> None:
+        nonlocal last_s
+        now_s = time.monotonic()
+        if not last_s:
+            timing.first_token_us.record_value(int((now_s - started_s) * 1e6))
+        else:
+            timing.gap_us.record_value(max(1, int((now_s - last_s) * 1e6)))
+        last_s = now_s
+
+    request = HTTPRequest(
+        f"http://{address}/v1/chat/completions",
+        method="POST",
+        headers={"Authorization": f"Bearer {key}"},
+        body=json.dumps(body),
+        streaming_callback=on_chunk,
+        request_timeout=120.0,
+    )
+    await client.fetch(request)
+
+
+async def _run_streams(
+    cluster: Cluster, addresses: list[str], length: int, count: int, seed: int
+) -> Timing:
+    """Send ``count`` streams with a bounded concurrency and return their times."""
+    timing = Timing()
+    rng = random.Random(seed)
+    limit = asyncio.Semaphore(CONCURRENCY_COUNT)
+    key = cluster.deployment.customers[0].key
+
+    async def one(index: int) -> None:
+        async with limit:
+            body = chat_body("model", rng, length, True)
+            address = addresses[index % len(addresses)]
+            await _stream(cluster.client, address, key, body, timing)
+
+    await asyncio.gather(*(one(index) for index in range(count)))
+    return timing
+
+
+async def _processor_time(cluster: Cluster, seed: int, echo: Callable[[str], None]) -> None:
+    """Print the entry VM's processor time for streams of several lengths."""
+    process = psutil.Process(cluster.processes.pid("entry-1"))
+    address = cluster.addresses["entry-1"]
+    rows = []
+    for length in LENGTHS:
+        before = process.cpu_times()
+        await _run_streams(cluster, [address], length, REQUEST_COUNT, seed)
+        after = process.cpu_times()
+        used_s = after.user + after.system - before.user - before.system
+        rows.append((length, used_s / REQUEST_COUNT))
+        echo(f"length {length:4} tokens: {used_s / REQUEST_COUNT * 1e6:8.0f} us a request")
+    (first, first_s), (last, last_s) = rows[0], rows[-1]
+    per_token_s = (last_s - first_s) / (last - first)
+    per_request_s = first_s - per_token_s * first
+    echo(f"per token {per_token_s * 1e6:.1f} us, {1 / per_token_s:.0f} tokens/s a core")
+    echo(f"per request {per_request_s * 1e6:.0f} us, {1 / per_request_s:.0f} requests/s a core")
+
+
+async def _memory(cluster: Cluster, seed: int, echo: Callable[[str], None]) -> None:
+    """Print the entry VM's resident memory against the count of open streams."""
+    process = psutil.Process(cluster.processes.pid("entry-1"))
+    address = cluster.addresses["entry-1"]
+    key = cluster.deployment.customers[0].key
+    rng = random.Random(seed)
+    rows = []
+    for count in OPEN_STREAM_COUNTS:
+        bodies = [chat_body("model", rng, 200, True) for _ in range(count)]
+        streams = [
+            asyncio.create_task(_stream(cluster.client, address, key, body, Timing()))
+            for body in bodies
+        ]
+        await asyncio.sleep(SETTLE_S)
+        rows.append((count, process.memory_info().rss))
+        await asyncio.gather(*streams)
+        echo(f"{count:4} open streams: {rows[-1][1] / 2**20:.1f} MiB resident")
+    (first, low), (last, high) = rows[0], rows[-1]
+    echo(f"per open stream {(high - low) / (last - first) / 1024:.1f} KiB")
+
+
+async def _measure(seed: int, verbose: bool) -> tuple[Timing, Timing]:
+    def echo(line: str) -> None:
+        if verbose:
+            click.echo(line)
+
+    async with Cluster(_deployment(), seed) as cluster:
+        engines = [cluster.addresses[f"engine-{index}"] for index in range(ENGINE_COUNT)]
+        entry = [cluster.addresses["entry-1"]]
+        await _run_streams(cluster, engines + entry, 5, 50, seed)
+        direct = await _run_streams(cluster, engines, 100, REQUEST_COUNT, seed)
+        through = await _run_streams(cluster, entry, 100, REQUEST_COUNT, seed)
+        echo(f"direct      {json.dumps(direct.document())}")
+        echo(f"through one {json.dumps(through.document())}")
+        await _processor_time(cluster, seed, echo)
+        await _memory(cluster, seed, echo)
+        return direct, through
+
+
+def run(seed: int, disabled: frozenset[str], verbose: bool, plot: str | None) -> Report:
+    """Measure the overhead of one entry VM with real processes on loopback."""
+    direct, through = asyncio.run(_measure(seed, verbose))
+    return Report(
+        experiment=NAME,
+        seed=seed,
+        measure="median first-token time in ms, direct against through an entry VM",
+        baseline=direct.document()["first_token_p50_ms"],
+        candidate=through.document()["first_token_p50_ms"],
+        target=None,
+        violations=0,
+    )
