Do not take a slow caller for a silent upstream; answer an oversized body before closing

Ruled out: waiting a loop turn for each chunk (no effect on either, costs more than the chunk). Change: the attempt tells the core when its reading pauses; the refusal is flushed a moment before the close; unknown paths and methods are answered in the interface's JSON form.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -104,6 +104,20 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptPaused:
+    """Reading a stream stopped because its caller does not take what came."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResumed:
+    """Reading a stream goes on after a pause."""
+
+    attempt_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlainAnswered:
     """A plain service answered whole."""
@@ -207,6 +221,8 @@
     | AttemptOpened
     | TokensArrived
     | StreamEnded
+    | AttemptPaused
+    | AttemptResumed
     | PlainAnswered
     | AttemptFailed
     | LogRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -16,6 +16,8 @@
     AppendFailed,
     AttemptFailed,
     AttemptOpened,
+    AttemptPaused,
+    AttemptResumed,
     CallerGone,
     Event,
     JobRead,
@@ -113,6 +115,10 @@
                 self.serving.on_opened(event, now_s)
             case StreamEnded():
                 self.serving.on_stream_ended(event, now_s)
+            case AttemptPaused(attempt_id):
+                self.serving.on_paused(attempt_id, True, now_s)
+            case AttemptResumed(attempt_id):
+                self.serving.on_paused(attempt_id, False, now_s)
             case PlainAnswered():
                 self.serving.on_plain_answered(event, now_s)
             case AttemptFailed():
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -99,6 +99,13 @@
         work.payloads.extend(fresh)
         self._deliver(work, fresh, now_s)
 
+    def on_paused(self, attempt_id: str, paused: bool, now_s: float) -> None:
+        """Note whether an attempt's reading waits for its caller."""
+        attempt = self.attempts.get(attempt_id)
+        if attempt is not None:
+            attempt.paused = paused
+            attempt.last_token_at_s = now_s
+
     def on_stream_ended(self, event: StreamEnded, now_s: float) -> None:
         """Finish a work whose answer is whole; a cut answer is a failed attempt."""
         attempt = self.attempts.get(event.attempt_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/watch.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/watch.py
@@ -20,5 +20,7 @@
     if attempt.last_token_at_s is None:
         late = waited_s > settings.first_token_limit_s
         return FailureCause.FIRST_TOKEN_TIMEOUT if late else None
+    if attempt.paused:
+        return None
     silent_s = now_s - attempt.last_token_at_s
     return FailureCause.GAP_TIMEOUT if silent_s > settings.token_gap_limit_s else None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -59,7 +59,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One try of a work at one replica."""
+    """One try of a work at one replica.
+
+    :param paused: whether reading waits for a slow caller; silence is then no failure.
+    """
 
     attempt_id: str
     work: Work
@@ -68,3 +71,4 @@
     opened_at_s: float | None = None
     last_token_at_s: float | None = None
     token_count: int = 0
+    paused: bool = False
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import uuid
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import Any
 
@@ -33,6 +34,7 @@
 REASON_HEADER = "X-Outcome-Reason"
 # The refusal of a larger body is ours, with a reason; tornado would only close the connection.
 BODY_READ_LIMIT_BYTES = 1 << 40
+REFUSED_BODY_LINGER_S = 1.0
 
 
 @dataclass(slots=True)
@@ -93,8 +95,27 @@
     return json.dumps(document).encode()
 
 
+class JsonHandler(RequestHandler):
+    """Writes errors of the HTTP layer in the interface's usual JSON form."""
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Write an error that no handler answered itself."""
+        message = f"{self._reason}. See the callers' page for paths and methods."
+        error = {"message": message, "type": "invalid_request_error", "code": "http-error"}
+        self.set_header("Content-Type", "application/json")
+        self.finish({"error": {**error, "param": None}, "outcome": "not-run"})
+
+
+class UnknownPathHandler(JsonHandler):
+    """Every path that the interface does not have."""
+
+    def prepare(self) -> None:
+        """Answer 404."""
+        self.send_error(404)
+
+
 @stream_request_body
-class CallerHandler(RequestHandler):
+class CallerHandler(JsonHandler):
     """Common parts of the handlers that answer through the core."""
 
     callers: Callers
@@ -107,7 +128,7 @@
         self._body = bytearray()
         self._refused = False
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Refuse a body over the limit before it is read."""
         self.set_header("X-Request-Id", self.request_id)
         limit = self.callers.settings.body_limit_bytes
@@ -115,18 +136,36 @@
         assert isinstance(connection, HTTP1Connection), "served by tornado's own server"
         connection.set_max_body_size(BODY_READ_LIMIT_BYTES)
         if int(self.request.headers.get("Content-Length", "0")) > limit:
-            self._refuse_body()
+            await self._refuse_body()
 
-    def data_received(self, chunk: bytes) -> None:
+    async def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the body within the limit."""
+        if self._refused:
+            return
         self._body += chunk
-        if len(self._body) > self.callers.settings.body_limit_bytes and not self._refused:
-            self._refuse_body()
+        if len(self._body) > self.callers.settings.body_limit_bytes:
+            await self._refuse_body()
 
-    def _refuse_body(self) -> None:
+    async def _refuse_body(self) -> None:
+        """Answer before the body is read, then close.
+
+        The answer is flushed a moment before the connection closes: closing with unread bytes
+        resets it, and a reset would take the answer from a caller that still sends.
+        """
         self._refused = True
         limit = self.callers.settings.body_limit_bytes
-        self.refuse(NotRun(RefusalReason.BODY_TOO_LARGE, detail=f"the limit is {limit} bytes"))
+        outcome = NotRun(RefusalReason.BODY_TOO_LARGE, detail=f"the limit is {limit} bytes")
+        self.callers.metrics.count(f"refusal.{outcome.reason.code}", 1)
+        document = json.dumps(error_document(outcome)).encode()
+        self.write_error_outcome(outcome, document)
+        self.set_header("Content-Length", str(len(document)))
+        self.set_header("Connection", "close")
+        try:
+            await self.flush()
+            await asyncio.sleep(REFUSED_BODY_LINGER_S)
+            await self.finish()
+        except StreamClosedError:
+            pass
 
     def refuse(self, outcome: NotRun | Unknown) -> None:
         """Answer with an error that the core had no part in."""
@@ -134,7 +173,7 @@
         self.write_error_outcome(outcome)
         self.finish()
 
-    def write_error_outcome(self, outcome: NotRun | Unknown) -> None:
+    def write_error_outcome(self, outcome: NotRun | Unknown, document: bytes | None = None) -> None:
         """Write an error's status, headers and document."""
         self.set_status(outcome.reason.status)
         self.set_header(OUTCOME_HEADER, outcome_name(outcome))
@@ -142,7 +181,7 @@
         if outcome.retry_after_s is not None:
             self.set_header("Retry-After", str(max(0, round(outcome.retry_after_s))))
         self.set_header("Content-Type", "application/json")
-        self.write(error_document(outcome))
+        self.write(document or error_document(outcome))
 
     def write_whole(self, done: Done, content_type: str = "application/json") -> None:
         """Write a whole answer."""
@@ -322,7 +361,7 @@
         await self.answer_whole(mailbox)
 
 
-class HealthHandler(RequestHandler):
+class HealthHandler(JsonHandler):
     """``GET /healthz`` and ``GET /readyz``."""
 
     def initialize(self, callers: Callers, readiness: bool) -> None:
@@ -337,7 +376,7 @@
         self.write({"ready": self._core.ready})
 
 
-class OperatorHandler(RequestHandler):
+class OperatorHandler(JsonHandler):
     """``GET /admin/status`` and ``GET /admin/explain/{request}`` for operators."""
 
     def initialize(self, callers: Callers) -> None:
@@ -403,13 +442,19 @@
             (r"/admin/(status)", OperatorHandler, shared),
             (r"/admin/(explain)/(.+)", OperatorHandler, shared),
         ],
+        default_handler_class=UnknownPathHandler,
         log_function=lambda handler: None,
     )
 
 
-async def wait_room(mailboxes: dict[str, CallerMailbox], request_id: str) -> None:
-    """Wait until a caller has taken enough; a request without a caller never waits."""
-    await asyncio.sleep(0)
+def wait_room(mailboxes: dict[str, CallerMailbox], request_id: str) -> Awaitable[None] | None:
+    """Return what to wait for until a caller has taken enough; ``None`` if it has.
+
+    A request without a caller never waits. Payloads posted in this turn of the loop are not in the
+    mailbox yet, so a stream overshoots the limit by one chunk at the most; waiting a turn for each
+    chunk was rejected, since it costs more than the chunk.
+    """
     mailbox = mailboxes.get(request_id)
-    if mailbox is not None:
-        await mailbox.room()
+    if mailbox is None or mailbox.has_room:
+        return None
+    return mailbox.room()
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/mailbox.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/mailbox.py
@@ -43,6 +43,11 @@
         self._room.set()
         return payloads, self._outcome
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether the caller has taken enough."""
+        return self._room.is_set()
+
     async def room(self) -> None:
         """Wait until the caller has taken enough."""
         await self._room.wait()
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
@@ -20,6 +20,8 @@
 from coriandershelf_core.internal.events import (
     AttemptFailed,
     AttemptOpened,
+    AttemptPaused,
+    AttemptResumed,
     FailureCause,
     PlainAnswered,
     StreamEnded,
@@ -33,7 +35,7 @@
 BODY_LIMIT_BYTES = 1 << 30
 PLAIN_BODY_LIMIT_BYTES = 4 << 20
 
-Room = Callable[[str], Awaitable[None]]
+Room = Callable[[str], Awaitable[None] | None]
 
 
 class ConnectionPool:
@@ -120,7 +122,14 @@
             self._stream.close()
             return None
         self._post_events(events)
-        return self._room(self._action.request_id)
+        room = self._room(self._action.request_id)
+        return None if room is None else self._pause(room)
+
+    async def _pause(self, room: Awaitable[None]) -> None:
+        """Stop reading until the caller has room; the core must not take it for a silent stream."""
+        self._post(AttemptPaused(self._action.attempt_id))
+        await room
+        self._post(AttemptResumed(self._action.attempt_id))
 
     def _post_events(self, events: list[StreamEvent]) -> None:
         """Post runs of payloads with consecutive positions as one event each."""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/deployments.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/deployments.py
@@ -154,6 +154,27 @@
     )
 
 
+def single_zone(engine: EngineShape, engine_count: int) -> Deployment:
+    """Return one entry VM before some engines and one plain service, for measurements and tests."""
+    replicas = [
+        ReplicaShape(f"engine-{index + 1}", "model", "z", engine, "c", "on-demand", 1.0, True)
+        for index in range(engine_count)
+    ]
+    return Deployment(
+        name="single-zone",
+        region="r",
+        zones=("z",),
+        entries=(("entry-1", "z"),),
+        model="model",
+        plain="calls",
+        non_idempotent_paths=("orders",),
+        replicas=(*replicas, *_plain_replicas("calls", "calls", ("z",))),
+        customers=(CustomerShape("caller", 1.0, 0),),
+        zone_latency_s=0.0,
+        budget_per_hour=0.0,
+    )
+
+
 DEPLOYMENTS = {"consorcio": consorcio, "kingston": kingston}
 
 
