Keep accepted jobs through the loss of their holder

Cause: a job's output lived in one VM's memory, and nothing took a job over.

Ruled out: output in the log (several hundred appends a second serve everybody); copying only on notice (an unannounced death would lose what a caller has read); deciding the new holder by membership alone (two VMs may both believe it).

Change: the log decides by epoch who holds a job and who keeps its copy; callers see what the copy's keeper has acknowledged; a leaving VM hands jobs over in bounded, acknowledged pieces; the keeper takes over from a lost holder; others restart in an order all compute alike. Graceful stop in core/stopping.py: balancer's lag, refusal, in-flight work, handover; a second signal only ends the lag. Streams move off a reclaimed replica with their KV cache before it is taken. A payload with a finish reason ends an answer whose end marker was cut off.

--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/ending.py
@@ -0,0 +1,23 @@
+"""Tells the last payload of a generated answer from the others."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+
+
+def is_last(payload: bytes) -> bool:
+    """Return whether an engine sends nothing but its end marker behind this payload."""
+    try:
+        choices = json.loads(payload)["choices"]
+        return any(choice.get("finish_reason") is not None for choice in choices)
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return False
+
+
+def is_whole(payloads: Sequence[bytes]) -> bool:
+    """Return whether an output needs no further attempt, even if its end marker was cut off.
+
+    Resuming behind the last payload would make the engine send a second one.
+    """
+    return bool(payloads) and is_last(payloads[-1])
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -190,9 +190,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """This VM must stop gracefully before ``deadline_s``."""
+    """This VM must stop gracefully before ``deadline_s``.
+
+    :param urgent: new work is refused at once, without waiting for the balancer.
+    """
 
     deadline_s: float
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
@@ -1,34 +1,51 @@
-"""Jobs: accepted when their record is read back, then finished by some entry VM."""
+"""Jobs: accepted when their record is read back, then finished by some entry VM.
+
+An accepted job is never given up for want of replicas or time; only a request that crashes
+upstreams fails.
+"""
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 
+from coriandershelf_core.internal.claims import body_hash, claim_key
+from coriandershelf_core.internal.classify import make_work
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.copies import Copies
+from coriandershelf_core.internal.inventory import Customer
+from coriandershelf_core.internal.job_reads import JobReads, job_document
+from coriandershelf_core.internal.job_table import RUNNING, Job, JobTable, VmRef
 from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.messages import JobQuery, JobReply
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome
-from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.records import LEDGER_STREAM, JobAccepted, JobFinished
-from coriandershelf_core.internal.work import Work
-
-RUNNING = "running"
-DONE = "done"
-FAILED = "failed"
-
+from coriandershelf_core.internal.membership import Membership
+from coriandershelf_core.internal.messages import (
+    Heartbeat,
+    JobCopied,
+    JobCopy,
+    JobHandover,
+    JobQuery,
+    JobReply,
+    Message,
+)
+from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.placement import choose_copy_keeper
+from coriandershelf_core.internal.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.records import (
+    LEDGER_STREAM,
+    JobAccepted,
+    JobFinished,
+    JobMoved,
+    JobSnapshot,
+)
+from coriandershelf_core.internal.replication import HeldJob, Replication, Tell
+from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.takeover import Takeover
+from coriandershelf_core.internal.work import Work, WorkOwner
 
-@dataclass(slots=True)
-class Job:
-    """One job as this VM knows it; the holder's has the output."""
-
-    job_id: str
-    customer: str
-    holder: str
-    status: str = RUNNING
-    payloads: list[bytes] = field(default_factory=list)
-    finished_at_s: float | None = None
+NO_DEADLINE_S = 1e9
+RETRY_MAX_S = 30.0
+EXPIRY_PERIOD_S = 1.0
+FINAL_REASONS = frozenset({RefusalReason.POISON, RefusalReason.BAD_REQUEST})
 
 
 @dataclass(slots=True)
@@ -37,145 +54,264 @@
     give_up_at_s: float
 
 
-def job_document(job_id: str, status: str, position: int, payloads: tuple[bytes, ...]) -> bytes:
-    """Return the JSON document that tells a caller a job's status and output."""
-    chunks = [json.loads(payload) for payload in payloads]
-    document = {"id": job_id, "status": status, "position": position, "output": chunks}
-    return json.dumps(document, separators=(",", ":")).encode()
+@dataclass(slots=True)
+class _Retry:
+    at_s: float
+    delay_s: float
+    position: int
 
 
 class Jobs:
-    """Jobs read from the log, and those that wait for their record.
+    """Accepts jobs, runs those this VM holds, and passes the log's entries to the parts.
 
     :param start: called with the work of a job that this VM holds.
-    :param ask: sends a query to the holder; false where the holder is not known.
+    :param cancel: drops a work by id.
+    :param tell: sends a message to a peer; false where the peer is not known.
     """
 
     def __init__(
         self,
         context: Context,
         ledger: Ledger,
+        membership: Membership,
         start: Callable[[Work, float], None],
-        ask: Callable[[str, JobQuery], bool],
+        cancel: Callable[[str], Work | None],
+        tell: Tell,
     ) -> None:
         self._context = context
         self._ledger = ledger
+        self._membership = membership
         self._start = start
-        self._ask = ask
-        self._jobs: dict[str, Job] = {}
+        self._cancel = cancel
+        self._tell = tell
+        self._me = VmRef(context.identity.vm_id, context.identity.incarnation)
         self._waiting: dict[str, _WaitingJob] = {}
-        self._queries: dict[str, float] = {}
+        self._retries: dict[str, _Retry] = {}
+        self._expiry_at_s = 0.0
+        self.table = JobTable()
+        self.copies = Copies(context, self.table)
+        self.replication = Replication(context, ledger, membership, tell, self._suspend)
+        self.takeover = Takeover(context, ledger, membership, self.table, self.copies)
+        self.reads = JobReads(context, self.table, self.copies, self.replication, tell)
 
     def request(self, work: Work, now_s: float) -> None:
         """Write a job's record; it is accepted when read back."""
-        request = work.request
-        entry = JobAccepted(
-            job_id=request.request_id,
-            customer=work.customer,
-            service=request.service,
-            body=request.body,
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            holder=self._context.identity.vm_id,
-            at_s=now_s,
-        )
+        key_hash = claim_key(work.customer, work.request) if work.request.idempotency_key else ""
+        if self._answer_known(work, key_hash, now_s):
+            return
         give_up_at_s = now_s + self._context.settings.claim_wait_s
         self._waiting[work.work_id] = _WaitingJob(work, give_up_at_s)
-        self._ledger.add(LEDGER_STREAM, entry, now_s)
+        self._ledger.add(LEDGER_STREAM, self._acceptance(work, key_hash, now_s), now_s)
 
     def on_accepted(self, entry: JobAccepted, now_s: float) -> None:
         """Apply an accepted job; its holder starts it and answers the caller."""
         waiting = self._waiting.pop(entry.job_id, None)
-        mine = entry.holder == self._context.identity.vm_id
-        if mine and waiting is None:
-            self._ledger.add(
-                LEDGER_STREAM, JobFinished(entry.job_id, entry.holder, False, now_s), now_s
-            )
+        job = self.table.accept(entry)
+        if job is None:
+            if waiting is not None:
+                self._answer_known(waiting.work, entry.key_hash, now_s)
             return
-        self._jobs[entry.job_id] = Job(entry.job_id, entry.customer, entry.holder)
         if waiting is not None:
-            body = job_document(entry.job_id, RUNNING, 0, ())
-            self._context.finish(entry.job_id, Done(202, body), now_s)
-            self._start(waiting.work, now_s)
+            body = job_document(job.job_id, RUNNING, 0, (), 0)
+            self._context.finish(job.job_id, Done(202, body), now_s)
+        if job.holder == self._me:
+            held = self.replication.hold(job, [], "", now_s)
+            prefixes = waiting.work.request.prefix_hashes if waiting is not None else ()
+            self._run(held, prefixes, now_s)
+
+    def on_moved(self, entry: JobMoved, now_s: float) -> None:
+        """Apply a move: stop what another VM holds now, start what this one holds."""
+        job = self.table.move(entry)
+        if job is None:
+            return
+        self.takeover.on_moved(job)
+        held = self.replication.held.get(job.job_id)
+        if job.holder != self._me:
+            if held is not None:
+                self._let_go(held)
+        elif held is None or entry.restarted:
+            if held is not None:
+                self._let_go(held)
+            self._take(job, entry.restarted, now_s)
 
     def on_finished(self, entry: JobFinished) -> None:
         """Apply a job's end."""
-        job = self._jobs.get(entry.job_id)
-        if job is not None:
-            job.status = DONE if entry.succeeded else FAILED
-            job.finished_at_s = entry.at_s
+        self.table.finish(entry)
+
+    def on_snapshot(self, entry: JobSnapshot, now_s: float) -> None:
+        """Apply a job written forward; its holder mends one that was overtaken."""
+        job = self.table.restore(entry)
+        overtaken = (entry.epoch, entry.status) != (job.epoch, job.status)
+        if overtaken and job.holder == self._me:
+            self._ledger.add(LEDGER_STREAM, job.snapshot(now_s), now_s)
 
     def deliver(self, work: Work, payloads: tuple[bytes, ...]) -> None:
         """Keep output for callers that re-attach."""
-        self._jobs[work.work_id].payloads.extend(payloads)
+        replica_id = work.tried_replicas[-1] if work.tried_replicas else ""
+        self.replication.deliver(work.work_id, payloads, replica_id)
 
     def finish(self, work: Work, outcome: Outcome, now_s: float) -> None:
-        """Write a job's end."""
-        job = self._jobs[work.work_id]
-        succeeded = isinstance(outcome, Done)
-        job.status = DONE if succeeded else FAILED
-        job.finished_at_s = now_s
-        entry = JobFinished(work.work_id, self._context.identity.vm_id, succeeded, now_s)
-        self._ledger.add(LEDGER_STREAM, entry, now_s)
+        """Note a job's end, or try it again: what was accepted is not given up."""
+        if isinstance(outcome, Done):
+            self.replication.end(work.work_id, True, now_s)
+        elif outcome.reason in FINAL_REASONS:
+            self.replication.end(work.work_id, False, now_s)
+        else:
+            self._retry_later(work.work_id, now_s)
 
     def read(
         self, request_id: str, customer: str, job_id: str, position: int, now_s: float
     ) -> None:
-        """Answer a caller that reads a job, asking the holder where needed."""
-        job = self._jobs.get(job_id)
-        if job is None or job.customer != customer:
-            self._context.finish(request_id, NotRun(RefusalReason.UNKNOWN_JOB), now_s)
-            return
-        if job.holder == self._context.identity.vm_id:
-            payloads = tuple(job.payloads[position:])
-            body = job_document(job_id, job.status, position, payloads)
-            self._context.finish(request_id, Done(200, body), now_s)
-            return
-        query = JobQuery(request_id, job_id, customer, position)
-        if self._ask(job.holder, query):
-            self._queries[request_id] = now_s + self._context.settings.claim_wait_s
-        else:
-            self._refuse_read(request_id, now_s)
-
-    def answer_query(self, query: JobQuery) -> JobReply:
-        """Return what this VM knows of a job it holds."""
-        job = self._jobs.get(query.job_id)
-        if job is None or job.customer != query.customer:
-            return JobReply(query.query_id, "", 0, ())
-        payloads = tuple(job.payloads[query.position :])
-        return JobReply(query.query_id, job.status, query.position, payloads)
-
-    def on_reply(self, reply: JobReply, now_s: float) -> None:
-        """Answer the caller for whom a holder was asked."""
-        if self._queries.pop(reply.query_id, None) is None:
-            return
-        if not reply.status:
-            self._refuse_read(reply.query_id, now_s)
-            return
-        body = job_document(reply.query_id, reply.status, reply.position, reply.payloads)
-        self._context.finish(reply.query_id, Done(200, body), now_s)
+        """Answer a caller that reads a job."""
+        self.reads.read(request_id, customer, job_id, position, now_s)
+
+    def on_message(self, sender: str, message: Message, now_s: float) -> None:
+        """Take a peer's message."""
+        self.copies.hear(sender, now_s)
+        match message:
+            case Heartbeat():
+                self.takeover.on_heartbeat(sender, message.incarnation)
+            case JobQuery():
+                self._tell(sender, self.reads.answer_query(message))
+            case JobReply():
+                self.reads.on_reply(message, now_s)
+            case JobCopy():
+                answer = self.copies.on_copy(sender, message, now_s)
+                if answer is not None:
+                    self._tell(sender, answer)
+            case JobCopied():
+                self.replication.on_copied(sender, message, now_s)
+            case JobHandover():
+                self.takeover.on_handover(sender, message, now_s)
 
     def on_tick(self, now_s: float) -> None:
-        """Give up on records and queries that were not answered; forget old outputs."""
+        """Give up on records that were not read back, and let every part do what is due."""
         for job_id, waiting in list(self._waiting.items()):
             if waiting.give_up_at_s <= now_s:
                 del self._waiting[job_id]
-                outcome = NotRun(RefusalReason.LOG_UNAVAILABLE, retry_after_s=5.0)
+                # Its record may still reach the log, and then the job runs: so not "not run".
+                detail = f"ask GET /v1/jobs/{job_id}, or send again with the same Idempotency-Key"
+                outcome = Unknown(RefusalReason.LOG_UNAVAILABLE, 5.0, detail)
                 self._context.finish(job_id, outcome, now_s)
-        for request_id, give_up_at_s in list(self._queries.items()):
-            if give_up_at_s <= now_s:
-                del self._queries[request_id]
-                self._refuse_read(request_id, now_s)
-        keep_s = self._context.settings.job_output_keep_s
-        for job in list(self._jobs.values()):
-            if job.finished_at_s is not None and job.finished_at_s + keep_s <= now_s:
-                del self._jobs[job.job_id]
+        self.copies.on_tick(self._me, now_s)
+        self._start_retries(now_s)
+        self.replication.on_tick(now_s)
+        self.takeover.on_tick(now_s)
+        self.reads.on_tick(now_s)
+        if now_s >= self._expiry_at_s:
+            self._expiry_at_s = now_s + EXPIRY_PERIOD_S
+            self._expire(now_s)
 
     @property
     def idle(self) -> bool:
-        """Return whether no job waits for its record."""
-        return not self._waiting
+        """Return whether no job waits for its record or has to be handed over."""
+        return not self._waiting and self.replication.idle
+
+    def _acceptance(self, work: Work, key_hash: str, now_s: float) -> JobAccepted:
+        request = work.request
+        identity = self._context.identity
+        peers = self._membership.live_peers(identity)
+        copying = self._context.enabled("job-copy")
+        copy = choose_copy_keeper(work.work_id, identity.zone, peers) if copying else None
+        return JobAccepted(
+            job_id=request.request_id,
+            customer=work.customer,
+            service=request.service,
+            body=request.body,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            holder=identity.vm_id,
+            at_s=now_s,
+            key_hash=key_hash,
+            body_hash=body_hash(request) if key_hash else "",
+            holder_incarnation=identity.incarnation,
+            copy_vm_id=copy.vm_id if copy else "",
+            copy_incarnation=copy.incarnation if copy else 0,
+        )
+
+    def _answer_known(self, work: Work, key_hash: str, now_s: float) -> bool:
+        """Answer a repeated key with its first job; return whether the key is known."""
+        key = self.table.key(key_hash)
+        if key is None:
+            return False
+        outcome: Outcome = NotRun(RefusalReason.KEY_REUSED)
+        if key.body_hash == body_hash(work.request):
+            job = self.table.jobs.get(key.job_id)
+            status = job.status if job is not None else "expired"
+            outcome = Done(202, job_document(key.job_id, status, 0, (), 0))
+        self._context.finish(work.work_id, outcome, now_s)
+        return True
+
+    def _take(self, job: Job, restarted: bool, now_s: float) -> None:
+        """Hold a job that came from another VM."""
+        copy = self.copies.take(job.job_id)
+        payloads = copy.payloads if copy is not None and not restarted else []
+        replica_id = copy.replica_id if copy is not None else ""
+        self._context.count(Counter.JOBS_RESTARTED if restarted else Counter.JOBS_TAKEN_OVER)
+        held = self.replication.hold(job, payloads, replica_id, now_s)
+        if held.succeeded is None:
+            self._run(held, (), now_s)
+
+    def _let_go(self, held: HeldJob) -> None:
+        """Stop a job that another VM holds by the log's order."""
+        job_id = held.job.job_id
+        self._context.count(Counter.JOBS_HANDED_OVER if held.suspended else Counter.JOBS_FENCED)
+        self._suspend(job_id)
+        self.replication.release(job_id)
+
+    def _suspend(self, job_id: str) -> None:
+        self._cancel(job_id)
+        self._retries.pop(job_id, None)
+
+    def _run(self, held: HeldJob, prefixes: tuple[int, ...], now_s: float) -> None:
+        """Generate what a job's output still lacks."""
+        accepted = held.job.accepted
+        inventory = self._context.inventory
+        if inventory is None or inventory.service(accepted.service) is None:
+            self._retry_later(accepted.job_id, now_s)
+            return
+        request = Request(
+            request_id=accepted.job_id,
+            kind=RequestKind.JOB,
+            credential_hash="",
+            service=accepted.service,
+            deadline_s=now_s + NO_DEADLINE_S,
+            body=accepted.body,
+            prompt_tokens=accepted.prompt_tokens,
+            max_tokens=accepted.max_tokens,
+            prefix_hashes=prefixes,
+        )
+        named = (item for item in inventory.customers if item.name == accepted.customer)
+        customer = next(named, Customer(accepted.customer, ()))
+        work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
+        work.payloads = list(held.payloads)
+        work.kv_replica_id = held.replica_id
+        self._start(work, now_s)
+
+    def _retry_later(self, job_id: str, now_s: float) -> None:
+        """Try a job again after a delay that doubles while it makes no output."""
+        held = self.replication.held[job_id]
+        former = self._retries.get(job_id)
+        delay_s = self._context.settings.job_retry_s
+        if former is not None and former.position == len(held.payloads):
+            delay_s = min(RETRY_MAX_S, former.delay_s * 2)
+        self._retries[job_id] = _Retry(now_s + delay_s, delay_s, len(held.payloads))
+
+    def _start_retries(self, now_s: float) -> None:
+        for job_id, retry in list(self._retries.items()):
+            if retry.at_s <= now_s:
+                self._retries[job_id] = replace(retry, at_s=float("inf"))
+                self._context.count(Counter.JOBS_RETRIED)
+                self._run(self.replication.held[job_id], (), now_s)
 
-    def _refuse_read(self, request_id: str, now_s: float) -> None:
-        outcome = NotRun(RefusalReason.NO_UPSTREAM, 2.0, "the job's holder does not answer")
-        self._context.finish(request_id, outcome, now_s)
+    def _expire(self, now_s: float) -> None:
+        """Forget old jobs and write forward what outlives the log's retention."""
+        for job in self.table.expire(self._context.settings, now_s):
+            if job.job_id in self.replication.held:
+                self.replication.release(job.job_id)
+                self._retries.pop(job.job_id, None)
+        for held in self.replication.held.values():
+            job = held.job
+            if now_s - job.recorded_at_s > self._context.settings.job_snapshot_s:
+                job.recorded_at_s = now_s
+                self._ledger.add(LEDGER_STREAM, job.snapshot(now_s), now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -37,7 +37,7 @@
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, JobQuery, JobReply, Message
+from coriandershelf_core.internal.messages import Heartbeat, Message
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
@@ -48,10 +48,13 @@
     Entry,
     JobAccepted,
     JobFinished,
+    JobMoved,
+    JobSnapshot,
 )
 from coriandershelf_core.internal.request import Request, RequestKind
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
 from coriandershelf_core.internal.work import Work, WorkOwner
 
 
@@ -79,7 +82,14 @@
         self.configuration = Configuration(parse)
         self.serving = Serving(self.context, self._deliver, self._finish)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
-        self.jobs = Jobs(self.context, self.ledger, self.serving.enqueue, self._ask_peer)
+        self.jobs = Jobs(
+            self.context,
+            self.ledger,
+            self.membership,
+            self.serving.enqueue,
+            self.serving.cancel,
+            self._tell,
+        )
         self._heartbeat_at_s = 0.0
         self._stopped = False
 
@@ -130,14 +140,12 @@
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
                 self._mark_replicas()
-            case ReclaimNotice(vm_id):
-                self.membership.on_notice(vm_id)
-                self._mark_replicas()
+            case ReclaimNotice(vm_id, at_s):
+                self._on_notice(vm_id, at_s, now_s)
             case LoadReported():
                 self.serving.on_load(event)
-            case StopAsked(deadline_s):
-                self.context.stopping = True
-                self.context.stop_deadline_s = deadline_s
+            case StopAsked(deadline_s, urgent):
+                begin_stop(self.context, deadline_s, urgent, now_s)
 
     def _on_request(self, request: Request, now_s: float) -> None:
         self.context.count(Counter.REQUESTS)
@@ -153,7 +161,7 @@
             inventory,
             self.serving.queue,
             self.context.settings,
-            self.context.stopping,
+            refuses(self.context, request, inventory.rules, now_s),
             now_s,
         )
         if refusal is not None:
@@ -201,8 +209,12 @@
                 self.claims.on_finished(entry)
             case JobAccepted():
                 self.jobs.on_accepted(entry, now_s)
+            case JobMoved():
+                self.jobs.on_moved(entry, now_s)
             case JobFinished():
                 self.jobs.on_finished(entry)
+            case JobSnapshot():
+                self.jobs.on_snapshot(entry, now_s)
             case ConfigurationProposed():
                 self._on_proposal(entry, now_s)
 
@@ -224,17 +236,20 @@
             state.leaving = vm_state is VmState.LEAVING
             state.gone = vm_state is VmState.GONE
 
-    def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
-        match message:
-            case JobQuery():
-                self._tell(sender, self.jobs.answer_query(message))
-            case JobReply():
-                self.jobs.on_reply(message, now_s)
-            case Heartbeat():
-                pass
+    def _on_notice(self, vm_id: str, at_s: float, now_s: float) -> None:
+        identity = self.context.identity
+        if vm_id != identity.vm_id:
+            self.membership.on_notice(vm_id)
+            self._mark_replicas()
+            state = self.serving.replicas.get(vm_id)
+            if state is not None and at_s > now_s:
+                state.announce_leave(at_s, now_s)
+        elif at_s > now_s:
+            # A notice that has run out was meant for an earlier VM of the same name.
+            begin_stop(self.context, at_s, False, now_s)
 
-    def _ask_peer(self, vm_id: str, query: JobQuery) -> bool:
-        return self._tell(vm_id, query)
+    def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
+        self.jobs.on_message(sender, message, now_s)
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
@@ -268,11 +283,22 @@
                 self._tell(peer.vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
+        if must_cut(self.context, now_s):
+            self._cut_rest(now_s)
         idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
-        if not self._stopped and (idle or now_s >= self.context.stop_deadline_s):
+        drained = idle and now_s >= self.context.refuse_at_s
+        if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
             self.context.emit(Stopped())
 
+    def _cut_rest(self, now_s: float) -> None:
+        """Tell the callers whose answers the notice cuts off, while there is time to."""
+        for work in list(self.serving.works.values()):
+            if work.owner is not WorkOwner.JOB:
+                self.serving.cancel(work.work_id)
+                self.context.count(Counter.STOP_CUT)
+                self._finish(work, cut_outcome(work), now_s)
+
     def _deliver(self, work: Work, payloads: tuple[bytes, ...], now_s: float) -> None:
         if work.owner is WorkOwner.JOB:
             self.jobs.deliver(work, payloads)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
@@ -40,6 +40,17 @@
         member = self._members.get(vm_id)
         return None if member is None else member.state
 
+    def incarnation_of(self, vm_id: str) -> int | None:
+        """Return a VM's newest known incarnation, or ``None`` where it is not known."""
+        member = self._members.get(vm_id)
+        return None if member is None else member.status.incarnation
+
+    def live_peers(self, identity: VmIdentity) -> list[VmStatus]:
+        """Return the other entry VMs that are neither leaving nor gone."""
+        return [
+            status for status in self.peers(identity) if self.state_of(status.vm_id) is VmState.LIVE
+        ]
+
     def address_of(self, vm_id: str) -> str | None:
         """Return where a VM that is not gone is reached, or ``None``."""
         member = self._members.get(vm_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobQuery:
-    """Asks a job's holder for its status and output from a position on."""
+    """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
 
     query_id: str
     job_id: str
@@ -30,25 +30,56 @@
 
 @dataclass(frozen=True, slots=True)
 class JobReply:
-    """Answers a :class:`JobQuery`; ``status`` is empty where the job is not known."""
+    """Answers a :class:`JobQuery`; ``status`` is empty where the job is not held here."""
 
     query_id: str
     status: str
     position: int
     payloads: tuple[bytes, ...]
+    generation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class JobHandover:
-    """Hands a job and the output made so far to a new holder."""
+class JobCopy:
+    """A bounded piece of a job's output, for the VM that keeps a copy or takes the job over.
+
+    :param term: epoch in which the sender became the holder; it names whose output this is.
+    :param position: place of the first payload in the whole output.
+    :param visible_count: payloads that callers may see.
+    :param replica_id: replica that holds the KV cache, or empty.
+    """
 
     job_id: str
-    customer: str
-    service: str
-    body: bytes
-    prompt_tokens: int
-    max_tokens: int
+    term: int
+    position: int
     payloads: tuple[bytes, ...]
+    visible_count: int
+    replica_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobCopied:
+    """Acknowledges a :class:`JobCopy`.
+
+    :param held_count: payloads held without a gap from the first.
+    :param stopping: the sender is leaving and will not take the job over.
+    """
+
+    job_id: str
+    term: int
+    held_count: int
+    stopping: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobHandover:
+    """Asks the receiver, which holds the whole output made so far, to become the holder."""
+
+    job_id: str
+    epoch: int
+    term: int
+    held_count: int
+    replica_id: str = ""
 
 
-Message = Heartbeat | JobQuery | JobReply | JobHandover
+Message = Heartbeat | JobQuery | JobReply | JobCopy | JobCopied | JobHandover
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -72,6 +72,13 @@
     APPENDS = ("log.appends", "Records appended to the log.")
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
+    JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
+    JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
+    JOBS_RESTARTED = ("jobs.restarted", "Jobs whose output was lost, started from the beginning.")
+    JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
+    JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
+    JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -56,24 +56,60 @@
     at_s: float
     key_hash: str = ""
     body_hash: str = ""
+    holder_incarnation: int = 0
+    copy_vm_id: str = ""
+    copy_incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class JobMoved:
-    """A job's new holder."""
+    """A job's new holder, or the new VM that keeps the copy of its output.
+
+    It applies only if ``epoch`` follows the job's epoch, so of several the first in log order wins.
+
+    :param restarted: the output made before is lost and generation starts again.
+    """
 
     job_id: str
     holder: str
+    epoch: int = 0
+    holder_incarnation: int = 0
+    copy_vm_id: str = ""
+    copy_incarnation: int = 0
+    restarted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class JobFinished:
-    """A job reached its end."""
+    """A job reached its end; it applies only in the job's epoch.
+
+    :param length: payloads of the whole output.
+    """
 
     job_id: str
     holder: str
     succeeded: bool
     at_s: float
+    epoch: int = 0
+    length: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobSnapshot:
+    """A job as it stands, written forward before the log drops its older entries."""
+
+    accepted: JobAccepted
+    epoch: int
+    term: int
+    generation: int
+    holder: str
+    holder_incarnation: int
+    copy_vm_id: str
+    copy_incarnation: int
+    status: str
+    finished_at_s: float | None
+    length: int
+    at_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +131,7 @@
     | JobAccepted
     | JobMoved
     | JobFinished
+    | JobSnapshot
     | ConfigurationProposed
 )
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -13,22 +13,41 @@
     """One replica and this VM's evidence on it.
 
     :param in_flight: attempt ids of this VM that run there.
+    :param leaves_at_s: when its VM is taken, or ``None`` where that is not announced.
+    :param moves_at_s: when streams that still run there move to other replicas.
     """
 
     replica: Replica
     leaving: bool = False
     gone: bool = False
+    leaves_at_s: float | None = None
+    moves_at_s: float = 0.0
     in_flight: set[str] = field(default_factory=set)
     reported_running_count: int = 0
     reported_waiting_count: int = 0
     reported_at_s: float = 0.0
 
+    def announce_leave(self, at_s: float, now_s: float) -> None:
+        """Note when the VM is taken; until shortly before, streams there may finish."""
+        if self.leaves_at_s is None:
+            margin_s = min(MOVE_MARGIN_S, (at_s - now_s) * MOVE_SHARE)
+            self.leaves_at_s = at_s
+            self.moves_at_s = at_s - margin_s
+
+    def must_move(self, now_s: float) -> bool:
+        """Return whether streams that still run there would be cut."""
+        return self.leaves_at_s is not None and self.moves_at_s <= now_s and not self.gone
+
     @property
     def usable(self) -> bool:
         """Return whether new work may go there."""
         return not self.leaving and not self.gone
 
 
+MOVE_MARGIN_S = 2.0
+MOVE_SHARE = 0.5
+
+
 class ReplicaTable:
     """The replicas of the inventory in force, by id."""
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -6,6 +6,7 @@
 
 from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.ending import is_whole
 from coriandershelf_core.internal.events import (
     AttemptFailed,
     AttemptOpened,
@@ -85,6 +86,9 @@
             self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
             return
         work = attempt.work
+        if is_whole(work.payloads):
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            return
         repeated = work.position - event.first_position
         if repeated < 0:
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
@@ -140,8 +144,28 @@
             if cause is not None and attempt.attempt_id in self.attempts:
                 self._context.emit(CancelAttempt(attempt.attempt_id))
                 self._fail(attempt, cause, True, now_s)
+        self._move_from_leaving(now_s)
         self.pump(now_s)
 
+    def _move_from_leaving(self, now_s: float) -> None:
+        """Move streams off replicas whose VM is taken before they end, with their KV cache."""
+        if not self._context.enabled("move-on-notice"):
+            return
+        leaving = [state for state in self.replicas if state.must_move(now_s)]
+        for state in leaving:
+            for attempt_id in sorted(state.in_flight):
+                attempt = self.attempts.get(attempt_id)
+                if attempt is not None and attempt.work.repeatable:
+                    self._move(attempt, now_s)
+
+    def _move(self, attempt: Attempt, now_s: float) -> None:
+        work = attempt.work
+        work.kv_replica_id = attempt.replica_id
+        # The replica did not fail, so the move does not use up one of the request's attempts.
+        work.attempt_count -= 1
+        self._context.emit(CancelAttempt(attempt.attempt_id))
+        self._fail(attempt, FailureCause.LEAVING, True, now_s)
+
     def _late_outcome(self, work: Work) -> Outcome:
         if work.attempt_count:
             return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
@@ -180,9 +204,18 @@
                 deadline_s=work.request.deadline_s,
                 priority=work.priority,
                 resume_payloads=tuple(work.payloads),
+                kv_source=self._kv_source(work, replica.replica_id),
             )
         )
 
+    def _kv_source(self, work: Work, target_id: str) -> str:
+        """Return the address of another replica that still holds the KV cache, or empty."""
+        source = self.replicas.get(work.kv_replica_id)
+        usable = source is not None and not source.gone and work.kv_replica_id != target_id
+        if source is None or not usable or not self._context.enabled("kv-move"):
+            return ""
+        return source.replica.address
+
     def _forget(self, attempt: Attempt) -> None:
         del self.attempts[attempt.attempt_id]
         attempt.work.live_attempts.remove(attempt.attempt_id)
@@ -211,6 +244,10 @@
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
+        if is_whole(work.payloads):
+            self._settle(work, Done(), now_s)
+            self.pump(now_s)
+            return
         if not sent and not work.payloads and not work.repeatable:
             work.attempt_count -= 1
         verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -25,6 +25,18 @@
     append_resend_s: float = documented(1.0, "Wait before an uncertain append is repeated.", 0.01)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
     job_output_keep_s: float = documented(3600.0, "How long a finished job's output is kept.", 1.0)
+    job_copy_resend_s: float = documented(
+        0.5, "Wait before output that was not acknowledged is copied again.", 0.01
+    )
+    job_copy_limit_s: float = documented(
+        2.0, "Wait for an acknowledgement before another VM is chosen for the copy.", 0.01
+    )
+    job_retry_s: float = documented(1.0, "Wait before a job without a replica is tried again.", 0.0)
+    job_snapshot_s: float = documented(
+        21600.0,
+        "Age at which a job's record is written forward; well below the log's retention.",
+        1.0,
+    )
     heartbeat_s: float = documented(1.0, "Period of heartbeats between entry VMs.", 0.01)
     peer_lost_s: float = documented(5.0, "Silence after which a peer counts as lost.", 0.01)
     readiness_lag_s: float = documented(3.0, "Wait for the balancer after readiness is lost.", 0.0)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stopping.py
@@ -0,0 +1,65 @@
+"""Graceful stop: lose readiness, wait for the balancer, refuse new work, finish what is in flight.
+
+After readiness is lost the balancer goes on sending for a while. Refusing these requests at once
+was rejected: callers would be sent away although this VM can still serve them.
+"""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.inventory import Rules
+from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.work import Work
+
+LAST_ANSWERS_S = 0.25
+PLAIN_EXPECTED_S = 1.0
+
+
+def begin_stop(context: Context, deadline_s: float, urgent: bool, now_s: float) -> None:
+    """Begin to stop; a second order can only bring the end nearer.
+
+    :param urgent: refuse new work at once, without waiting for the balancer.
+    """
+    if not context.stopping:
+        context.stopping = True
+        context.stop_deadline_s = deadline_s
+        context.refuse_at_s = now_s + context.settings.readiness_lag_s
+        context.log("stopping", in_s=round(deadline_s - now_s, 3))
+    context.stop_deadline_s = min(context.stop_deadline_s, deadline_s)
+    if urgent or not context.enabled("readiness-lag"):
+        context.refuse_at_s = min(context.refuse_at_s, now_s)
+
+
+def refuses(context: Context, request: Request, rules: Rules, now_s: float) -> bool:
+    """Return whether a stopping VM must refuse a request.
+
+    A request whose answer would be cut by the end is refused too: nothing of it has run, and
+    another VM can serve it whole. A job is taken, because it is handed over.
+    """
+    if not context.stopping:
+        return False
+    if now_s >= context.refuse_at_s:
+        return True
+    if request.kind is RequestKind.JOB:
+        return False
+    return now_s + _expected_s(request, rules) > context.stop_deadline_s - LAST_ANSWERS_S
+
+
+def must_cut(context: Context, now_s: float) -> bool:
+    """Return whether the end is so near that callers must be told now."""
+    return context.stopping and now_s >= context.stop_deadline_s - LAST_ANSWERS_S
+
+
+def cut_outcome(work: Work) -> Outcome:
+    """Return the final outcome of a work that the end cuts off."""
+    if work.attempt_count:
+        return Unknown(RefusalReason.STOPPING, retry_after_s=0.0)
+    return NotRun(RefusalReason.STOPPING, retry_after_s=0.0)
+
+
+def _expected_s(request: Request, rules: Rules) -> float:
+    if request.kind is RequestKind.SERVICE:
+        return PLAIN_EXPECTED_S
+    return rules.first_token_target_s + request.max_tokens * rules.token_gap_target_s
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -30,6 +30,7 @@
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
     :param expected_tokens: guess of the tokens still to come.
+    :param kv_replica_id: replica that holds the KV cache of what was generated, or empty.
     """
 
     request: Request
@@ -45,6 +46,7 @@
     attempt_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
+    kv_replica_id: str = ""
 
     @property
     def work_id(self) -> str:
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -40,9 +40,9 @@
 from coriandershelf_entry.internal.upstream import ConnectionPool, run_attempt
 from coriandershelf_wire import parse_or_none
 
-STOP_LIMIT_S = 600.0
 METRICS_PERIOD_S = 1.0
 ANSWER_POLL_S = 0.02
+LAST_REQUESTS_S = 0.2
 
 
 class EntryApplication:
@@ -116,12 +116,10 @@
 
     def _on_stop_signal(self) -> None:
         self._stop_signals += 1
-        if self._stop_signals > 1:
-            self._log.warning("second stop signal, ending at once")
-            self._ended.set()
-            return
-        self._log.info("stopping")
-        self._core_task.post(StopAsked(self._clock() + STOP_LIMIT_S))
+        # A second signal ends the wait for the balancer; what is in flight is still finished.
+        urgent = self._stop_signals > 1
+        self._log.info("stop signal", urgent=urgent)
+        self._core_task.post(StopAsked(self._clock() + self._settings.drain_limit_s, urgent))
 
     def _fail(self) -> None:
         self._exit_code = 70
@@ -179,8 +177,14 @@
         task.add_done_callback(lambda _: self._attempts.pop(action.attempt_id, None))
 
     async def _end_after_answers(self) -> None:
-        """Let the last answers reach their callers, then end."""
+        """Let the last answers reach their callers, then end.
+
+        A request that came over a kept connection in the last moment is refused with a reason
+        rather than cut, so the listener closes first and the connections after a pause.
+        """
         self._server.stop()
-        while self._mailboxes:
+        quiet_s = 0.0
+        while quiet_s < LAST_REQUESTS_S:
             await asyncio.sleep(ANSWER_POLL_S)
+            quiet_s = 0.0 if self._mailboxes else quiet_s + ANSWER_POLL_S
         self._ended.set()
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
@@ -14,7 +14,7 @@
 
 from coriandershelf_core import Done, NotRun, Outcome, Request, RequestKind, Unknown
 from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import CallerGone, JobRead, RequestArrived
+from coriandershelf_core.internal.events import CallerGone, JobRead, RequestArrived, StopAsked
 from coriandershelf_core.internal.reasons import RefusalReason
 from coriandershelf_entry.internal.bodies import (
     DEADLINE_HEADER,
@@ -110,6 +110,8 @@
     def prepare(self) -> None:
         """Refuse a body over the limit before it is read."""
         self.set_header("X-Request-Id", self.request_id)
+        if self.callers.context.stopping:
+            self.set_header("Connection", "close")
         limit = self.callers.settings.body_limit_bytes
         connection = self.request.connection
         assert isinstance(connection, HTTP1Connection), "served by tornado's own server"
@@ -338,7 +340,7 @@
 
 
 class OperatorHandler(RequestHandler):
-    """``GET /admin/status`` and ``GET /admin/explain/{request}`` for operators."""
+    """``GET /admin/status``, ``GET /admin/explain/{request}``, ``POST /admin/drain``."""
 
     def initialize(self, callers: Callers) -> None:
         """Take what the handlers share."""
@@ -376,6 +378,13 @@
             }
         )
 
+    def post(self, what: str) -> None:
+        """Begin a graceful stop; the answer comes before it is finished."""
+        deadline_s = self._callers.clock() + self._callers.settings.drain_limit_s
+        self._callers.core_task.post(StopAsked(deadline_s))
+        self.set_status(202)
+        self.write({"draining": True})
+
     def _status(self) -> dict[str, Any]:
         core = self._callers.core_task.core
         return {
@@ -383,6 +392,8 @@
             "zone": core.context.identity.zone,
             "version": core.configuration.version,
             "ready": core.ready,
+            "stopping": core.context.stopping,
+            "jobs_held": len(core.jobs.replication.held),
             "in_flight": len(core.serving.works),
             "queued": len(core.serving.queue),
             "counters": dict(self._callers.metrics.totals),
@@ -400,6 +411,7 @@
             (r"/v1/services/([a-z0-9.-]+)/(.+)", ServiceHandler, shared),
             (r"/healthz", HealthHandler, {"callers": callers, "readiness": False}),
             (r"/readyz", HealthHandler, {"callers": callers, "readiness": True}),
+            (r"/admin/(drain)", OperatorHandler, shared),
             (r"/admin/(status)", OperatorHandler, shared),
             (r"/admin/(explain)/(.+)", OperatorHandler, shared),
         ],
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/peers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/peers.py
@@ -22,6 +22,7 @@
     ("grpc.keepalive_timeout_ms", 2000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 1000),
     ("grpc.max_receive_message_length", 64 << 20),
     ("grpc.max_send_message_length", 64 << 20),
 ]
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/settings.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/settings.py
@@ -32,6 +32,9 @@
     incarnation: int = Field(
         0, ge=0, description="Start count of this VM; 0 takes the time of the start."
     )
+    drain_limit_s: float = Field(
+        600.0, gt=0, description="Longest time that a graceful stop may take."
+    )
     body_limit_bytes: int = Field(1 << 20, ge=1, description="Largest body of a request.")
     answer_buffer_payloads: int = Field(
         256, ge=1, description="Payloads kept for a slow caller before reading stops."
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import tempfile
+import time
 from dataclasses import asdict
 from pathlib import Path
 from types import TracebackType
@@ -43,6 +44,7 @@
             name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
         }
         self.entry_flags: list[str] = []
+        self._incarnations: dict[str, int] = {}
         self.inventory_text = inventory_yaml(deployment, self.addresses)
         self.rules_text = rules_yaml(deployment)
 
@@ -88,13 +90,15 @@
         return f"http://{self.addresses['platform']}/{path}"
 
     async def start_entry(self, vm_id: str, zone: str) -> None:
-        """Start an entry VM's process and list it."""
+        """Start an entry VM's process, or start it again with nothing kept, and list it."""
+        self._incarnations[vm_id] = self._incarnations.get(vm_id, 0) + 1
         platform = self.addresses["platform"]
         self.processes.start(
             vm_id,
             "coriandershelf_entry",
             *("--vm-id", vm_id),
             *("--zone", zone),
+            *("--incarnation", str(self._incarnations[vm_id])),
             *("--listen", self.addresses[vm_id]),
             *("--peer-listen", self.addresses[f"{vm_id}/peer"]),
             *("--log-address", platform),
@@ -106,8 +110,7 @@
 
     async def announce_reclaim(self, vm_id: str, in_s: float) -> None:
         """Send a reclaim notice for a VM."""
-        now_s = asyncio.get_running_loop().time()
-        document = {"vm_id": vm_id, "at_s": now_s + in_s}
+        document = {"vm_id": vm_id, "at_s": time.time() + in_s}
         await self.post(self.platform_url("notices"), document)
 
     def description(self) -> dict[str, Any]:
@@ -150,7 +153,7 @@
     async def _list_vm(self, vm_id: str, role: str, zone: str, address: str) -> None:
         document = {
             "id": vm_id,
-            "incarnation": 1,
+            "incarnation": self._incarnations.get(vm_id, 1),
             "role": role,
             "zone": zone,
             "state": "live",
