--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/copies.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/copies.py
@@ -6,7 +6,7 @@
 
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.job_table import DONE, Job, JobTable, VmRef
-from coriandershelf_core.internal.messages import JobCopied, JobCopy
+from coriandershelf_core.internal.messages import JobCopied, JobCopy, JobHandover
 
 FORGET_AFTER_S = 60.0
 PAUSE_S = 1.0
@@ -66,6 +66,14 @@
             self._context.stopping,
         )
 
+    def on_handover(self, sender: str, message: JobHandover, now_s: float) -> KeptCopy:
+        """Return the copy of a job that is handed over; one without output may be missing yet."""
+        copy = self._copies.get(message.job_id)
+        if copy is None or copy.term < message.term:
+            copy = self._copies[message.job_id] = KeptCopy(sender, message.term, now_s)
+        copy.replica_id = message.replica_id or copy.replica_id
+        return copy
+
     def find(self, job: Job) -> KeptCopy | None:
         """Return the copy of the present holder's output, or ``None``."""
         copy = self._copies.get(job.job_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
@@ -116,6 +116,9 @@
             self._context.finish(job.job_id, Done(202, body), now_s)
         if job.holder == self._me:
             held = self.replication.hold(job, [], "", now_s)
+            if self._context.stopping and self._membership.live_peers(self._context.identity):
+                held.suspended = True
+                return
             prefixes = waiting.work.request.prefix_hashes if waiting is not None else ()
             self._run(held, prefixes, now_s)
 
@@ -259,9 +262,11 @@
         self._suspend(job_id)
         self.replication.release(job_id)
 
-    def _suspend(self, job_id: str) -> None:
-        self._cancel(job_id)
+    def _suspend(self, job_id: str) -> str:
+        """Stop generating; return the replica that ran the job, or empty."""
+        work = self._cancel(job_id)
         self._retries.pop(job_id, None)
+        return work.tried_replicas[-1] if work is not None and work.tried_replicas else ""
 
     def _run(self, held: HeldJob, prefixes: tuple[int, ...], now_s: float) -> None:
         """Generate what a job's output still lacks."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replication.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replication.py
@@ -74,7 +74,7 @@
     """Every job held here, its copy and its handover.
 
     :param tell: sends a message to a peer.
-    :param suspend: stops a job's generation.
+    :param suspend: stops a job's generation and returns the replica it ran on, or empty.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         ledger: Ledger,
         membership: Membership,
         tell: Tell,
-        suspend: Callable[[str], None],
+        suspend: Callable[[str], str],
     ) -> None:
         self._context = context
         self._ledger = ledger
@@ -283,7 +283,7 @@
     def _hand_over(self, held: HeldJob, now_s: float) -> None:
         if not held.suspended:
             held.suspended = True
-            self._suspend(held.job.job_id)
+            held.replica_id = self._suspend(held.job.job_id) or held.replica_id
         if not held.caught_up or now_s < held.handover_at_s:
             return
         assert held.target is not None, "a job is handed to a VM that caught up"
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -203,7 +203,7 @@
                 body=work.request.body,
                 deadline_s=work.request.deadline_s,
                 priority=work.priority,
-                resume_payloads=tuple(work.payloads),
+                resume_payloads=tuple(work.payloads) if self._context.enabled("resume") else (),
                 kv_source=self._kv_source(work, replica.replica_id),
             )
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/takeover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/takeover.py
@@ -57,9 +57,8 @@
             return
         if (job.epoch, job.term) != (message.epoch, message.term):
             return
-        copy = self._copies.find(job)
-        held_count = len(copy.payloads) if copy is not None else 0
-        if held_count == message.held_count:
+        copy = self._copies.on_handover(sender, message, now_s)
+        if len(copy.payloads) == message.held_count:
             self._propose(job, False, now_s)
 
     def on_moved(self, job: Job) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -29,6 +29,7 @@
     SendFinal,
     SendTokens,
     StartAttempt,
+    Stopped,
     TellPeer,
 )
 from coriandershelf_core.internal.events import (
@@ -109,6 +110,7 @@
     zone: str
     alive: bool = True
     paused: bool = False
+    stopped_at_s: float | None = None
     held: list[Event] = field(default_factory=list)
     offsets: dict[str, int] = field(default_factory=dict)
 
@@ -370,6 +372,9 @@
                 self.at(LOG_LATENCY_S, lambda: self._append(vm_id, action))
             case TellPeer():
                 self._tell(vm_id, action)
+            case Stopped():
+                self.entries[vm_id].stopped_at_s = self.now_s
+                self.at(0.0, lambda: self.kill_entry(vm_id))
             case Count(name, amount):
                 self.counters[name] = self.counters.get(name, 0) + amount
             case _:
@@ -438,7 +443,7 @@
             self._run_sequence(vm_id, upstream, action)
 
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
-        identity = hashlib.sha256(action.path.encode() + action.body).hexdigest()
+        identity = _identity(action.path, action.body)
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
 
         def answer() -> None:
@@ -553,6 +558,15 @@
     return totals
 
 
+def was_run(bench: Bench, request: Request) -> bool:
+    """Return whether any plain service ran a call's body."""
+    return executions_by_body(bench).get(_identity(request.path, request.body), 0) > 0
+
+
+def _identity(path: str, body: bytes) -> str:
+    return hashlib.sha256(path.encode() + body).hexdigest()
+
+
 def is_whole(call: Call, shape: Shape) -> bool:
     """Return whether a finished call holds each payload once, in order."""
     if not isinstance(call.outcome, Done):
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_callers.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from coriandershelf_core import Done, RequestKind
-from coriandershelf_core.internal.events import JobRead, VmState
+from coriandershelf_core.internal.events import JobRead
 from coriandershelf_rig.internal.bench import LAST_PAYLOAD, Bench, Call
 from coriandershelf_rig.internal.deployments import hash_of
 
 POLL_S = 0.3
+PROBE_S = 0.1
 
 
 @dataclass(slots=True)
@@ -48,32 +50,58 @@
         return self.accepted and (not self.whole or self.restarted or self.twisted)
 
 
+class Balancer:
+    """Chooses entry VMs that were ready a while ago, as the platform's balancer does."""
+
+    def __init__(self, bench: Bench, lag_s: float) -> None:
+        self._bench = bench
+        self._lag_s = lag_s
+        self._unready_since_s: dict[str, float] = {}
+
+    def choose(self) -> str:
+        """Return an entry VM for a new connection."""
+        return self._bench.rng.choice(self._ready())
+
+    def watch(self) -> None:
+        """Probe readiness, now and from then on."""
+        for vm_id, entry in self._bench.entries.items():
+            if entry.alive and entry.core.ready:
+                self._unready_since_s.pop(vm_id, None)
+            else:
+                self._unready_since_s.setdefault(vm_id, self._bench.now_s)
+        self._bench.at(PROBE_S, self.watch)
+
+    def _ready(self) -> list[str]:
+        now_s = self._bench.now_s
+        since_s = self._unready_since_s
+        return [
+            vm_id
+            for vm_id, entry in self._bench.entries.items()
+            # A connection that is refused is tried again elsewhere by the balancer itself.
+            if entry.alive and now_s - since_s.get(vm_id, now_s) <= self._lag_s
+        ]
+
+
 class JobCallers:
-    """Posts jobs to entry VMs that are ready, then reads each at any such VM until its end."""
+    """Posts jobs to entry VMs, then reads each at any entry VM until its end.
 
-    def __init__(self, bench: Bench) -> None:
+    :param choose_entry: the balancer.
+    """
+
+    def __init__(self, bench: Bench, choose_entry: Callable[[], str]) -> None:
         self._bench = bench
+        self._choose_entry = choose_entry
         self.jobs: list[JobCaller] = []
 
     def post(self, customer: str, length: int, prompt_tokens: int = 500) -> JobCaller:
         """Post a job now."""
         request = self._bench.chat(customer, prompt_tokens, length, kind=RequestKind.JOB)
-        call = self._bench.send(self.choose_entry(), request)
+        call = self._bench.send(self._choose_entry(), request)
         job = JobCaller(customer, length, call)
         self.jobs.append(job)
         self._bench.at(POLL_S, lambda: self._poll(job))
         return job
 
-    def choose_entry(self) -> str:
-        """Return an entry VM that the balancer would choose."""
-        bench = self._bench
-        ready = [
-            vm_id
-            for vm_id, entry in bench.entries.items()
-            if entry.alive and not entry.paused and bench.vms[vm_id].state is VmState.LIVE
-        ]
-        return bench.rng.choice(ready)
-
     def read(self, job: JobCaller, vm_id: str) -> Call:
         """Read a job at an entry VM from where its caller stopped."""
         bench = self._bench
@@ -90,7 +118,7 @@
             if job.call.outcome is None:
                 self._bench.at(POLL_S, lambda: self._poll(job))
             return
-        call = self.read(job, self.choose_entry())
+        call = self.read(job, self._choose_entry())
         self._await(job, call)
 
     def _await(self, job: JobCaller, call: Call) -> None:
