--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/workload.py
@@ -0,0 +1,262 @@
+"""Load in virtual time: arrivals, mixes, balancer, open and closed loops, callers who retry.
+
+Arrivals are drawn before the run from their own seed, so that two ways of serving meet the very
+same requests at the very same times.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from coriandershelf_core import Done, NotRun
+from coriandershelf_rig.internal.bench import Bench, Call, Shape
+from coriandershelf_rig.internal.deployments import Deployment
+from coriandershelf_rig.internal.engine_model import EngineModel, EngineShape
+from coriandershelf_rig.internal.engine_model import Sequence as EngineSequence
+
+CAPACITY_WARM_UP_S = 20.0
+CAPACITY_MEASURED_S = 60.0
+RETRY_SPREAD = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class WorkKind:
+    """The shape of one kind of work; lengths are log-normal within bounds.
+
+    :param max_tokens: the upper bounds that callers state, one drawn for each request.
+    :param deadline_s: how long after its arrival an answer is of use.
+    """
+
+    name: str
+    prompt_min_tokens: int
+    prompt_max_tokens: int
+    length_median_tokens: float
+    length_sigma: float
+    length_max_tokens: int
+    max_tokens: tuple[int, ...]
+    deadline_s: float
+
+    def draw_length(self, rng: random.Random) -> int:
+        """Return the true length of one answer."""
+        drawn = rng.lognormvariate(math.log(self.length_median_tokens), self.length_sigma)
+        return max(4, min(self.length_max_tokens, round(drawn)))
+
+    @property
+    def mean_length_tokens(self) -> float:
+        """Return the mean length, estimated from a fixed sample."""
+        rng = random.Random(0)
+        return sum(self.draw_length(rng) for _ in range(4000)) / 4000
+
+
+# Questions from rooftops or summaries of one span. One caller in ten states a bound that says
+# nothing about the length, so a guess from the bound alone is wrong at times.
+SHORT = WorkKind("short", 40, 160, 48.0, 0.5, 240, (256,) * 9 + (4096,), 30.0)
+# Season plans or defect reports of a whole shift.
+LONG = WorkKind("long", 400, 1200, 1200.0, 0.4, 4000, (4096,), 600.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """Requests of one customer and kind, arriving as a Poisson process."""
+
+    customer: str
+    kind: WorkKind
+    rate_per_s: float
+    start_s: float
+    end_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request to come.
+
+    :param entry_draw: between 0 and 1; decides which entry VM the balancer picks.
+    """
+
+    at_s: float
+    customer: str
+    kind: WorkKind
+    prompt_tokens: int
+    length: int
+    max_tokens: int
+    entry_draw: float
+
+
+def draw_arrivals(flows: Sequence[Flow], seed: int) -> list[Arrival]:
+    """Return the arrivals of all flows; each flow's own do not depend on the others."""
+    arrivals: list[Arrival] = []
+    for flow in flows:
+        rng = random.Random(f"{seed}:{flow.customer}:{flow.kind.name}:{flow.start_s}")
+        at_s = flow.start_s
+        while flow.rate_per_s > 0.0:
+            at_s += rng.expovariate(flow.rate_per_s)
+            if at_s >= flow.end_s:
+                break
+            arrivals.append(draw_arrival(flow.customer, flow.kind, at_s, rng))
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def draw_arrival(customer: str, kind: WorkKind, at_s: float, rng: random.Random) -> Arrival:
+    """Return one arrival of a kind."""
+    length = kind.draw_length(rng)
+    return Arrival(
+        at_s=at_s,
+        customer=customer,
+        kind=kind,
+        prompt_tokens=rng.randint(kind.prompt_min_tokens, kind.prompt_max_tokens),
+        length=length,
+        max_tokens=max(length, rng.choice(kind.max_tokens)),
+        entry_draw=rng.random(),
+    )
+
+
+def balancer_weights(deployment: Deployment) -> dict[str, float]:
+    """Return each entry VM's share of the connections; the VMs are of unequal size."""
+    return {vm_id: 1.0 + 0.5 * (index % 3) for index, (vm_id, _) in enumerate(deployment.entries)}
+
+
+def pick_entry(weights: dict[str, float], draw: float) -> str:
+    """Return the entry VM for a draw between 0 and 1."""
+    left = draw * sum(weights.values())
+    for vm_id, weight in weights.items():
+        left -= weight
+        if left < 0.0:
+            return vm_id
+    return next(reversed(weights))
+
+
+@dataclass(slots=True)
+class Sent:
+    """One arrival and the calls made for it, the last of which decides."""
+
+    arrival: Arrival
+    then: Callable[[], None] | None = None
+    calls: list[Call] = field(default_factory=list)
+
+    @property
+    def last(self) -> Call:
+        """Return the last call."""
+        return self.calls[-1]
+
+    @property
+    def done(self) -> bool:
+        """Return whether the caller got a result in time."""
+        call = self.last
+        in_time = call.ended_at_s is not None and call.ended_at_s <= call.request.deadline_s
+        return isinstance(call.outcome, Done) and in_time
+
+
+class Callers:
+    """Sends arrivals into a bench and retries what was not run.
+
+    :param retry_max_count: times a caller comes back after a refusal; it waits as it was told.
+    """
+
+    def __init__(self, bench: Bench, seed: int, retry_max_count: int = 0) -> None:
+        self.sent: list[Sent] = []
+        self._bench = bench
+        self._rng = random.Random(f"callers:{seed}")
+        self._retry_max_count = retry_max_count
+        self._weights = balancer_weights(bench.deployment)
+        self._by_request: dict[str, Sent] = {}
+        bench.on_final = self._on_final
+
+    def schedule(self, arrivals: Sequence[Arrival]) -> None:
+        """Send each arrival at its time from now."""
+        for arrival in arrivals:
+            self._bench.at(arrival.at_s, partial(self._send_alone, arrival))
+
+    def send(self, arrival: Arrival, then: Callable[[], None] | None = None) -> Sent:
+        """Send one arrival now; ``then`` runs after its last answer."""
+        sent = Sent(arrival, then)
+        self.sent.append(sent)
+        self._call(sent, pick_entry(self._weights, arrival.entry_draw))
+        return sent
+
+    def _send_alone(self, arrival: Arrival) -> None:
+        self.send(arrival)
+
+    def start_loop(self, customer: str, kind: WorkKind, count: int, duration_s: float) -> None:
+        """Start callers that each send their next request once the last one is answered."""
+        until_s = self._bench.now_s + duration_s
+
+        def send_next() -> None:
+            if self._bench.now_s < until_s:
+                self.send(draw_arrival(customer, kind, self._bench.now_s, self._rng), send_next)
+
+        for _ in range(count):
+            self._bench.at(0.0, send_next)
+
+    def _call(self, sent: Sent, vm_id: str) -> None:
+        arrival = sent.arrival
+        request = self._bench.chat(
+            arrival.customer, arrival.prompt_tokens, arrival.max_tokens, arrival.kind.deadline_s
+        )
+        self._by_request[request.request_id] = sent
+        # The answer may come while the request is being sent, so the call is noted first.
+        sent.calls.append(Call(request, vm_id, self._bench.now_s))
+        sent.calls[-1] = self._bench.send(vm_id, request, Shape(arrival.length))
+
+    def _on_final(self, call: Call) -> None:
+        sent = self._by_request.get(call.request.request_id)
+        if sent is None:
+            return
+        outcome = call.outcome
+        may_retry = isinstance(outcome, NotRun) and outcome.retry_after_s is not None
+        if may_retry and len(sent.calls) <= self._retry_max_count:
+            assert isinstance(outcome, NotRun) and outcome.retry_after_s is not None
+            spread = 1.0 + RETRY_SPREAD * self._rng.random()
+            entry = pick_entry(self._weights, self._rng.random())
+            self._bench.at(outcome.retry_after_s * spread, lambda: self._call(sent, entry))
+            return
+        if sent.then is not None:
+            self._bench.at(0.0, sent.then)
+
+
+def scale_flows(flows: Sequence[Flow], factor: float) -> list[Flow]:
+    """Return the flows at ``factor`` times their rates."""
+    return [replace(flow, rate_per_s=flow.rate_per_s * factor) for flow in flows]
+
+
+def token_rate_per_s(flows: Sequence[Flow]) -> float:
+    """Return the tokens a second that flows ask for."""
+    return sum(flow.rate_per_s * flow.kind.mean_length_tokens for flow in flows)
+
+
+def engine_capacity_per_s(shape: EngineShape, flows: Sequence[Flow], seed: int) -> float:
+    """Return the tokens a second of one engine that is never short of this mix's work.
+
+    The engine is driven without anything around it, so this bounds what any policy can reach.
+    """
+    rng = random.Random(f"capacity:{seed}")
+    engine = EngineModel(shape)
+    weights = [flow.rate_per_s for flow in flows]
+    now_s = 0.0
+    sequence = 0
+    warm_tokens = 0
+    warm = False
+    while now_s < CAPACITY_WARM_UP_S + CAPACITY_MEASURED_S:
+        while engine.waiting_count < 2:
+            sequence += 1
+            arrival = draw_arrival("", rng.choices(flows, weights)[0].kind, 0.0, rng)
+            name = str(sequence)
+            item = EngineSequence(name, name, 0, arrival.prompt_tokens, (), arrival.length)
+            engine.submit(item, now_s)
+        assert engine.next_step_s is not None, "a loaded engine stands still"
+        now_s = engine.next_step_s
+        engine.advance(now_s)
+        if not warm and now_s >= CAPACITY_WARM_UP_S:
+            warm = True
+            warm_tokens = engine.record.tokens_generated
+    return (engine.record.tokens_generated - warm_tokens) / (now_s - CAPACITY_WARM_UP_S)
+
+
+def capacity_per_s(deployment: Deployment, flows: Sequence[Flow], seed: int) -> float:
+    """Return the tokens a second that all of a deployment's engines can make of a mix."""
+    shapes = [item.engine for item in deployment.replicas if item.engine is not None]
+    by_shape = {shape: engine_capacity_per_s(shape, flows, seed) for shape in set(shapes)}
+    return sum(by_shape[shape] for shape in shapes)
