Queue by class and fair share; adaptive limits; refusal by estimated wait

Cause: the queue sorted all works by priority at each take, long and short shared slots, every entry VM counted the inventory's slots as its own, and only a full queue refused. Ruled out: strict priority (a large priority customer shuts out the rest); fair queueing alone (a priority customer waits for its turn); static parts of the slots per entry VM (idle where the balancer is uneven). Change: FairQueue (start-time fair queueing; priority inside a customer's share), one queue a service and class, lengths learnt by customer and request shape, limits per replica (AIMD on first token wait for short work; owned floor and reported spare for long), scheduling classes for the engine, admission by estimated wait; experiment head-of-line.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/admit.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admit.py
@@ -2,29 +2,69 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.inventory import Inventory
+import random
+
+from coriandershelf_core.internal.inventory import Inventory, Rules
 from coriandershelf_core.internal.outcome import NotRun
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.work import Work, WorkClass
 
+# What is left of the first-token target is for the way to the engine and the prompt.
+QUEUE_SHARE_OF_TARGET = 0.5
+RETRY_AFTER_MIN_S = 0.5
+RETRY_AFTER_MAX_S = 30.0
+RETRY_AFTER_SPREAD = 0.5
 
-def admit(
-    request: Request,
-    inventory: Inventory,
-    queue: WorkQueue,
-    settings: CoreSettings,
-    stopping: bool,
-    now_s: float,
-) -> NotRun | None:
-    """Return why a request is refused, or ``None`` if it may wait for a replica."""
+
+def admit(request: Request, inventory: Inventory, stopping: bool, now_s: float) -> NotRun | None:
+    """Return why a request is refused whatever the load, or ``None``."""
     if stopping:
         return NotRun(RefusalReason.STOPPING, retry_after_s=0.0)
     if inventory.service(request.service) is None:
         return NotRun(RefusalReason.UNKNOWN_SERVICE, detail=f"no service {request.service!r}")
     if request.deadline_s <= now_s:
         return NotRun(RefusalReason.DEADLINE, retry_after_s=0.0)
-    if request.kind is not RequestKind.JOB and len(queue) >= settings.queue_max_count:
-        return NotRun(RefusalReason.OVERLOADED, retry_after_s=2.0)
     return None
+
+
+def admit_work(
+    work: Work,
+    rules: Rules,
+    queue: WorkQueue,
+    settings: CoreSettings,
+    rng: random.Random,
+    now_s: float,
+) -> NotRun | None:
+    """Return why a work is refused under the present load, or ``None`` if it may wait.
+
+    The refusal comes now, by the estimated wait: a work that is let wait and then refused near
+    its deadline has cost its caller the time to go elsewhere.
+    """
+    wait_s = queue.wait_s(work, now_s)
+    limit_s = wait_limit_s(work, rules, settings, now_s)
+    if len(queue) >= settings.queue_max_count or wait_s > limit_s:
+        beyond = queue.beyond_share(work, now_s)
+        reason = RefusalReason.OVER_SHARE if beyond else RefusalReason.OVERLOADED
+        return NotRun(reason, retry_after_s(wait_s - limit_s, rng))
+    service_s = work.expected_tokens * rules.token_gap_target_s
+    if wait_s > 0.0 and now_s + wait_s + service_s > work.request.deadline_s:
+        return NotRun(RefusalReason.DEADLINE, retry_after_s(wait_s, rng))
+    return None
+
+
+def wait_limit_s(work: Work, rules: Rules, settings: CoreSettings, now_s: float) -> float:
+    """Return the longest estimated wait at which a work is still accepted."""
+    if work.work_class is WorkClass.LONG:
+        return work.request.deadline_s - now_s
+    if work.priority <= rules.priority_at_most:
+        return rules.first_token_target_s * QUEUE_SHARE_OF_TARGET
+    return settings.wait_limit_s
+
+
+def retry_after_s(excess_s: float, rng: random.Random) -> float:
+    """Return when to come back: once the excess has drained, spread against a rush."""
+    bounded_s = min(max(excess_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+    return bounded_s * (1.0 + RETRY_AFTER_SPREAD * rng.random())
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/classify.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/classify.py
@@ -1,12 +1,16 @@
-"""Filter: guess how long a request will hold a replica's slot."""
+"""Filter: tell what a request costs and whether it will hold a replica's slot for long."""
 
 from __future__ import annotations
 
 from coriandershelf_core.internal.inventory import Customer, Inventory
+from coriandershelf_core.internal.lengths import LengthEstimator
 from coriandershelf_core.internal.request import Request, RequestKind
 from coriandershelf_core.internal.work import Work, WorkClass, WorkOwner
 
 LONG_TOKENS_COUNT = 512
+# A prompt's token costs about a tenth of a generated one: prompts are computed in parallel.
+PROMPT_TOKEN_COST = 0.1
+PLAIN_CALL_COST_TOKENS = 10.0
 
 
 def is_repeatable(request: Request, inventory: Inventory) -> bool:
@@ -18,20 +22,51 @@
     return not any(request.path.startswith(prefix) for prefix in service.non_idempotent_paths)
 
 
+def owner_of(request: Request, inventory: Inventory) -> WorkOwner:
+    """Return who takes the result of a request's work."""
+    if request.kind is RequestKind.JOB:
+        return WorkOwner.JOB
+    return WorkOwner.CALLER if is_repeatable(request, inventory) else WorkOwner.CLAIM
+
+
+def cost_tokens(request: Request, generated_tokens: float) -> float:
+    """Return what a request costs its customer's share, in generated tokens."""
+    if request.kind is RequestKind.SERVICE:
+        return PLAIN_CALL_COST_TOKENS
+    return max(1.0, generated_tokens + PROMPT_TOKEN_COST * request.prompt_tokens)
+
+
+def class_of(request: Request, expected_tokens: float) -> WorkClass:
+    """Return whether a work of this guessed length counts as long."""
+    if request.kind is RequestKind.JOB or expected_tokens > LONG_TOKENS_COUNT:
+        return WorkClass.LONG
+    return WorkClass.SHORT
+
+
 def make_work(
-    request: Request, customer: Customer, inventory: Inventory, owner: WorkOwner, now_s: float
+    request: Request,
+    customer: Customer,
+    inventory: Inventory,
+    owner: WorkOwner,
+    now_s: float,
+    lengths: LengthEstimator | None = None,
 ) -> Work:
-    """Return the work of an admitted request with its class and guessed length."""
-    expected_tokens = float(request.max_tokens)
-    is_long = owner is WorkOwner.JOB or expected_tokens > LONG_TOKENS_COUNT
+    """Return the work of an admitted request with its class, guessed length and cost.
+
+    :param lengths: lengths seen before; ``None`` where the caller has no such evidence.
+    """
+    expected_tokens = 0.0
+    if request.kind is not RequestKind.SERVICE:
+        expected_tokens = (lengths or LengthEstimator()).expect_tokens(customer.name, request)
     return Work(
         request=request,
         customer=customer.name,
         priority=customer.priority,
         share=customer.share,
         owner=owner,
-        work_class=WorkClass.LONG if is_long else WorkClass.SHORT,
+        work_class=class_of(request, expected_tokens),
         repeatable=is_repeatable(request, inventory),
         queued_at_s=now_s,
         expected_tokens=expected_tokens,
+        cost_tokens=cost_tokens(request, expected_tokens),
     )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -8,7 +8,7 @@
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
 from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import is_repeatable, make_work
+from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import (
@@ -49,7 +49,7 @@
     JobAccepted,
     JobFinished,
 )
-from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
 from coriandershelf_core.internal.work import Work, WorkOwner
@@ -129,6 +129,7 @@
                 self._on_peer_message(sender, message, now_s)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
+                self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id):
                 self.membership.on_notice(vm_id)
@@ -148,28 +149,24 @@
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
-        refusal = admit(
-            request,
-            inventory,
-            self.serving.queue,
-            self.context.settings,
-            self.context.stopping,
-            now_s,
-        )
+        refusal = admit(request, inventory, self.context.stopping, now_s)
         if refusal is not None:
             self.context.finish(request.request_id, refusal, now_s)
             return
-        if request.kind is RequestKind.JOB:
-            work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
-            self.jobs.request(work, now_s)
-        elif is_repeatable(request, inventory):
-            work = make_work(request, customer, inventory, WorkOwner.CALLER, now_s)
-            self.serving.enqueue(work, now_s)
-        elif request.idempotency_key is None:
+        owner = owner_of(request, inventory)
+        if owner is WorkOwner.CLAIM and request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
+            return
+        work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
+        refusal = self.serving.refusal_of(work, now_s)
+        if refusal is not None:
+            self.context.finish(request.request_id, refusal, now_s)
+        elif owner is WorkOwner.JOB:
+            self.jobs.request(work, now_s)
+        elif owner is WorkOwner.CALLER:
+            self.serving.enqueue(work, now_s)
         else:
-            work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
             self.claims.request(work, now_s)
 
     def _on_caller_gone(self, request_id: str) -> None:
@@ -224,6 +221,10 @@
             state.leaving = vm_state is VmState.LEAVING
             state.gone = vm_state is VmState.GONE
 
+    def _entry_vm_ids(self) -> tuple[str, ...]:
+        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
+        return tuple(sorted([*peers, self.context.identity.vm_id]))
+
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
         match message:
             case JobQuery():
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -72,6 +72,7 @@
     APPENDS = ("log.appends", "Records appended to the log.")
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
+from coriandershelf_core.internal.admit import admit_work
+from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.events import (
     AttemptFailed,
@@ -16,14 +18,17 @@
     TokensArrived,
 )
 from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.lengths import LengthEstimator
+from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
+from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import choose_replica
 from coriandershelf_core.internal.watch import overdue
-from coriandershelf_core.internal.work import Attempt, Work
+from coriandershelf_core.internal.work import Attempt, Work, WorkClass
 
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
@@ -42,22 +47,43 @@
         self._finish = finish
         self._attempt_sequence = 0
         self.replicas = ReplicaTable()
-        self.queue = WorkQueue()
+        self.lengths = LengthEstimator()
+        self.limits = Limits(
+            context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
+        )
+        self.queue = WorkQueue(
+            context.settings.usage_memory_s,
+            context.enabled("fair-queue"),
+            context.enabled("length-classes"),
+        )
         self.works: dict[str, Work] = {}
         self.attempts: dict[str, Attempt] = {}
 
+    def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
+        """Return why a work is refused under the present load, or ``None``."""
+        context = self._context
+        inventory = context.inventory
+        assert inventory is not None, f"{work.work_id} was classified without a configuration"
+        if context.enabled("admission"):
+            return admit_work(
+                work, inventory.rules, self.queue, context.settings, context.rng, now_s
+            )
+        if len(self.queue) >= context.settings.queue_max_count:
+            return NotRun(RefusalReason.OVERLOADED, retry_after_s=2.0)
+        return None
+
     def enqueue(self, work: Work, now_s: float) -> None:
         """Accept a work and dispatch what can be dispatched."""
         assert work.work_id not in self.works, f"{work.work_id} runs twice in one entry VM"
         self.works[work.work_id] = work
-        self.queue.push(work)
+        self.queue.push(work, now_s)
         self._context.trace(work.work_id, now_s, "queued", work.work_class.value)
         self.pump(now_s)
 
     def pump(self, now_s: float) -> None:
         """Dispatch waiting works while replicas have room."""
         while len(self.queue):
-            taken = self.queue.take_first(self._choose)
+            taken = self.queue.take_first(self._choose, now_s)
             if taken is None:
                 return
             work, state = taken
@@ -89,6 +115,8 @@
         if repeated < 0:
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
+        if attempt.last_token_at_s is None:
+            self.limits.on_first_token(attempt, now_s)
         attempt.last_token_at_s = now_s
         attempt.token_count += len(event.payloads)
         fresh = event.payloads[repeated:] if repeated else event.payloads
@@ -97,6 +125,8 @@
         if not fresh:
             return
         work.payloads.extend(fresh)
+        if work.position > LONG_TOKENS_COUNT and work.work_class is WorkClass.SHORT:
+            self._count_as_long(work, now_s)
         self._deliver(work, fresh, now_s)
 
     def on_stream_ended(self, event: StreamEnded, now_s: float) -> None:
@@ -129,6 +159,7 @@
             state.reported_running_count = event.running_count
             state.reported_waiting_count = event.waiting_count
             state.reported_at_s = event.reported_at_s
+            self.limits.on_report(state)
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
@@ -152,6 +183,10 @@
 
     def _choose(self, work: Work) -> ReplicaState | None:
         candidates = self.replicas.of_service(work.request.service)
+        if self._kind_of(work) is ServiceKind.MODEL:
+            candidates = [
+                state for state in candidates if self.limits.has_room(work.work_class, state)
+            ]
         return choose_replica(work, candidates, self._context.identity.zone, self._context.rng)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
@@ -163,6 +198,9 @@
         replica = state.replica
         attempt = Attempt(attempt_id, work, replica.replica_id, now_s)
         self.attempts[attempt_id] = attempt
+        priority = self._engine_priority(work, state, now_s)
+        if self._kind_of(work) is ServiceKind.MODEL:
+            self.limits.on_started(attempt, state)
         state.in_flight.add(attempt_id)
         work.live_attempts.append(attempt_id)
         work.tried_replicas.append(replica.replica_id)
@@ -178,13 +216,28 @@
                 path=work.request.path,
                 body=work.request.body,
                 deadline_s=work.request.deadline_s,
-                priority=work.priority,
+                priority=priority,
                 resume_payloads=tuple(work.payloads),
             )
         )
 
+    def _engine_priority(self, work: Work, state: ReplicaState, now_s: float) -> int:
+        if not self._context.enabled("engine-priority"):
+            return 0
+        owned = work.work_class is WorkClass.LONG and self.limits.is_owned(state)
+        return engine_priority(work, self.queue.beyond_share(work, now_s), owned)
+
+    def _count_as_long(self, work: Work, now_s: float) -> None:
+        """Let a work that turned out long hold a slot of long work."""
+        work.work_class = WorkClass.LONG
+        for attempt_id in work.live_attempts:
+            self.limits.on_class_changed(self.attempts[attempt_id])
+        self._context.count(Counter.LENGTH_MISJUDGED)
+        self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
+
     def _forget(self, attempt: Attempt) -> None:
         del self.attempts[attempt.attempt_id]
+        self.limits.on_ended(attempt)
         attempt.work.live_attempts.remove(attempt.attempt_id)
         state = self.replicas.get(attempt.replica_id)
         if state is not None:
@@ -203,6 +256,10 @@
 
     def _settle(self, work: Work, outcome: Outcome, now_s: float) -> None:
         del self.works[work.work_id]
+        if work.attempt_count:
+            self.queue.correct(work, cost_tokens(work.request, work.position), now_s)
+        if isinstance(outcome, Done) and work.payloads:
+            self.lengths.learn(work.customer, work.request, work.position)
         self._finish(work, outcome, now_s)
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
@@ -213,6 +270,8 @@
             return
         if not sent and not work.payloads and not work.repeatable:
             work.attempt_count -= 1
+        if cause is FailureCause.REFUSED:
+            self.limits.on_refused(attempt, now_s)
         verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
         if not isinstance(verdict, Retry):
             self._settle(work, verdict, now_s)
@@ -226,5 +285,5 @@
             customer=work.customer,
             reason=verdict.reason.code,
         )
-        self.queue.push(work)
+        self.queue.push(work, now_s)
         self.pump(now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -20,6 +20,15 @@
     token_gap_limit_s: float = documented(2.0, "Longest silence between two tokens.", 0.01)
     plain_answer_limit_s: float = documented(10.0, "Longest wait for a plain service.", 0.01)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
+    wait_limit_s: float = documented(
+        3.0, "Estimated wait for a replica above which short work is refused.", 0.01
+    )
+    engine_wait_target_s: float = documented(
+        0.1, "Wait inside an engine above which less short work is sent there.", 0.001
+    )
+    long_floor_share: float = documented(0.3, "Share of slots that long work always may hold.", 0.0)
+    long_reserve_share: float = documented(0.2, "Share of slots kept free of long work.", 0.0)
+    usage_memory_s: float = documented(10.0, "How long use counts against a customer's share.", 0.1)
     queue_max_count: int = documented(2000, "Requests that wait at the most.", 1)
     claim_wait_s: float = documented(2.0, "Longest wait for a claim to be read back.", 0.01)
     append_resend_s: float = documented(1.0, "Wait before an uncertain append is repeated.", 0.01)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -29,7 +29,8 @@
 
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
-    :param expected_tokens: guess of the tokens still to come.
+    :param expected_tokens: guess of the answer's length.
+    :param cost_tokens: what the customer's share was charged, by that guess.
     """
 
     request: Request
@@ -41,6 +42,7 @@
     repeatable: bool
     queued_at_s: float
     expected_tokens: float = 0.0
+    cost_tokens: float = 1.0
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
