Route by expected latency over sampled replicas

Cause: sampling by own in-flight count alone ignored that replicas differ threefold in speed and that late reports hold other entry VMs' work. Ruled out: round robin and sorting by the last report (a stampede until the next report).

--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
@@ -0,0 +1,88 @@
+"""Evidence on one replica, from this VM's own streams: token gaps and first-token times."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+RECENT_WEIGHT = 0.1
+FIRST_TOKEN_WEIGHT = 0.2
+PEAK_DECAY_S = 30.0
+PEAK_GROWTH_MAX = 1.1
+DEFAULT_GAP_S = 0.02
+DEFAULT_PEAK_GAP_S = 0.08
+DEFAULT_PREFILL_S_PER_TOKEN = 0.0001
+
+
+@dataclass(slots=True)
+class Health:
+    """How a replica has behaved towards this VM.
+
+    :param gap_s: moving mean of the time between two tokens of a stream; 0 without evidence.
+    :param peak_gap_s: decaying maximum of that time while the replica was in order.
+    :param progress_at_s: when any stream from there last moved.
+    :param prefill_s_per_token: moving mean of first-token time for each uncached prompt token.
+    :param ejected: whether new work is kept away.
+    :param probe_at_s: when an ejected replica is next offered a probe.
+    :param eject_count: ejections and failed probes in a row, for backoff.
+    :param probe_id: the attempt that probes an ejected replica, or empty.
+    """
+
+    gap_s: float = 0.0
+    peak_gap_s: float = 0.0
+    peak_at_s: float = 0.0
+    progress_at_s: float = 0.0
+    prefill_s_per_token: float = 0.0
+    ejected: bool = False
+    ejected_at_s: float = 0.0
+    probe_at_s: float = 0.0
+    eject_count: int = 0
+    probe_id: str = ""
+
+    def on_gap(self, gap_s: float, now_s: float) -> None:
+        """Learn from the time between two tokens.
+
+        Nothing is learnt while ejected, and a single gap raises the peak by a tenth at most: a
+        stall must not become the norm, a lasting change must.
+        """
+        self.progress_at_s = now_s
+        if self.ejected:
+            return
+        self.gap_s = gap_s if not self.gap_s else _mix(self.gap_s, gap_s, RECENT_WEIGHT)
+        if not self.peak_gap_s:
+            self.peak_gap_s = max(gap_s, DEFAULT_PEAK_GAP_S)
+        elapsed_s = now_s - self.peak_at_s
+        decayed_s = self.peak_gap_s * math.exp(-elapsed_s / PEAK_DECAY_S)
+        self.peak_gap_s = max(decayed_s, min(gap_s, self.peak_gap_s * PEAK_GROWTH_MAX))
+        self.peak_at_s = now_s
+
+    def on_first_token(self, waited_s: float, prompt_tokens: int, now_s: float) -> None:
+        """Learn from the wait for a first token."""
+        self.progress_at_s = max(self.progress_at_s, now_s)
+        if self.ejected or prompt_tokens <= 0:
+            return
+        sample = max(0.0, waited_s - self.expected_gap_s) / prompt_tokens
+        known = self.prefill_s_per_token
+        self.prefill_s_per_token = _mix(known, sample, FIRST_TOKEN_WEIGHT) if known else sample
+
+    @property
+    def expected_gap_s(self) -> float:
+        """Return the expected time between two tokens."""
+        return self.gap_s or DEFAULT_GAP_S
+
+    def expected_first_token_s(self, uncached_tokens: float) -> float:
+        """Return the expected wait for a first token without waiting for a slot."""
+        per_token_s = self.prefill_s_per_token or DEFAULT_PREFILL_S_PER_TOKEN
+        return 2 * self.expected_gap_s + uncached_tokens * per_token_s
+
+    def stall_limit_s(self, factor: float, floor_s: float) -> float:
+        """Return the silence after which the replica counts as stalled.
+
+        :param factor: allowed multiple of the peak gap.
+        :param floor_s: least limit.
+        """
+        return max(floor_s, factor * (self.peak_gap_s or DEFAULT_PEAK_GAP_S))
+
+
+def _mix(old: float, new: float, weight: float) -> float:
+    return old + weight * (new - old)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from coriandershelf_core.internal.health import Health
 from coriandershelf_core.internal.inventory import Inventory, Replica
 
+HISTORY_SAMPLES_COUNT = 64
+REPORT_AGE_SCALE_S = 2.0
+
 
 @dataclass(slots=True)
 class ReplicaState:
     """One replica and this VM's evidence on it.
 
     :param in_flight: attempt ids of this VM that run there.
+    :param history: samples of ``in_flight``'s size, to tell own work apart in late reports.
+    :param others_count: requests of other entry VMs there, by the last report.
     """
 
     replica: Replica
@@ -22,12 +30,46 @@
     reported_running_count: int = 0
     reported_waiting_count: int = 0
     reported_at_s: float = 0.0
+    others_count: float = 0.0
+    history: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=HISTORY_SAMPLES_COUNT)
+    )
+    health: Health = field(default_factory=Health)
 
     @property
     def usable(self) -> bool:
         """Return whether new work may go there."""
         return not self.leaving and not self.gone
 
+    def sample(self, now_s: float) -> None:
+        """Remember how much of this VM's work runs there now."""
+        self.history.append((now_s, len(self.in_flight)))
+
+    def on_report(self, running_count: int, waiting_count: int, reported_at_s: float) -> None:
+        """Take a load report; what this VM had there at its time is taken off."""
+        if reported_at_s < self.reported_at_s:
+            return
+        self.reported_running_count = running_count
+        self.reported_waiting_count = waiting_count
+        self.reported_at_s = reported_at_s
+        self.others_count = max(0.0, running_count + waiting_count - self._own_at(reported_at_s))
+
+    def load(self, now_s: float) -> float:
+        """Return the expected requests per slot: own ones, and others' corrected for age.
+
+        An old report says little, so others' share fades towards what this VM itself has there.
+        """
+        own_count = len(self.in_flight)
+        trust = math.exp(-max(0.0, now_s - self.reported_at_s) / REPORT_AGE_SCALE_S)
+        others_count = trust * self.others_count + (1.0 - trust) * own_count
+        return (own_count + others_count) / self.replica.slots
+
+    def _own_at(self, at_s: float) -> int:
+        for sampled_at_s, count in reversed(self.history):
+            if sampled_at_s <= at_s:
+                return count
+        return 0
+
 
 class ReplicaTable:
     """The replicas of the inventory in force, by id."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -21,7 +21,7 @@
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.route import choose_replica
+from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.watch import overdue
 from coriandershelf_core.internal.work import Attempt, Work
 
@@ -42,6 +42,7 @@
         self._finish = finish
         self._attempt_sequence = 0
         self.replicas = ReplicaTable()
+        self.router = Router(context)
         self.queue = WorkQueue()
         self.works: dict[str, Work] = {}
         self.attempts: dict[str, Attempt] = {}
@@ -57,7 +58,7 @@
     def pump(self, now_s: float) -> None:
         """Dispatch waiting works while replicas have room."""
         while len(self.queue):
-            taken = self.queue.take_first(self._choose)
+            taken = self.queue.take_first(lambda work: self._choose(work, now_s))
             if taken is None:
                 return
             work, state = taken
@@ -89,8 +90,7 @@
         if repeated < 0:
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
-        attempt.last_token_at_s = now_s
-        attempt.token_count += len(event.payloads)
+        self._learn(attempt, len(event.payloads), now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
             self._context.count(Counter.TOKENS_DROPPED, min(repeated, len(event.payloads)))
@@ -125,13 +125,24 @@
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
         state = self.replicas.get(event.replica_id)
-        if state is not None and event.reported_at_s >= state.reported_at_s:
-            state.reported_running_count = event.running_count
-            state.reported_waiting_count = event.waiting_count
-            state.reported_at_s = event.reported_at_s
+        if state is not None:
+            state.on_report(event.running_count, event.waiting_count, event.reported_at_s)
+
+    def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
+        """Take tokens as evidence on their replica."""
+        state = self.replicas.get(attempt.replica_id)
+        if state is not None and attempt.last_token_at_s is None:
+            waited_s = now_s - attempt.started_at_s
+            state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+        elif state is not None and attempt.last_token_at_s is not None:
+            state.health.on_gap((now_s - attempt.last_token_at_s) / count, now_s)
+        attempt.last_token_at_s = now_s
+        attempt.token_count += count
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
+        for state in self.replicas:
+            state.sample(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
         for attempt in list(self.attempts.values()):
@@ -150,9 +161,9 @@
     def _kind_of(self, work: Work) -> ServiceKind:
         return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
 
-    def _choose(self, work: Work) -> ReplicaState | None:
+    def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         candidates = self.replicas.of_service(work.request.service)
-        return choose_replica(work, candidates, self._context.identity.zone, self._context.rng)
+        return self.router.choose(work, candidates, now_s)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         assert state.usable, f"new work for {state.replica.replica_id}, which is leaving"
@@ -167,6 +178,7 @@
         work.live_attempts.append(attempt_id)
         work.tried_replicas.append(replica.replica_id)
         work.attempt_count += 1
+        self.router.note(work, replica.replica_id)
         self._context.trace(work.work_id, now_s, "dispatched", replica.replica_id)
         self._context.emit(
             StartAttempt(
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/routing.py
@@ -0,0 +1,54 @@
+"""Routing over replicas of very different speed, against round robin and sorting by report."""
+
+from __future__ import annotations
+
+from coriandershelf_rig.internal.bench import Bench
+from coriandershelf_rig.internal.deployments import DEPLOYMENTS, Deployment
+from coriandershelf_rig.internal.model_load import schedule_load, whole
+from coriandershelf_rig.internal.report import Report, percentile
+
+NAME = "routing"
+LOAD = 0.6
+WARM_UP_S = 5.0
+DURATION_S = 40.0
+DRAIN_S = 90.0
+
+
+def _p99_s(deployment: Deployment, seed: int, disabled: frozenset[str]) -> tuple[float, int]:
+    bench = Bench(deployment, seed, disabled=disabled)
+    bench.run(1.0)
+    sent = schedule_load(bench, LOAD, DURATION_S, seed)
+    start_s = bench.now_s + WARM_UP_S
+    bench.run(DURATION_S + DRAIN_S)
+    broken = sum(not whole(bench, item) for item in sent)
+    totals = [
+        item.total_s
+        for item in sent
+        if item.class_name != "long" and item.call.sent_at_s >= start_s and item.call.ended_at_s
+    ]
+    return percentile(totals, 0.99), broken
+
+
+def run(seed: int, disabled: frozenset[str], verbose: bool, plot: str | None) -> Report:
+    """Measure the 99th percentile of completion on both deployments; the worse ratio counts."""
+    worst: Report | None = None
+    for name, make in DEPLOYMENTS.items():
+        ours, broken = _p99_s(make(), seed, disabled)
+        plain, _ = _p99_s(make(), seed, disabled | {"routing"})
+        sorted_, _ = _p99_s(make(), seed, disabled | {"sampling"})
+        report = Report(
+            NAME,
+            seed,
+            "p99 completion of short and medium requests, s",
+            plain,
+            ours,
+            None,
+            broken,
+            f"{name}; sorted by report {sorted_:.3f} s; load {LOAD}",
+        )
+        if verbose:
+            print(report.to_json())
+        if worst is None or (report.ratio or 0.0) > (worst.ratio or 0.0):
+            worst = report
+    assert worst is not None
+    return worst
