--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -79,6 +79,7 @@
     JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
     JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
     JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
+    LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
