Decide the configuration by the log alone and keep it past retention

Cause: a verdict depended on whether the reader's own software could parse the texts, so two releases could part for good; a reader that started behind the log's retention judged proposals on version 0; nothing carried the configuration past retention or to a zone cut from the platform; a publish gave up where its answer was lost.

Change: verdicts depend on base version and a declared format only (texts are validated once, by the tool that publishes). A VM that hears of a newer version asks that peer for the texts. Texts over 16 KiB are compressed on the wire.

--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/configuration_log.py
@@ -0,0 +1,257 @@
+"""The configuration as the platform's log decides it: compare-and-set in the log's order.
+
+A verdict depends only on the records before it, never on the reader's software: on the base
+version and on a declared format, not on whether the texts can be parsed here. A reader that
+judged the texts itself would give another verdict than one of an older or newer release, and
+the versions of the two would part for good. The texts are validated once, by the tool that
+publishes them.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from coriandershelf_core.internal.records import (
+    AcceptedChange,
+    ConfigurationProposed,
+    ConfigurationSnapshot,
+    FormatAllowed,
+    Record,
+)
+
+HISTORY_MAX_COUNT = 50
+VERDICTS_MAX_COUNT = 2000
+FIRST_FORMAT = 1
+
+
+class VerdictReason(Enum):
+    """Why a proposal was accepted or not."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    FORMAT = "format"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What became of a proposal; ``version`` is the one in force after it."""
+
+    publish_id: str
+    reason: VerdictReason
+    base_version: int
+    version: int
+    operator: str
+    at_s: float
+
+    @property
+    def accepted(self) -> bool:
+        """Return whether the proposal came into force."""
+        return self.reason is VerdictReason.ACCEPTED
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedTexts:
+    """The texts of the version in force and the changes that led to it, the last one its own."""
+
+    history: tuple[AcceptedChange, ...]
+    inventory_text: str
+    rules_text: str
+    format: int
+
+    @property
+    def change(self) -> AcceptedChange:
+        """Return the change that brought the version."""
+        return self.history[-1]
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.change.version
+
+
+class ConfigurationLog:
+    """Folds the records of the configuration stream into the version in force and verdicts.
+
+    A reader that starts behind the log's retention does not know the version on which the first
+    records it sees were judged. It holds them until a snapshot, or a peer, names the version at
+    an offset from which it has read everything.
+    """
+
+    def __init__(self) -> None:
+        self.texts: AcceptedTexts | None = None
+        self.verdicts: OrderedDict[str, Verdict] = OrderedDict()
+        self.allowed_format = FIRST_FORMAT
+        self.next_offset = 0
+        self.anchored = True
+        self.copied_at_s = 0.0
+        self.mismatch_count = 0
+        self.unbroken_from = 0
+        self._judge_from = 0
+        self._held: list[tuple[int, ConfigurationProposed | FormatAllowed]] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version that the records read so far put in force; 0 before the first."""
+        return 0 if self.texts is None else self.texts.version
+
+    @property
+    def history(self) -> tuple[AcceptedChange, ...]:
+        """Return the last accepted changes, oldest first."""
+        return () if self.texts is None else self.texts.history
+
+    def read(self, records: tuple[Record, ...], first_offset: int, next_offset: int) -> bool:
+        """Fold records in; return whether some had expired before they could be read.
+
+        :param first_offset: oldest offset the log still keeps.
+        :param next_offset: offset from which the next read starts.
+        """
+        gap = first_offset > self.next_offset
+        if gap:
+            self.anchored = False
+            self.unbroken_from = first_offset
+            self._held.clear()
+        for record in records:
+            for entry in record.entries:
+                self._on_entry(entry, record)
+        self.next_offset = max(self.next_offset, next_offset)
+        return gap
+
+    def anchor(self, texts: AcceptedTexts, through_offset: int) -> bool:
+        """Take the state that the records before ``through_offset`` left; judge those after it.
+
+        :return: whether the state was of use here.
+        """
+        if through_offset < self.unbroken_from or texts.version < self.version:
+            return False
+        if self.anchored and texts.version == self.version:
+            self._compare(texts)
+            return False
+        held, self._held = self._held, []
+        self.texts = texts
+        self.anchored = True
+        self._judge_from = through_offset
+        self._remember_history(texts)
+        for offset, entry in held:
+            self._judge_or_allow(entry, offset)
+        return True
+
+    def preceding(self, verdict: Verdict) -> tuple[AcceptedChange, ...]:
+        """Return the changes that a refused proposal did not build on."""
+        return tuple(
+            change
+            for change in self.history
+            if verdict.base_version < change.version <= verdict.version
+        )
+
+    def _on_entry(self, entry: object, record: Record) -> None:
+        if isinstance(entry, ConfigurationProposed | FormatAllowed):
+            if self.anchored:
+                self._judge_or_allow(entry, record.offset)
+                if self.texts is not None and self.texts.change.offset == record.offset:
+                    self.copied_at_s = record.time_s
+            else:
+                self._held.append((record.offset, entry))
+        elif isinstance(entry, ConfigurationSnapshot) and entry.history:
+            self._on_snapshot(entry, record)
+
+    def _on_snapshot(self, snapshot: ConfigurationSnapshot, record: Record) -> None:
+        texts = AcceptedTexts(
+            snapshot.history, snapshot.inventory_text, snapshot.rules_text, snapshot.format
+        )
+        # Where every reader had missed records, several VMs may write what they remember; the
+        # highest version among these snapshots wins at every reader.
+        if not self.anchored or texts.version > self.version:
+            self.allowed_format = max(self.allowed_format, snapshot.allowed_format)
+        self.anchor(texts, snapshot.through_offset)
+        if texts.version == self.version:
+            self.copied_at_s = max(self.copied_at_s, record.time_s)
+
+    def _judge_or_allow(self, entry: ConfigurationProposed | FormatAllowed, offset: int) -> None:
+        if isinstance(entry, FormatAllowed):
+            self.allowed_format = max(self.allowed_format, entry.format)
+        elif offset < self._judge_from:
+            self._judge_before_anchor(entry)
+        else:
+            self._judge(entry, offset)
+
+    def _judge(self, proposal: ConfigurationProposed, offset: int) -> None:
+        if proposal.publish_id in self.verdicts:
+            return
+        reason = VerdictReason.ACCEPTED
+        if proposal.format > self.allowed_format:
+            reason = VerdictReason.FORMAT
+        elif proposal.base_version != self.version:
+            reason = VerdictReason.CONFLICT
+        if reason is VerdictReason.ACCEPTED:
+            self._accept(proposal, offset)
+        self._remember(proposal, reason, self.version)
+
+    def _accept(self, proposal: ConfigurationProposed, offset: int) -> None:
+        base = self.version
+        assert proposal.base_version == base, "a proposal on another base was accepted"
+        change = AcceptedChange(
+            base + 1,
+            offset,
+            proposal.publish_id,
+            proposal.operator,
+            proposal.at_s,
+            proposal.changed_paths,
+        )
+        assert not self.history or change.offset >= self.history[-1].offset, "the log went back"
+        assert all(change.version > other.version for other in self.history), "two on one base"
+        history = (*self.history, change)[-HISTORY_MAX_COUNT:]
+        self.texts = AcceptedTexts(
+            history, proposal.inventory_text, proposal.rules_text, proposal.format
+        )
+        assert self.version == base + 1, "versions rise by one"
+
+    def _judge_before_anchor(self, proposal: ConfigurationProposed) -> None:
+        """Give the verdict on a record that the anchor's history covers, or none."""
+        if proposal.publish_id in self.verdicts:
+            return
+        oldest = self.history[0].version
+        if proposal.base_version >= oldest - 1:
+            self._remember(proposal, VerdictReason.CONFLICT, self.version)
+
+    def _remember_history(self, texts: AcceptedTexts) -> None:
+        for change in texts.history:
+            if change.publish_id not in self.verdicts:
+                self._put_verdict(
+                    Verdict(
+                        change.publish_id,
+                        VerdictReason.ACCEPTED,
+                        change.version - 1,
+                        change.version,
+                        change.operator,
+                        change.at_s,
+                    )
+                )
+
+    def _remember(
+        self, proposal: ConfigurationProposed, reason: VerdictReason, version: int
+    ) -> None:
+        self._put_verdict(
+            Verdict(
+                proposal.publish_id,
+                reason,
+                proposal.base_version,
+                version,
+                proposal.operator,
+                proposal.at_s,
+            )
+        )
+
+    def _put_verdict(self, verdict: Verdict) -> None:
+        self.verdicts[verdict.publish_id] = verdict
+        while len(self.verdicts) > VERDICTS_MAX_COUNT:
+            self.verdicts.popitem(last=False)
+
+    def _compare(self, texts: AcceptedTexts) -> None:
+        """Count a source that names another change under a version that is known here."""
+        known = {change.version: change.publish_id for change in self.history}
+        for change in texts.history:
+            if known.get(change.version, change.publish_id) != change.publish_id:
+                self.mismatch_count += 1
+                return
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -30,21 +30,28 @@
     Tick,
     TokensArrived,
     VmListRead,
-    VmRole,
     VmState,
 )
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, JobQuery, JobReply, Message
+from coriandershelf_core.internal.messages import (
+    ConfigurationQuery,
+    ConfigurationReply,
+    Heartbeat,
+    JobQuery,
+    JobReply,
+    Message,
+)
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
+    CONFIGURATION_STREAM,
     Claim,
     ClaimFinished,
     ClaimReleased,
-    ConfigurationProposed,
+    ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
@@ -76,7 +83,9 @@
         self.context = Context(identity, settings, rng, disabled)
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
-        self.configuration = Configuration(parse)
+        self.configuration = Configuration(
+            self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
+        )
         self.serving = Serving(self.context, self._deliver, self._finish)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
         self.jobs = Jobs(self.context, self.ledger, self.serving.enqueue, self._ask_peer)
@@ -186,6 +195,9 @@
         self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        if event.stream == CONFIGURATION_STREAM:
+            self.configuration.on_log_read(event, now_s)
+            return
         for record in event.records:
             if self.ledger.is_first(event.stream, record):
                 for entry in record.entries:
@@ -203,13 +215,9 @@
                 self.jobs.on_accepted(entry, now_s)
             case JobFinished():
                 self.jobs.on_finished(entry)
-            case ConfigurationProposed():
-                self._on_proposal(entry, now_s)
 
-    def _on_proposal(self, proposal: ConfigurationProposed, now_s: float) -> None:
-        inventory = self.configuration.apply(proposal)
-        if inventory is not None:
-            self._adopt(inventory, now_s)
+    def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
+        self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
         self.context.inventory = inventory
@@ -230,8 +238,21 @@
                 self._tell(sender, self.jobs.answer_query(message))
             case JobReply():
                 self.jobs.on_reply(message, now_s)
+            case ConfigurationQuery():
+                self._answer_configuration(sender, message)
+            case ConfigurationReply():
+                self.configuration.on_reply(message, now_s)
             case Heartbeat():
-                pass
+                self.configuration.on_peer_version(sender, message.version, now_s)
+
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
 
     def _ask_peer(self, vm_id: str, query: JobQuery) -> bool:
         return self._tell(vm_id, query)
@@ -249,6 +270,7 @@
         self.claims.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.configuration.on_tick(now_s)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
@@ -264,8 +286,11 @@
             self.context.stopping,
         )
         for peer in self.membership.peers(identity):
-            if peer.role is VmRole.ENTRY and peer.zone == identity.zone:
+            if peer.zone == identity.zone:
                 self._tell(peer.vm_id, heartbeat)
+        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
+        if far:
+            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
         idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from coriandershelf_core.internal.records import ConfigurationSnapshot
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -18,6 +20,28 @@
     stopping: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationQuery:
+    """Asks a peer for the configuration in force if it is newer than ``version``.
+
+    :param reply_address: where to answer, also where the asker is not yet in the VM list.
+    """
+
+    version: int
+    reply_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReply:
+    """The configuration in force at the sender.
+
+    :param snapshot: its ``through_offset`` is negative where the sender has it from a peer, so
+        that it says what is in force but not at which offset.
+    """
+
+    snapshot: ConfigurationSnapshot
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder for its status and output from a position on."""
@@ -51,4 +75,4 @@
     payloads: tuple[bytes, ...]
 
 
-Message = Heartbeat | JobQuery | JobReply | JobHandover
+Message = Heartbeat | ConfigurationQuery | ConfigurationReply | JobQuery | JobReply | JobHandover
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -72,6 +72,28 @@
     APPENDS = ("log.appends", "Records appended to the log.")
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    CONFIGURATIONS_ADOPTED = ("configuration.adopted", "Configurations that came into force here.")
+    CONFIGURATIONS_FROM_PEER = (
+        "configuration.from-peer",
+        "Configurations learnt from a peer before the log.",
+    )
+    CONFIGURATION_ASKS = ("configuration.asks", "Peers asked for a newer configuration.")
+    CONFIGURATION_SNAPSHOTS = (
+        "configuration.snapshots",
+        "Configurations appended again before the log's retention passes.",
+    )
+    CONFIGURATION_GAPS = (
+        "configuration.gaps",
+        "Times that configuration records expired before they were read.",
+    )
+    CONFIGURATION_NOT_UNDERSTOOD = (
+        "configuration.not-understood",
+        "Accepted configurations that this software could not read.",
+    )
+    CONFIGURATION_MISMATCHES = (
+        "configuration.mismatches",
+        "Peers or snapshots that named another change under a known version.",
+    )
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -78,7 +78,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationProposed:
-    """A proposal that is accepted if ``base_version`` is the version in force."""
+    """A proposal that is accepted if ``base_version`` is the version in force.
+
+    :param format: format of the texts; refused above the highest that the log allows.
+    :param changed_paths: what differs from the base, as its operator's tool found.
+    """
 
     publish_id: str
     base_version: int
@@ -86,6 +90,49 @@
     at_s: float
     inventory_text: str
     rules_text: str
+    format: int = 1
+    changed_paths: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class FormatAllowed:
+    """Proposals up to this format may be accepted from here on; it never falls."""
+
+    format: int
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """An accepted proposal without its texts; ``offset`` is where it stands in the log."""
+
+    version: int
+    offset: int
+    publish_id: str
+    operator: str
+    at_s: float
+    changed_paths: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """The configuration as every record before ``through_offset`` left it.
+
+    It is appended well before the log's retention passes and is harmless if it stands twice.
+
+    :param history: the last accepted changes, the one in force last.
+    """
+
+    through_offset: int
+    history: tuple[AcceptedChange, ...]
+    inventory_text: str
+    rules_text: str
+    format: int
+    allowed_format: int
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.history[-1].version
 
 
 Entry = (
@@ -96,6 +143,8 @@
     | JobMoved
     | JobFinished
     | ConfigurationProposed
+    | ConfigurationSnapshot
+    | FormatAllowed
 )
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -27,6 +27,15 @@
     job_output_keep_s: float = documented(3600.0, "How long a finished job's output is kept.", 1.0)
     heartbeat_s: float = documented(1.0, "Period of heartbeats between entry VMs.", 0.01)
     peer_lost_s: float = documented(5.0, "Silence after which a peer counts as lost.", 0.01)
+    configuration_ask_s: float = documented(
+        0.5, "Wait before a VM that is behind asks a peer for the configuration.", 0.01
+    )
+    configuration_snapshot_s: float = documented(
+        21600.0, "Age at which the configuration is appended again; a quarter of retention.", 0.1
+    )
+    configuration_recover_s: float = documented(
+        30.0, "Wait for a snapshot after records were missed, before one is written.", 0.01
+    )
     readiness_lag_s: float = documented(3.0, "Wait for the balancer after readiness is lost.", 0.0)
     trace_keep_count: int = documented(2000, "Request traces kept for explain.", 1)
 
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
@@ -381,7 +381,8 @@
         return {
             "vm_id": core.context.identity.vm_id,
             "zone": core.context.identity.zone,
-            "version": core.configuration.version,
+            "version": core.configuration.version_in_force,
+            "accepted_version": core.configuration.version,
             "ready": core.ready,
             "in_flight": len(core.serving.works),
             "queued": len(core.serving.queue),
--- /dev/null
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/commands_entry.py
@@ -0,0 +1,82 @@
+"""Commands that ask entry VMs: ``status`` and ``explain``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Any
+
+import click
+
+from coriandershelf_operator.internal.http import NoAnswer, fetch_json
+from coriandershelf_operator.internal.output import (
+    EXIT_NO,
+    EXIT_NOT_KNOWN,
+    entry_option,
+    json_option,
+    key_option,
+    show,
+)
+
+Answers = dict[str, dict[str, Any] | None]
+
+
+async def _ask_all(entries: tuple[str, ...], path: str, key: str) -> Answers:
+    """Return each entry VM's answer, ``None`` where it does not answer or know."""
+    urls = [f"http://{address}/admin/{path}" for address in entries]
+    answers = await asyncio.gather(*(fetch_json(url, key=key) for url in urls))
+    return {
+        address: None if isinstance(answer, NoAnswer) else answer
+        for address, answer in zip(entries, answers, strict=True)
+    }
+
+
+def _describe(address: str, row: dict[str, Any] | None, newest: int) -> str:
+    if row is None:
+        return f"{address:24} does not answer"
+    lag = "" if row["version"] == newest else f"  lags behind {newest}"
+    if row["accepted_version"] > row["version"]:
+        lag += f"  does not understand {row['accepted_version']}; upgrade it"
+    ready = "ready" if row["ready"] else "not ready"
+    return (
+        f"{address:24} {row['vm_id']:12} {row['zone']:8} version {row['version']:<5}"
+        f"{ready:10} in flight {row['in_flight']:<5}{lag}"
+    )
+
+
+@click.command()
+@entry_option
+@key_option
+@json_option
+def status(entries: tuple[str, ...], operator_key: str, as_json: bool) -> None:
+    """Show the version in force at each entry VM and who lags."""
+    rows = asyncio.run(_ask_all(entries, "status", operator_key))
+    answered = [row for row in rows.values() if row is not None]
+    newest = max((row["accepted_version"] for row in answered), default=0)
+    lagging = [address for address, row in rows.items() if row and row["version"] != newest]
+    lines = [_describe(address, row, newest) for address, row in rows.items()]
+    show({"newest": newest, "lagging": lagging, "entries": rows}, as_json, "\n".join(lines))
+    if len(answered) < len(rows):
+        sys.exit(EXIT_NOT_KNOWN)
+    sys.exit(EXIT_NO if lagging else 0)
+
+
+@click.command()
+@click.argument("request")
+@entry_option
+@key_option
+@json_option
+def explain(request: str, entries: tuple[str, ...], operator_key: str, as_json: bool) -> None:
+    """Show a request's way through the entry VM that served it."""
+    answers = asyncio.run(_ask_all(entries, f"explain/{request}", operator_key))
+    for address, answer in answers.items():
+        if answer is not None:
+            lines = [
+                f"{step['after_ms']:>10.1f} ms  {step['step']:12} {step['detail']}"
+                for step in answer["steps"]
+            ]
+            show({"entry": address, **answer}, as_json, "\n".join([address, *lines]))
+            return
+    text = f"no entry VM asked keeps a trace of {request}"
+    show({"entry": None, "detail": text}, as_json, text)
+    sys.exit(EXIT_NO)
--- /dev/null
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/output.py
@@ -0,0 +1,80 @@
+"""Exit codes, common options and the two forms of output, text and JSON."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+
+from coriandershelf_wire import Invalid, parse_configuration
+
+EXIT_NO = 1
+EXIT_NOT_KNOWN = 3
+
+json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+log_option = click.option(
+    "--log-address",
+    envvar="CORIANDERSHELF_LOG_ADDRESS",
+    show_envvar=True,
+    required=True,
+    help="Address of the platform's log service, host:port.",
+)
+entry_option = click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    envvar="CORIANDERSHELF_ENTRIES",
+    show_envvar=True,
+    required=True,
+    help="Address of an entry VM, host:port; give it once for each.",
+)
+key_option = click.option(
+    "--operator-key",
+    envvar="CORIANDERSHELF_OPERATOR_KEY",
+    show_envvar=True,
+    required=True,
+    help="The operator's bearer key.",
+)
+operator_option = click.option(
+    "--operator", default=None, help="Who publishes; default: the login name."
+)
+wait_option = click.option(
+    "--wait-s",
+    type=click.FloatRange(min=0.0),
+    default=20.0,
+    show_default=True,
+    help="Longest wait for the verdict.",
+)
+inventory_argument = click.argument("inventory", type=click.Path(exists=True, dir_okay=False))
+rules_argument = click.argument("rules", type=click.Path(exists=True, dir_okay=False))
+
+
+def show(document: dict[str, Any], as_json: bool, text: str) -> None:
+    """Print a result as one JSON line or as text."""
+    click.echo(json.dumps(document) if as_json else text)
+
+
+def progress(text: str) -> None:
+    """Say on standard error what is being waited for."""
+    click.echo(text, err=True)
+
+
+def end_not_known(document: dict[str, Any], as_json: bool, text: str) -> NoReturn:
+    """End because nobody could be asked; the document says what is known."""
+    show(document, as_json, text)
+    sys.exit(EXIT_NOT_KNOWN)
+
+
+def read_valid_files(inventory: str, rules: str, as_json: bool) -> tuple[str, str]:
+    """Return both texts; end with every mistake where they are not valid."""
+    inventory_text = Path(inventory).read_text()
+    rules_text = Path(rules).read_text()
+    parsed = parse_configuration(inventory_text, rules_text, 0, inventory, rules)
+    if isinstance(parsed, Invalid):
+        problems = [str(problem) for problem in parsed.problems]
+        show({"valid": False, "problems": problems}, as_json, "\n".join(problems))
+        sys.exit(EXIT_NO)
+    return inventory_text, rules_text
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/platform_log.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/platform_log.py
@@ -1,70 +1,89 @@
-"""The operator's view of the platform's log: propose a configuration, read the verdicts."""
+"""The operator's view of the configuration stream of the platform's log."""
 
 from __future__ import annotations
 
 import base64
-import json
-import time
-import urllib.error
-import urllib.request
-from dataclasses import dataclass
 from typing import Any
 
-from coriandershelf_core.internal.configuration import Configuration, Verdict
-from coriandershelf_core.internal.records import CONFIGURATION_STREAM, ConfigurationProposed
-from coriandershelf_wire import Malformed, decode_record, encode_record, parse_or_none
+from coriandershelf_core.internal.configuration_log import ConfigurationLog, Verdict
+from coriandershelf_core.internal.records import (
+    CONFIGURATION_STREAM,
+    AcceptedChange,
+    ConfigurationProposed,
+    Record,
+)
+from coriandershelf_operator.internal.http import NoAnswer, fetch_json
+from coriandershelf_wire import Malformed, decode_record, encode_record
 
-REQUEST_LIMIT_S = 3.0
-PUBLISH_POLL_S = 0.2
+READ_MAX_COUNT = 50
+READ_LIMIT_S = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class LogDown:
-    """The log does not answer."""
+class LogView:
+    """Reads the stream from its oldest record on and keeps every text that it met.
 
-    detail: str
+    :param address: ``host:port`` of the platform's log service.
+    """
 
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}/streams/{CONFIGURATION_STREAM}"
+        self.log = ConfigurationLog()
+        self._proposals: dict[str, ConfigurationProposed] = {}
 
-def _fetch(url: str, body: bytes | None = None) -> Any | LogDown:
-    request = urllib.request.Request(url, data=body)
-    try:
-        with urllib.request.urlopen(request, timeout=REQUEST_LIMIT_S) as answer:
-            return json.loads(answer.read())
-    except (urllib.error.URLError, OSError, ValueError) as error:
-        return LogDown(str(error))
+    @property
+    def version(self) -> int:
+        """Return the version in force as of the last read."""
+        return self.log.version
 
+    async def refresh(self) -> NoAnswer | None:
+        """Read every record appended since the last call; ``None`` if the log answered."""
+        while True:
+            url = f"{self._url}?from={self.log.next_offset}&max={READ_MAX_COUNT}"
+            answer = await fetch_json(url, limit_s=READ_LIMIT_S)
+            if isinstance(answer, NoAnswer):
+                return answer
+            records = self._decode(answer["records"])
+            self.log.read(records, answer["first_offset"], answer["next_offset"])
+            if not answer["records"]:
+                return None
 
-def read_configuration(address: str) -> Configuration | LogDown:
-    """Return the configuration folded from the whole stream."""
-    configuration = Configuration(parse_or_none)
-    offset = 0
-    while True:
-        url = f"http://{address}/streams/{CONFIGURATION_STREAM}?from={offset}"
-        answer = _fetch(url)
-        if isinstance(answer, LogDown):
-            return answer
-        for item in answer["records"]:
-            record = decode_record(base64.b64decode(item["data"]), item["offset"], item["time_s"])
+    async def append(self, proposal: ConfigurationProposed) -> NoAnswer | None:
+        """Append a proposal; ``None`` if the log said that it took it."""
+        # The publish id is the writer: appended twice, readers take the first.
+        record = encode_record(proposal.publish_id, 1, 1, (proposal,))
+        answer = await fetch_json(self._url, record)
+        return answer if isinstance(answer, NoAnswer) else None
+
+    def verdict(self, publish_id: str) -> Verdict | None:
+        """Return the verdict on a proposal, or ``None`` where none is known."""
+        return self.log.verdicts.get(publish_id)
+
+    def texts_in_force(self) -> tuple[str, str]:
+        """Return inventory and rules in force; empty before the first version."""
+        texts = self.log.texts
+        return ("", "") if texts is None else (texts.inventory_text, texts.rules_text)
+
+    def texts_of(self, version: int) -> tuple[str, str] | None:
+        """Return the texts of a version, or ``None`` where the log no longer keeps them."""
+        if version == self.version:
+            return self.texts_in_force()
+        change = next((item for item in self.log.history if item.version == version), None)
+        proposal = self._proposals.get(change.publish_id) if change is not None else None
+        return None if proposal is None else (proposal.inventory_text, proposal.rules_text)
+
+    def history(self) -> tuple[AcceptedChange, ...]:
+        """Return the last accepted changes, oldest first."""
+        return self.log.history
+
+    def _decode(self, raw: list[dict[str, Any]]) -> tuple[Record, ...]:
+        records = []
+        for item in raw:
+            data = base64.b64decode(item["data"])
+            record = decode_record(data, item["offset"], item["time_s"])
             if isinstance(record, Malformed):
                 continue
+            records.append(record)
             for entry in record.entries:
                 if isinstance(entry, ConfigurationProposed):
-                    configuration.apply(entry)
-        if answer["next_offset"] == offset or not answer["records"]:
-            return configuration
-        offset = answer["next_offset"]
-
-
-def publish(address: str, proposal: ConfigurationProposed, wait_s: float) -> Verdict | LogDown:
-    """Append a proposal and wait for its verdict, also where the append's answer was lost."""
-    record = encode_record(proposal.publish_id, 1, 1, (proposal,))
-    _fetch(f"http://{address}/streams/{CONFIGURATION_STREAM}", record)
-    until_s = time.monotonic() + wait_s
-    while time.monotonic() < until_s:
-        configuration = read_configuration(address)
-        if not isinstance(configuration, LogDown):
-            verdict = configuration.verdicts.get(proposal.publish_id)
-            if verdict is not None:
-                return verdict
-        time.sleep(PUBLISH_POLL_S)
-    return LogDown("the verdict is not known yet")
+                    self._proposals.setdefault(entry.publish_id, entry)
+        return tuple(records)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -330,7 +330,8 @@
         if not entry.alive or self.entries[vm_id] is not entry:
             return
         self.feed(vm_id, Tick())
-        self.feed(vm_id, VmListRead(tuple(self.vms.values())))
+        if not self.cut(vm_id, "list"):
+            self.feed(vm_id, VmListRead(tuple(self.vms.values())))
         self.at(TICK_S, lambda: self._tick(entry, vm_id))
 
     def _read_log(self, entry: BenchEntry, vm_id: str) -> None:
--- a/packages/coriandershelf-wire/src/coriandershelf_wire/internal/codec.py
+++ b/packages/coriandershelf-wire/src/coriandershelf_wire/internal/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import zlib
 from typing import Any, get_args
 
 import msgspec
@@ -12,6 +13,9 @@
 from coriandershelf_wire.internal.peer_pb2 import Batch, LogRecord, Typed
 
 MESSAGE_TYPES = {cls.__name__: cls for cls in get_args(Message)}
+COMPRESSED_SUFFIX = "+zlib"
+COMPRESS_FROM_BYTES = 16 << 10
+DECOMPRESSED_MAX_BYTES = 64 << 20
 ENTRY_TYPES = {cls.__name__: cls for cls in get_args(Entry)}
 
 
@@ -23,15 +27,36 @@
 
 
 def _to_typed(value: Any) -> Typed:
-    return Typed(kind=type(value).__name__, body=msgspec.msgpack.encode(value))
+    kind = type(value).__name__
+    body = msgspec.msgpack.encode(value)
+    if len(body) < COMPRESS_FROM_BYTES:
+        return Typed(kind=kind, body=body)
+    return Typed(kind=kind + COMPRESSED_SUFFIX, body=zlib.compress(body))
+
+
+def _decompress(body: bytes) -> bytes:
+    """Return the bytes before compression.
+
+    :raises msgspec.DecodeError: damaged or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        plain = decompressor.decompress(body, DECOMPRESSED_MAX_BYTES)
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+    if not decompressor.eof:
+        raise msgspec.DecodeError(f"cut, or over {DECOMPRESSED_MAX_BYTES} bytes decompressed")
+    return plain
 
 
 def _from_typed(typed: Typed, types: dict[str, type]) -> Any:
     """Return the decoded value, or ``None`` for a kind of a newer version."""
-    cls = types.get(typed.kind)
+    cls = types.get(typed.kind.removesuffix(COMPRESSED_SUFFIX))
     if cls is None:
         return None
-    return msgspec.msgpack.decode(typed.body, type=cls)
+    compressed = typed.kind.endswith(COMPRESSED_SUFFIX)
+    body = _decompress(typed.body) if compressed else typed.body
+    return msgspec.msgpack.decode(body, type=cls)
 
 
 def encode_batch(sender: str, incarnation: int, messages: tuple[Message, ...]) -> Batch:
