--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -32,21 +32,26 @@
     Tick,
     TokensArrived,
     VmListRead,
-    VmRole,
     VmState,
 )
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, Message
+from coriandershelf_core.internal.messages import (
+    ConfigurationQuery,
+    ConfigurationReply,
+    Heartbeat,
+    Message,
+)
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
+    CONFIGURATION_STREAM,
     Claim,
     ClaimFinished,
     ClaimReleased,
-    ConfigurationProposed,
+    ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
@@ -81,7 +86,9 @@
         self.context = Context(identity, settings, rng, disabled)
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
-        self.configuration = Configuration(parse)
+        self.configuration = Configuration(
+            self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
+        )
         self.serving = Serving(self.context, self._deliver, self._finish)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
         self.jobs = Jobs(
@@ -198,6 +205,9 @@
         self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        if event.stream == CONFIGURATION_STREAM:
+            self.configuration.on_log_read(event, now_s)
+            return
         for record in event.records:
             if self.ledger.is_first(event.stream, record):
                 for entry in record.entries:
@@ -219,13 +229,9 @@
                 self.jobs.on_finished(entry)
             case JobSnapshot():
                 self.jobs.on_snapshot(entry, now_s)
-            case ConfigurationProposed():
-                self._on_proposal(entry, now_s)
 
-    def _on_proposal(self, proposal: ConfigurationProposed, now_s: float) -> None:
-        inventory = self.configuration.apply(proposal)
-        if inventory is not None:
-            self._adopt(inventory, now_s)
+    def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
+        self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
         self.context.inventory = inventory
@@ -252,12 +258,30 @@
             # A notice that has run out was meant for an earlier VM of the same name.
             begin_stop(self.context, at_s, False, now_s)
 
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
+
     def _entry_vm_ids(self) -> tuple[str, ...]:
         peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
         return tuple(sorted([*peers, self.context.identity.vm_id]))
 
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
         self.jobs.on_message(sender, message, now_s)
+        match message:
+            case ConfigurationQuery():
+                self._answer_configuration(sender, message)
+            case ConfigurationReply():
+                self.configuration.on_reply(message, now_s)
+            case Heartbeat():
+                self.configuration.on_peer_version(sender, message.version, now_s)
+            case _:
+                pass
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
@@ -272,6 +296,7 @@
         self.claims.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.configuration.on_tick(now_s)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
@@ -287,8 +312,11 @@
             self.context.stopping,
         )
         for peer in self.membership.peers(identity):
-            if peer.role is VmRole.ENTRY and peer.zone == identity.zone:
+            if peer.zone == identity.zone:
                 self._tell(peer.vm_id, heartbeat)
+        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
+        if far:
+            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
