--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
@@ -1,25 +1,46 @@
-"""Non-idempotent calls: the first claim of a key in log order runs it, once."""
+"""Non-idempotent calls: the first claim of a key in log order runs it, once.
+
+A call is dispatched only by the process that wrote its claim, only after that process has read
+the claim back as the first of its key, and only from its own memory of the waiting call. So
+neither a lost or late answer of the log, nor a pause of any length, nor a restart under the same
+name runs a call twice. A claim is never taken over by a timeout; where its holder is gone without
+a word, repeats are told that the outcome is unknown.
+"""
 
 from __future__ import annotations
 
 import hashlib
+import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from coriandershelf_core.internal.claim_table import ClaimState, ClaimTable
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     LEDGER_STREAM,
     Claim,
+    ClaimEntry,
     ClaimFinished,
+    ClaimKept,
     ClaimReleased,
+    LedgerKept,
+    Record,
 )
 from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.retention import Retention
 from coriandershelf_core.internal.work import Work
 
 IN_PROGRESS_RETRY_S = 2.0
+LOG_RETRY_S = 5.0
+LOST_RETRY_S = 30.0
+UUID_TIME_VERSION = 7
+# A read may have been under way when a call arrived; the one after it began later.
+END_READS_AFTER_ARRIVAL = 2
+
+HolderGone = Callable[[str, int], bool]
 
 
 def claim_key(customer: str, request: Request) -> str:
@@ -33,113 +54,342 @@
     return hashlib.sha256(request.path.encode() + b"\0" + request.body).hexdigest()
 
 
-@dataclass(slots=True)
-class ClaimState:
-    """The winning claim of a key and its result so far."""
-
-    claim: Claim
-    finished: ClaimFinished | None = None
+def key_made_at_s(key: str | None) -> float | None:
+    """Return when a key was made if it is a UUID that tells its time (version 7)."""
+    try:
+        parsed = uuid.UUID(key or "")
+    except ValueError:
+        return None
+    if parsed.version != UUID_TIME_VERSION:
+        return None
+    return (parsed.int >> 80) / 1000
 
 
 @dataclass(slots=True)
-class _Waiting:
+class _Call:
+    """A caller's call that waits for its claim, or for the result of an earlier call.
+
+    :param end_reads: reads of the ledger's end before the call arrived.
+    :param claim: its own claim, while that is awaited.
+    """
+
     work: Work
+    key_hash: str
     body_hash: str
+    end_reads: int
     give_up_at_s: float
+    claim: Claim | None = None
 
 
 class Claims:
-    """The claims read from the log, and the calls that wait for theirs.
+    """The calls of this VM that need a claim, and the claims of all.
 
     :param start: called with a work whose claim has won.
+    :param holder_gone: whether an incarnation of a VM is known to have ended.
     """
 
     def __init__(
-        self, context: Context, ledger: Ledger, start: Callable[[Work, float], None]
+        self,
+        context: Context,
+        ledger: Ledger,
+        start: Callable[[Work, float], None],
+        holder_gone: HolderGone,
     ) -> None:
+        settings = context.settings
         self._context = context
         self._ledger = ledger
         self._start = start
-        self._states: dict[str, ClaimState] = {}
-        self._waiting: dict[str, _Waiting] = {}
-        self._keys: dict[str, str] = {}
+        self._holder_gone = holder_gone
+        self.table = ClaimTable(
+            settings.claim_late_s if context.enabled("claims-late-void") else float("inf"),
+            settings.key_window_s,
+            settings.key_refuse_s,
+        )
+        self.retention = Retention(context, ledger, self.table)
+        self._claiming: dict[str, _Call] = {}
+        self._attached: dict[str, _Call] = {}
+        self._given_up: dict[str, float] = {}
+        self._running: dict[str, Claim] = {}
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no call waits for its claim or for another's result."""
+        return not self._claiming and not self._attached
+
+    def knows(self, work: Work) -> bool:
+        """Return whether a call's key is taken, so that only its claim may answer."""
+        return self.table.get(claim_key(work.customer, work.request)) is not None
 
     def request(self, work: Work, now_s: float) -> None:
         """Claim a call, or answer it from the claim that stands."""
-        key_hash = claim_key(work.customer, work.request)
-        state = self._states.get(key_hash)
-        if state is not None:
-            outcome = self._outcome_of(state, body_hash(work.request))
-            self._context.finish(work.work_id, outcome, now_s)
-            return
-        claim = Claim(
-            key_hash, body_hash(work.request), work.work_id, self._context.identity.vm_id, now_s
+        request = work.request
+        call = _Call(
+            work,
+            claim_key(work.customer, request),
+            body_hash(request),
+            self._ledger.end_reads(LEDGER_STREAM),
+            now_s + self._context.settings.claim_wait_s,
         )
-        give_up_at_s = now_s + self._context.settings.claim_wait_s
-        self._waiting[work.work_id] = _Waiting(work, claim.body_hash, give_up_at_s)
-        self._keys[work.work_id] = key_hash
-        self._ledger.add(LEDGER_STREAM, claim, now_s)
-
-    def on_claim(self, claim: Claim, now_s: float) -> None:
-        """Apply a claim read from the log; the first of its key wins."""
-        state = self._states.setdefault(claim.key_hash, ClaimState(claim))
-        waiting = self._waiting.pop(claim.request_id, None)
-        if state.claim.request_id != claim.request_id:
-            if waiting is not None:
-                outcome = self._outcome_of(state, claim.body_hash)
-                self._context.finish(claim.request_id, outcome, now_s)
-            return
-        if waiting is not None:
-            self._context.trace(claim.request_id, now_s, "claimed")
-            self._start(waiting.work, now_s)
-        elif claim.holder == self._context.identity.vm_id:
-            self._ledger.add(LEDGER_STREAM, ClaimReleased(claim.key_hash, claim.request_id), now_s)
-
-    def on_released(self, released: ClaimReleased) -> None:
-        """Forget a claim that was given up before anything was sent."""
-        state = self._states.get(released.key_hash)
-        if state is not None and state.claim.request_id == released.request_id:
-            del self._states[released.key_hash]
-
-    def on_finished(self, finished: ClaimFinished) -> None:
-        """Remember the result of a claimed call for repeats."""
-        state = self._states.get(finished.key_hash)
-        if state is not None and state.claim.request_id == finished.request_id:
-            state.finished = finished
+        self._request(call, now_s)
+
+    def early_refusal(self, refusal: NotRun, now_s: float) -> Outcome:
+        """Return what a call with a key is told that was refused before its key was looked at.
+
+        ``not run`` would be false where another VM ran an earlier call under the key and this
+        one, cut off from the log, cannot have read of it. A refusal for good is about the request
+        itself.
+        """
+        read_since_s = self._ledger.end_read_since_s(LEDGER_STREAM)
+        fresh = now_s - read_since_s <= self._context.settings.ledger_fresh_s
+        if refusal.retry_after_s is None or (fresh and self.retention.complete):
+            return refusal
+        return Unknown(refusal.reason, refusal.retry_after_s, "this VM has not run it")
 
     def finish(self, work: Work, outcome: Outcome, now_s: float) -> None:
         """Write the result of a call that this VM ran, and answer the caller."""
-        key_hash = self._keys.pop(work.work_id)
-        if isinstance(outcome, Done):
-            entry: ClaimFinished | ClaimReleased = ClaimFinished(
-                key_hash, work.work_id, True, outcome.status, outcome.body
-            )
-        elif isinstance(outcome, NotRun):
-            entry = ClaimReleased(key_hash, work.work_id)
+        claim = self._running.pop(work.work_id)
+        if isinstance(outcome, NotRun):
+            self._release(claim, now_s)
+            self._answer_attached(claim.key_hash, now_s)
         else:
-            entry = ClaimFinished(key_hash, work.work_id, False)
-        self._ledger.add(LEDGER_STREAM, entry, now_s)
+            self._write_result(claim, outcome, now_s)
         self._context.finish(work.work_id, outcome, now_s)
 
+    def on_read(self, first_offset: int, gap: bool) -> None:
+        """Note the start of a read of the ledger; after a gap everything is read anew."""
+        self.retention.on_read(first_offset, gap and self._context.enabled("claims-gap"))
+
+    def on_entry(self, entry: ClaimEntry, record: Record, now_s: float) -> None:
+        """Apply an entry read from the ledger."""
+        offset = record.offset
+        time_s = self.retention.log_time_s
+        self.table.expire(time_s)
+        match entry:
+            case Claim():
+                self._on_claim(entry, offset, now_s)
+            case ClaimReleased():
+                self.table.on_released(entry, offset, time_s)
+                self._answer_attached(entry.key_hash, now_s)
+            case ClaimFinished():
+                self.table.on_finished(entry, offset, time_s)
+                self._answer_attached(entry.key_hash, now_s)
+            case ClaimKept():
+                self.table.on_kept(entry, offset, time_s)
+                self._answer_attached(entry.claim.key_hash, now_s)
+            case LedgerKept():
+                self.retention.on_kept(entry, now_s)
+
     def on_tick(self, now_s: float) -> None:
-        """Refuse calls whose claim was not read back in time; their claim will be released."""
-        for request_id, waiting in list(self._waiting.items()):
-            if waiting.give_up_at_s <= now_s:
-                del self._waiting[request_id]
-                outcome = NotRun(RefusalReason.LOG_UNAVAILABLE, retry_after_s=5.0)
-                self._context.finish(request_id, outcome, now_s)
+        """Give up calls that waited too long; write old states forward."""
+        for call in list(self._claiming.values()):
+            if call.give_up_at_s <= now_s:
+                self._give_up(call, now_s)
+        for call in list(self._attached.values()):
+            state = self.table.get(call.key_hash)
+            if call.give_up_at_s <= now_s or (state is not None and self._is_lost(state, now_s)):
+                del self._attached[call.work.work_id]
+                self._finish(call, self._unfinished(state, now_s), now_s)
+        # A claim that the log takes later than this is void and needs no release.
+        keep_s = 2 * self._context.settings.claim_late_s
+        for request_id, given_up_at_s in list(self._given_up.items()):
+            if given_up_at_s + keep_s <= now_s:
+                del self._given_up[request_id]
+        self.retention.on_tick(now_s)
 
-    @property
-    def idle(self) -> bool:
-        """Return whether no call waits for its claim."""
-        return not self._waiting
+    def _request(self, call: _Call, now_s: float) -> None:
+        state = self.table.get(call.key_hash)
+        if state is not None:
+            self._answer_or_attach(call, state, now_s)
+        elif call.work.request.deadline_s <= now_s:
+            self._finish(call, self._refusal(call, RefusalReason.DEADLINE), now_s)
+        elif self._is_key_expired(call, now_s):
+            self._finish(call, Unknown(RefusalReason.KEY_EXPIRED), now_s)
+        elif self._ledger.is_down(LEDGER_STREAM):
+            self._finish(call, self._refusal(call, RefusalReason.LOG_UNAVAILABLE), now_s)
+        else:
+            identity = self._context.identity
+            call.claim = Claim(
+                call.key_hash,
+                call.body_hash,
+                call.work.work_id,
+                identity.vm_id,
+                now_s,
+                identity.incarnation,
+            )
+            self._claiming[call.work.work_id] = call
+            self._ledger.add(LEDGER_STREAM, call.claim, now_s)
+
+    def _on_claim(self, claim: Claim, offset: int, now_s: float) -> None:
+        state = self.table.on_claim(claim, offset, self.retention.log_time_s)
+        call = self._claiming.pop(claim.request_id, None)
+        if state is None:
+            self._context.count(Counter.CLAIMS_VOID)
+            if call is not None:
+                self._finish(call, self._unclaimed(call, now_s), now_s)
+            return
+        won = state.claim.request_id == claim.request_id
+        if not self._context.enabled("claims-first-wins"):
+            won = True
+        if call is None:
+            if won and self._must_release(claim):
+                self._given_up.pop(claim.request_id, None)
+                self._release(claim, now_s)
+        elif won:
+            self._run(call, claim, now_s)
+        else:
+            self._context.count(Counter.CLAIMS_LOST)
+            self._answer_or_attach(call, state, now_s)
+
+    def _must_release(self, claim: Claim) -> bool:
+        """Return whether this process wrote a claim and gave up its call.
+
+        Only the memory of this process counts. The name and incarnation in a claim do not: a
+        restarted VM reads claims of its former process, whose calls may have run.
+        """
+        if not self._context.enabled("claims-holder-incarnation"):
+            mine = claim.holder == self._context.identity.vm_id
+            return mine and claim.request_id not in self._running
+        return claim.request_id in self._given_up
+
+    def _run(self, call: _Call, claim: Claim, now_s: float) -> None:
+        """Dispatch a call whose claim has won, unless it can no longer be of use."""
+        work = call.work
+        self._context.trace(work.work_id, now_s, "claimed")
+        refusal: Outcome | None = None
+        if not self.retention.complete and self._context.enabled("claims-complete"):
+            # An earlier claim may stand where this reader has not read.
+            refusal = Unknown(RefusalReason.LOG_UNAVAILABLE, LOG_RETRY_S)
+        elif self._is_key_expired(call, self.retention.log_time_s):
+            refusal = Unknown(RefusalReason.KEY_EXPIRED)
+        elif work.request.deadline_s <= now_s:
+            refusal = NotRun(RefusalReason.DEADLINE, retry_after_s=0.0)
+        if refusal is not None:
+            self._release(claim, now_s)
+            self._finish(call, refusal, now_s)
+            return
+        self._check_right_to_run(claim)
+        self._context.count(Counter.CLAIMS_WON)
+        self._running[work.work_id] = claim
+        self._start(work, now_s)
+
+    def _check_right_to_run(self, claim: Claim) -> None:
+        identity = self._context.identity
+        assert claim.holder == identity.vm_id, f"{claim.request_id} is claimed by another VM"
+        assert claim.incarnation == identity.incarnation, f"{claim.request_id}: old incarnation"
+        assert claim.request_id not in self._running, f"{claim.request_id} would run twice"
+        if self._context.enabled("claims-first-wins"):
+            state = self.table.get(claim.key_hash)
+            assert state is not None, f"{claim.request_id} runs without a claim"
+            assert state.claim.request_id == claim.request_id, "another call holds the key"
+            assert state.finished is None, f"{claim.request_id} has a result already"
+
+    def _release(self, claim: Claim, now_s: float) -> None:
+        self._context.count(Counter.CLAIMS_RELEASED)
+        entry = ClaimReleased(claim.key_hash, claim.request_id)
+        self._ledger.add(LEDGER_STREAM, entry, now_s)
+
+    def _write_result(self, claim: Claim, outcome: Done | Unknown, now_s: float) -> None:
+        entry = ClaimFinished(claim.key_hash, claim.request_id, False)
+        if isinstance(outcome, Done):
+            whole = len(outcome.body) <= self._context.settings.claim_result_max_bytes
+            body = outcome.body if whole else b""
+            entry = ClaimFinished(
+                claim.key_hash, claim.request_id, True, outcome.status, body, whole
+            )
+        self._ledger.add(LEDGER_STREAM, entry, now_s)
+        state = self.table.get(claim.key_hash)
+        if state is not None and state.claim.request_id == claim.request_id:
+            # Repeats here need not wait for the log; a result stays what it is.
+            state.finished = entry
+            self._answer_attached(claim.key_hash, now_s)
+
+    def _answer_or_attach(self, call: _Call, state: ClaimState, now_s: float) -> None:
+        """Answer a repeat, or let it wait for the result of the running call."""
+        outcome = self._outcome_of(call, state, now_s)
+        if outcome is not None:
+            self._finish(call, outcome, now_s)
+            return
+        wait_s = self._context.settings.repeat_wait_s
+        call.give_up_at_s = min(now_s + wait_s, call.work.request.deadline_s)
+        if call.work.work_id not in self._attached:
+            self._context.count(Counter.REPEATS_ATTACHED)
+        self._attached[call.work.work_id] = call
 
-    def _outcome_of(self, state: ClaimState, body: str) -> Outcome:
-        if state.claim.body_hash != body:
+    def _answer_attached(self, key_hash: str, now_s: float) -> None:
+        """Answer the repeats of a key that has a result, or claim it again if it is free."""
+        calls = [call for call in self._attached.values() if call.key_hash == key_hash]
+        state = self.table.get(key_hash)
+        for call in calls:
+            if state is None:
+                del self._attached[call.work.work_id]
+                call.give_up_at_s = now_s + self._context.settings.claim_wait_s
+                self._request(call, now_s)
+                continue
+            outcome = self._outcome_of(call, state, now_s)
+            if outcome is not None:
+                del self._attached[call.work.work_id]
+                self._finish(call, outcome, now_s)
+
+    def _outcome_of(self, call: _Call, state: ClaimState, now_s: float) -> Outcome | None:
+        """Return what a taken key answers to a call, or ``None`` while the first still runs."""
+        if state.claim.body_hash and state.claim.body_hash != call.body_hash:
             return NotRun(RefusalReason.KEY_REUSED)
+        if self.table.is_past_window(state, max(self.retention.log_time_s, 0.0)):
+            return Unknown(RefusalReason.KEY_EXPIRED)
         finished = state.finished
-        if finished is None:
-            return Unknown(RefusalReason.IN_PROGRESS, retry_after_s=IN_PROGRESS_RETRY_S)
+        if finished is None or not state.claim.body_hash:
+            lost = self._is_lost(state, now_s)
+            return self._unfinished(state, now_s) if lost else None
         if not finished.known:
             return Unknown(RefusalReason.OUTCOME_LOST)
+        if not finished.whole:
+            return Unknown(RefusalReason.RESULT_NOT_KEPT, detail=f"status {finished.status}")
         return Done(finished.status, finished.body)
+
+    def _unfinished(self, state: ClaimState | None, now_s: float) -> Outcome:
+        if state is not None and self._is_lost(state, now_s):
+            return Unknown(RefusalReason.OUTCOME_LOST, LOST_RETRY_S)
+        return Unknown(RefusalReason.IN_PROGRESS, IN_PROGRESS_RETRY_S)
+
+    def _is_lost(self, state: ClaimState, now_s: float) -> bool:
+        """Return whether no result is to be expected; this changes words only, never who runs."""
+        claim = state.claim
+        if claim.request_id in self._running:
+            return False
+        age_s = now_s - state.claimed_at_s
+        too_old = age_s >= self._context.settings.claim_open_max_s
+        return too_old or self._holder_gone(claim.holder, claim.incarnation)
+
+    def _is_key_expired(self, call: _Call, time_s: float) -> bool:
+        made_at_s = key_made_at_s(call.work.request.idempotency_key)
+        window_s = self._context.settings.key_window_s
+        return made_at_s is not None and made_at_s + window_s <= time_s
+
+    def _refusal(self, call: _Call, reason: RefusalReason) -> Outcome:
+        """Return the outcome of a call of which this VM never sent anything.
+
+        It is ``not run`` only if the ledger was read to its end after the call arrived without a
+        claim of its key. Otherwise an earlier call under the key may have run at another VM.
+        """
+        read = self._ledger.end_reads(LEDGER_STREAM) - call.end_reads
+        if self.retention.complete and read >= END_READS_AFTER_ARRIVAL:
+            return NotRun(reason, LOG_RETRY_S)
+        return Unknown(reason, LOG_RETRY_S, "this VM has not run it")
+
+    def _unclaimed(self, call: _Call, now_s: float) -> Outcome:
+        """Return the outcome of a call whose own claim came to nothing."""
+        state = self.table.get(call.key_hash)
+        if state is None:
+            return self._refusal(call, RefusalReason.LOG_UNAVAILABLE)
+        return self._outcome_of(call, state, now_s) or self._unfinished(state, now_s)
+
+    def _give_up(self, call: _Call, now_s: float) -> None:
+        """Refuse a call whose claim was not read back in time; it can never run any more."""
+        del self._claiming[call.work.work_id]
+        assert call.claim is not None, "a call that waits for its claim has one"
+        if not self._ledger.discard(LEDGER_STREAM, call.claim):
+            self._given_up[call.work.work_id] = now_s
+        self._finish(call, self._unclaimed(call, now_s), now_s)
+
+    def _finish(self, call: _Call, outcome: Outcome, now_s: float) -> None:
+        self._context.finish(call.work.work_id, outcome, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -131,12 +131,14 @@
 
     :param first_offset: oldest offset the log still keeps.
     :param next_offset: offset from which the next read starts.
+    :param at_end: whether the log held nothing beyond these records when it answered.
     """
 
     stream: str
     records: tuple[Record, ...]
     first_offset: int
     next_offset: int
+    at_end: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -33,7 +33,7 @@
     VmRole,
     VmState,
 )
-from coriandershelf_core.internal.inventory import Inventory
+from coriandershelf_core.internal.inventory import Customer, Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
@@ -41,9 +41,8 @@
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
-    Claim,
-    ClaimFinished,
-    ClaimReleased,
+    LEDGER_STREAM,
+    ClaimEntry,
     ConfigurationProposed,
     Entry,
     JobAccepted,
@@ -78,7 +77,9 @@
         self.membership = Membership(self.context)
         self.configuration = Configuration(parse)
         self.serving = Serving(self.context, self._deliver, self._finish)
-        self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
+        self.claims = Claims(
+            self.context, self.ledger, self.serving.enqueue, self.membership.is_gone
+        )
         self.jobs = Jobs(self.context, self.ledger, self.serving.enqueue, self._ask_peer)
         self._heartbeat_at_s = 0.0
         self._stopped = False
@@ -144,10 +145,12 @@
         self.context.trace(request.request_id, now_s, "arrived", request.kind.value)
         customer = authenticate(self.context.inventory, request.credential_hash)
         if isinstance(customer, NotRun):
-            self.context.finish(request.request_id, customer, now_s)
+            self._refuse(request, customer, now_s)
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
+        if self._answer_known_key(request, customer, inventory, now_s):
+            return
         refusal = admit(
             request,
             inventory,
@@ -157,7 +160,7 @@
             now_s,
         )
         if refusal is not None:
-            self.context.finish(request.request_id, refusal, now_s)
+            self._refuse(request, refusal, now_s)
             return
         if request.kind is RequestKind.JOB:
             work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
@@ -172,6 +175,28 @@
             work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
             self.claims.request(work, now_s)
 
+    def _refuse(self, request: Request, refusal: NotRun, now_s: float) -> None:
+        """Refuse a request before its idempotency key was looked at."""
+        outcome: Outcome = refusal
+        if request.kind is RequestKind.SERVICE and request.idempotency_key is not None:
+            outcome = self.claims.early_refusal(refusal, now_s)
+        self.context.finish(request.request_id, outcome, now_s)
+
+    def _answer_known_key(
+        self, request: Request, customer: Customer, inventory: Inventory, now_s: float
+    ) -> bool:
+        """Answer a repeat from its claim, which no reason to refuse may stand before."""
+        service = inventory.service(request.service)
+        if service is None or request.idempotency_key is None:
+            return False
+        if is_repeatable(request, inventory):
+            return False
+        work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
+        known = self.claims.knows(work)
+        if known:
+            self.claims.request(work, now_s)
+        return known
+
     def _on_caller_gone(self, request_id: str) -> None:
         work = self.serving.works.get(request_id)
         if work is not None and work.owner is WorkOwner.CALLER:
@@ -186,19 +211,23 @@
         self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        gap = self.ledger.on_read(event)
+        if event.stream == LEDGER_STREAM:
+            self.claims.on_read(event.first_offset, gap)
         for record in event.records:
-            if self.ledger.is_first(event.stream, record):
-                for entry in record.entries:
+            first = self.ledger.on_record(event.stream, record)
+            if event.stream == LEDGER_STREAM:
+                self.claims.retention.on_record(record)
+            for entry in record.entries:
+                if isinstance(entry, ClaimEntry):
+                    # Claims are folded without regard to copies; see claim_table.
+                    self.claims.on_entry(entry, record, now_s)
+                elif first:
                     self._on_entry(entry, now_s)
+        self.ledger.on_read_applied(event, now_s)
 
     def _on_entry(self, entry: Entry, now_s: float) -> None:
         match entry:
-            case Claim():
-                self.claims.on_claim(entry, now_s)
-            case ClaimReleased():
-                self.claims.on_released(entry)
-            case ClaimFinished():
-                self.claims.on_finished(entry)
             case JobAccepted():
                 self.jobs.on_accepted(entry, now_s)
             case JobFinished():
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
@@ -40,6 +40,15 @@
         member = self._members.get(vm_id)
         return None if member is None else member.state
 
+    def is_gone(self, vm_id: str, incarnation: int) -> bool:
+        """Return whether an incarnation is known to have ended."""
+        member = self._members.get(vm_id)
+        if member is None:
+            return False
+        if member.status.incarnation != incarnation:
+            return member.status.incarnation > incarnation
+        return member.state is VmState.GONE
+
     def address_of(self, vm_id: str) -> str | None:
         """Return where a VM that is not gone is reached, or ``None``."""
         member = self._members.get(vm_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -20,6 +20,11 @@
     KEY_REUSED = ("key-reused", 422, "Use a new Idempotency-Key for another body.")
     KEY_EXPIRED = ("key-expired", 422, "Use a new Idempotency-Key; this one is past its window.")
     IN_PROGRESS = ("in-progress", 409, "Ask again with the same key after the stated time.")
+    RESULT_NOT_KEPT = (
+        "result-not-kept",
+        409,
+        "Do not send it again; it ran once and its answer was too large to keep.",
+    )
     OVERLOADED = ("overloaded", 429, "Come back after the stated time.")
     OVER_SHARE = ("over-share", 429, "Come back after the stated time or send less at once.")
     DEADLINE = ("deadline", 504, "Send a later deadline or come back after the stated time.")
@@ -72,6 +77,13 @@
     APPENDS = ("log.appends", "Records appended to the log.")
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    CLAIMS_WON = ("claims.won", "Claims of this VM that won their key.")
+    CLAIMS_LOST = ("claims.lost", "Claims of this VM whose key was taken before.")
+    CLAIMS_VOID = ("claims.void", "Claims that the log took too late to count.")
+    CLAIMS_RELEASED = ("claims.released", "Claims given up before anything was sent.")
+    CLAIMS_KEPT = ("claims.kept", "Keys written forward before their records expire.")
+    REPEATS_ATTACHED = ("claims.repeats-attached", "Repeats that waited for the running call.")
+    LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -14,13 +14,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A right to run one non-idempotent call; the first in log order wins."""
+    """A right to run one non-idempotent call; the first in log order wins.
+
+    :param incarnation: the holder's; a restarted VM of the same name is not the holder.
+    """
 
     key_hash: str
     body_hash: str
     request_id: str
     holder: str
     at_s: float
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +37,37 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimFinished:
-    """The result of a claimed call; ``known`` is false where it may have run."""
+    """The result of a claimed call; ``known`` is false where it may have run.
+
+    :param whole: whether ``body`` was small enough to be kept.
+    """
 
     key_hash: str
     request_id: str
     known: bool
     status: int = 0
     body: bytes = b""
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKept:
+    """The state of a key, written again before the records it came from expire."""
+
+    claim: Claim
+    claimed_offset: int
+    claimed_at_s: float
+    finished: ClaimFinished | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerKept:
+    """States alive at ``start_offset`` stand in records from there on to this one.
+
+    A reader that began at or before ``start_offset`` has read them all.
+    """
+
+    start_offset: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,10 +116,13 @@
     rules_text: str
 
 
+ClaimEntry = Claim | ClaimReleased | ClaimFinished | ClaimKept | LedgerKept
 Entry = (
     Claim
     | ClaimReleased
     | ClaimFinished
+    | ClaimKept
+    | LedgerKept
     | JobAccepted
     | JobMoved
     | JobFinished
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -23,7 +23,32 @@
     queue_max_count: int = documented(2000, "Requests that wait at the most.", 1)
     claim_wait_s: float = documented(2.0, "Longest wait for a claim to be read back.", 0.01)
     append_resend_s: float = documented(1.0, "Wait before an uncertain append is repeated.", 0.01)
+    append_refused_resend_s: float = documented(
+        0.2, "Wait before an append refused by the log's rate limit is repeated.", 0.01
+    )
+    append_max_bytes: int = documented(262_144, "Entries of one record by size, about.", 1024)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
+    key_refuse_s: float = documented(
+        604_800.0, "How long after its claim a key past its window is still refused.", 1.0
+    )
+    claim_late_s: float = documented(
+        60.0, "A claim that the log takes later than this after it was made is void.", 1.0
+    )
+    claim_open_max_s: float = documented(
+        30.0, "Age after which a claim without a result is told as unknown.", 1.0
+    )
+    claim_result_max_bytes: int = documented(
+        65_536, "Largest answer of a claimed call that is kept for repeats.", 0
+    )
+    repeat_wait_s: float = documented(
+        5.0, "Longest wait of a repeated call for the result of the running one.", 0.0
+    )
+    ledger_fresh_s: float = documented(
+        3.0, "Age of the last read to the ledger's end at which refusals still rest on it.", 0.1
+    )
+    log_retention_s: float = documented(
+        86400.0, "How long the platform's log keeps records; set it no higher.", 1.0
+    )
     job_output_keep_s: float = documented(3600.0, "How long a finished job's output is kept.", 1.0)
     heartbeat_s: float = documented(1.0, "Period of heartbeats between entry VMs.", 0.01)
     peer_lost_s: float = documented(5.0, "Silence after which a peer counts as lost.", 0.01)
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
@@ -16,7 +16,8 @@
 from coriandershelf_wire import Malformed, decode_record, encode_record
 
 APPEND_LIMIT_S = 2.0
-READ_WAIT_S = 5.0
+# Also tells the core how fresh its reading is; see ``ledger_fresh_s``.
+READ_WAIT_S = 1.0
 READ_MAX_COUNT = 500
 READ_RETRY_S = 0.5
 REFUSED_STATUSES = (429, 503)
@@ -68,7 +69,8 @@
                 continue
             records = self._decode(answer["records"])
             offset = answer["next_offset"]
-            post(LogRead(stream, records, answer["first_offset"], offset))
+            at_end = len(answer["records"]) < READ_MAX_COUNT
+            post(LogRead(stream, records, answer["first_offset"], offset, at_end))
 
     def _decode(self, raw: list[dict[str, Any]]) -> tuple[Record, ...]:
         records = []
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -72,6 +72,8 @@
 TICK_S = 0.05
 LOG_LATENCY_S = 0.004
 LOG_READ_PERIOD_S = 0.01
+LOG_READ_IDLE_S = 0.25
+LOG_READ_MAX_COUNT = 500
 LOAD_REPORT_PERIOD_S = 1.0
 LOAD_REPORT_LAG_S = 1.0
 PLAIN_DURATION_S = 0.02
@@ -110,6 +112,7 @@
     paused: bool = False
     held: list[Event] = field(default_factory=list)
     offsets: dict[str, int] = field(default_factory=dict)
+    read_at_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -339,15 +342,18 @@
         if not entry.paused and not self.cut(vm_id, "log"):
             for stream in (CONFIGURATION_STREAM, LEDGER_STREAM):
                 start = entry.offsets.get(stream, 0)
-                answer = self.log.read(stream, start, 500, self.now_s)
+                answer = self.log.read(stream, start, LOG_READ_MAX_COUNT, self.now_s)
                 if answer is None:
                     continue
                 stored, first, upcoming = answer
                 entry.offsets[stream] = upcoming
-                if not stored and upcoming == start:
+                idle_s = self.now_s - entry.read_at_s.get(stream, 0.0)
+                if not stored and upcoming == start and idle_s < LOG_READ_IDLE_S:
                     continue
+                entry.read_at_s[stream] = self.now_s
                 records = tuple(Record(item.offset, item.time_s, *item.data) for item in stored)
-                self.feed(vm_id, LogRead(stream, records, first, upcoming))
+                at_end = len(stored) < LOG_READ_MAX_COUNT
+                self.feed(vm_id, LogRead(stream, records, first, upcoming, at_end))
         self.at(LOG_READ_PERIOD_S, lambda: self._read_log(entry, vm_id))
 
     def _perform(self, vm_id: str, action: Action) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -17,6 +17,7 @@
 from coriandershelf_rig.internal.engine_model import EngineShape
 from coriandershelf_rig.internal.load import Mix, run_load
 from coriandershelf_rig.internal.registry import find_modules
+from coriandershelf_rig.internal.soak_command import soak_command
 from coriandershelf_rig.internal.standin_engine import serve_engine
 from coriandershelf_rig.internal.standin_plain import serve_plain
 from coriandershelf_rig.internal.standin_platform import serve_platform
@@ -101,6 +102,21 @@
     click.echo(found[name].run(seed))
 
 
+@main.command()
+@seed_option
+@click.option("--steps", type=int, default=100_000, show_default=True, help="Events to apply.")
+@click.option("--episode", type=int, help="Run only the episode of this number.")
+@click.option("--only", default="", help="Operations of that episode by index, comma-separated.")
+@click.option("--disable", default="", help="Mechanisms to take out, comma-separated.")
+@click.option("--workers", type=int, default=1, show_default=True, help="Processes that run.")
+def soak(seed: int, steps: int, episode: int | None, only: str, disable: str, workers: int) -> None:
+    """Run bookings under random faults and exit with 1 if an invariant broke."""
+    disabled = frozenset(filter(None, disable.split(",")))
+    indices = [int(part) for part in only.split(",") if part]
+    broken = soak_command(seed, steps, episode, indices, disabled, workers)
+    sys.exit(EXIT_BROKEN if broken else 0)
+
+
 @main.command()
 @click.argument("folder", type=click.Path(file_okay=False))
 def examples(folder: str) -> None:
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
@@ -0,0 +1,367 @@
+"""A small deployment in virtual time whose every interface can fail."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from coriandershelf_core import CoreSettings
+from coriandershelf_core.internal.actions import Action, Append, CancelAttempt, StartAttempt
+from coriandershelf_core.internal.events import (
+    AppendAnswered,
+    AppendFailed,
+    AttemptFailed,
+    Event,
+    FailureCause,
+    LogRead,
+    PlainAnswered,
+    StopAsked,
+    Tick,
+    VmListRead,
+    VmState,
+)
+from coriandershelf_core.internal.records import CONFIGURATION_STREAM, LEDGER_STREAM, Record
+from coriandershelf_rig.internal.bench import (
+    APPEND_LIMIT_S,
+    LOG_LATENCY_S,
+    LOG_READ_MAX_COUNT,
+    PLAIN_DURATION_S,
+    Bench,
+    BenchEntry,
+    BenchUpstream,
+    Call,
+)
+from coriandershelf_rig.internal.deployments import CustomerShape, Deployment, ReplicaShape
+from coriandershelf_rig.internal.log_model import AppendFate
+from coriandershelf_rig.internal.soak_plan import (
+    UPSTREAM_COUNT,
+    VM_COUNT,
+    BadAppends,
+    BadUpstreams,
+    Book,
+    Cut,
+    Kill,
+    KillUpstream,
+    LogOutage,
+    Operation,
+    Pause,
+    Stop,
+    entry_name,
+    upstream_name,
+)
+
+CUSTOMER = "depot"
+PATH = "orders/new"
+RETENTION_S = 20.0
+LATE_APPEND_MAX_S = 12.0
+LATE_ATTEMPT_MAX_S = 12.0
+READ_PERIOD_S = 0.03
+SOAK_SETTINGS = CoreSettings(
+    plain_answer_limit_s=4.0,
+    claim_wait_s=1.0,
+    append_resend_s=0.4,
+    claim_late_s=3.0,
+    claim_open_max_s=8.0,
+    key_window_s=30.0,
+    key_refuse_s=600.0,
+    repeat_wait_s=2.0,
+    ledger_fresh_s=1.0,
+    log_retention_s=RETENTION_S,
+)
+
+
+def soak_deployment() -> Deployment:
+    """Return two zones with two entry VMs and a plain service each."""
+    zones = ("zone-a", "zone-b")
+    replicas = tuple(
+        ReplicaShape(
+            upstream_name(index), "orders", zones[index], None, "plain", "on-demand", 0.3, False
+        )
+        for index in range(UPSTREAM_COUNT)
+    )
+    return Deployment(
+        name="soak",
+        region="soak",
+        zones=zones,
+        entries=tuple((entry_name(vm), zones[vm % 2]) for vm in range(VM_COUNT)),
+        model="model",
+        plain="orders",
+        non_idempotent_paths=("orders",),
+        replicas=replicas,
+        customers=(CustomerShape(CUSTOMER, 1.0, 0),),
+        zone_latency_s=0.001,
+        budget_per_hour=0.0,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """One execution of a call by the plain service, which is the judge."""
+
+    at_s: float
+    request_id: str
+    body: bytes
+
+
+def _is_step(event: Event) -> bool:
+    """Return whether an event counts: no ticks, VM lists, empty reads or refused connections."""
+    if isinstance(event, LogRead):
+        return bool(event.records)
+    if isinstance(event, AttemptFailed):
+        return event.cause is not FailureCause.CONNECT
+    return not isinstance(event, Tick | VmListRead)
+
+
+class SoakBench(Bench):
+    """A bench on which operations inject faults.
+
+    :param seed: of every random number but the plan's.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        disabled: frozenset[str] = frozenset(),
+        settings: CoreSettings = SOAK_SETTINGS,
+    ) -> None:
+        self.faults_rng = random.Random(seed)
+        self.executions: list[Execution] = []
+        self.steps: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self.bad_append_share = 0.0
+        self.bad_upstream_share = 0.0
+        self._cuts: Counter[tuple[str, str]] = Counter()
+        self._outages = 0
+        self._cancelled: set[str] = set()
+        super().__init__(soak_deployment(), seed, settings, disabled)
+        self.log.retention_s = settings.log_retention_s
+        self.cut = lambda source, target: self._cuts[source, target] > 0
+
+    def apply(self, operation: Operation) -> None:
+        """Perform one operation now."""
+        match operation:
+            case Book():
+                self.book(operation)
+            case Pause(_, vm, duration_s):
+                self._pause(entry_name(vm), duration_s)
+            case Kill(_, vm, restart_after_s, reuse):
+                self._kill(entry_name(vm), restart_after_s, reuse)
+            case Stop(_, vm, restart_after_s):
+                self._stop(entry_name(vm), restart_after_s)
+            case Cut(_, source, target, both_ways, duration_s):
+                self._cut(source, target, duration_s)
+                if both_ways:
+                    self._cut(target, source, duration_s)
+            case LogOutage(_, duration_s):
+                self._outages += 1
+                self.log.down = True
+                self.at(duration_s, self._end_outage)
+            case BadAppends(_, share, duration_s):
+                self.bad_append_share = share
+                self.at(duration_s, lambda: setattr(self, "bad_append_share", 0.0))
+            case BadUpstreams(_, share, duration_s):
+                self.bad_upstream_share = share
+                self.at(duration_s, lambda: setattr(self, "bad_upstream_share", 0.0))
+            case KillUpstream(_, upstream, restart_after_s):
+                name = upstream_name(upstream)
+                self.kill_upstream(name)
+                self.at(restart_after_s, lambda: self.restart_upstream(name))
+        if not isinstance(operation, Book):
+            self.faults[type(operation).__name__] += 1
+
+    def book(self, booking: Book) -> Call | None:
+        """Send a booking to an entry VM, or to the next one that lives."""
+        for offset in range(VM_COUNT):
+            vm_id = entry_name((booking.vm + offset) % VM_COUNT)
+            if self.entries[vm_id].alive:
+                body = f"{booking.key}/{booking.variant}".encode()
+                request = self.plain_call(CUSTOMER, PATH, body, booking.key, booking.deadline_s)
+                return self.send(vm_id, request)
+        return None
+
+    def heal(self) -> None:
+        """End every fault."""
+        self._cuts.clear()
+        self._outages = 0
+        self.log.down = False
+        self.bad_append_share = 0.0
+        self.bad_upstream_share = 0.0
+        for vm_id, entry in list(self.entries.items()):
+            if entry.alive and entry.paused:
+                self.resume_entry(vm_id)
+            elif not entry.alive:
+                self.start_entry(vm_id, entry.zone)
+        for name in self.upstreams:
+            self.restart_upstream(name)
+
+    def feed(self, vm_id: str, event: Event) -> None:
+        """Give an event to a core, counting it."""
+        if _is_step(event):
+            self.steps[type(event).__name__] += 1
+        super().feed(vm_id, event)
+
+    def _pause(self, vm_id: str, duration_s: float) -> None:
+        entry = self.entries[vm_id]
+        if not entry.alive or entry.paused:
+            return
+        self.pause_entry(vm_id)
+
+        def resume() -> None:
+            if self.entries[vm_id] is entry and entry.alive and entry.paused:
+                self.resume_entry(vm_id)
+
+        self.at(duration_s, resume)
+
+    def _kill(self, vm_id: str, restart_after_s: float, reuse_incarnation: bool) -> None:
+        entry = self.entries[vm_id]
+        if not entry.alive:
+            return
+        self.kill_entry(vm_id)
+        incarnation = entry.core.context.identity.incarnation
+
+        def restart() -> None:
+            if self.entries[vm_id] is not entry:
+                return
+            highest = self._incarnation
+            if reuse_incarnation:
+                self._incarnation = incarnation - 1
+            self.start_entry(vm_id, entry.zone)
+            self._incarnation = max(highest, self._incarnation)
+
+        self.at(restart_after_s, restart)
+
+    def _stop(self, vm_id: str, restart_after_s: float) -> None:
+        if not self.entries[vm_id].alive:
+            return
+        self.set_vm_state(vm_id, VmState.LEAVING)
+        self.feed(vm_id, StopAsked(self.now_s + restart_after_s))
+        self.at(restart_after_s, lambda: self._kill(vm_id, 0.5, False))
+
+    def _cut(self, source: str, target: str, duration_s: float) -> None:
+        self._cuts[source, target] += 1
+
+        def mend() -> None:
+            self._cuts[source, target] -= 1
+
+        self.at(duration_s, mend)
+
+    def _end_outage(self) -> None:
+        self._outages = max(0, self._outages - 1)
+        self.log.down = self._outages > 0
+
+    def _perform(self, vm_id: str, action: Action) -> None:
+        match action:
+            case Append():
+                self._send_append(vm_id, action)
+            case StartAttempt():
+                self._send_attempt(vm_id, action)
+            case CancelAttempt(attempt_id):
+                self._cancelled.add(attempt_id)
+                super()._perform(vm_id, action)
+            case _:
+                super()._perform(vm_id, action)
+
+    def _is_bad(self, share: float) -> bool:
+        return self.faults_rng.random() < share
+
+    def _send_append(self, vm_id: str, action: Append) -> None:
+        """Let an append land, be lost, land without an answer, or land late."""
+        entry = self.entries[vm_id]
+        identity = entry.core.context.identity
+        data = (vm_id, identity.incarnation, action.sequence, action.entries)
+        fate = "whole"
+        if self._is_bad(self.bad_append_share):
+            fate = self.faults_rng.choice(("lost", "answer-lost", "late"))
+            self.faults[f"append {fate}"] += 1
+        delay_s = LOG_LATENCY_S
+        if fate == "late":
+            delay_s = self.faults_rng.uniform(0.1, LATE_APPEND_MAX_S)
+
+        def land() -> None:
+            taken, offset = AppendFate.LOST, -1
+            if fate != "lost" and not self.cut(vm_id, "log"):
+                taken, offset = self.log.append(action.stream, data, self.now_s)
+            if taken is AppendFate.REFUSED:
+                self._answer(vm_id, entry, AppendFailed(action.append_id, False), LOG_LATENCY_S)
+            elif taken is AppendFate.TAKEN and fate == "whole" and not self.cut("log", vm_id):
+                answer = AppendAnswered(action.append_id, offset)
+                self._answer(vm_id, entry, answer, LOG_LATENCY_S)
+            elif fate != "late":
+                self._answer(vm_id, entry, AppendFailed(action.append_id, True), APPEND_LIMIT_S)
+
+        self.at(delay_s, land)
+        if fate == "late":
+            self._answer(vm_id, entry, AppendFailed(action.append_id, True), APPEND_LIMIT_S)
+
+    def _answer(self, vm_id: str, entry: BenchEntry, event: Event, delay_s: float) -> None:
+        """Give an event to a process after a delay, if it is still the same one."""
+
+        def deliver() -> None:
+            if self.entries[vm_id] is entry:
+                self.feed(vm_id, event)
+
+        self.at(delay_s, deliver)
+
+    def _send_attempt(self, vm_id: str, action: StartAttempt) -> None:
+        delay_s = 0.0005
+        if self._is_bad(self.bad_upstream_share):
+            self.faults["attempt late"] += 1
+            delay_s = self.faults_rng.uniform(0.0, LATE_ATTEMPT_MAX_S)
+
+        entry = self.entries[vm_id]
+
+        def start() -> None:
+            if self.entries[vm_id] is not entry:
+                # Sent before the process died; it runs and nobody hears of it.
+                self.executions.append(Execution(self.now_s, action.request_id, action.body))
+            elif action.attempt_id not in self._cancelled:
+                self._start_attempt(vm_id, action)
+
+        self.at(delay_s, start)
+
+    def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+        entry = self.entries[vm_id]
+        self.executions.append(Execution(self.now_s, action.request_id, action.body))
+        delay_s = PLAIN_DURATION_S
+        if self._is_bad(self.bad_upstream_share):
+            self.faults["answer late"] += 1
+            delay_s = self.faults_rng.uniform(0.0, LATE_ATTEMPT_MAX_S)
+
+        def answer() -> None:
+            known = upstream.attempts.pop(action.attempt_id, None)
+            if known is not None and self.entries[vm_id] is entry:
+                event = PlainAnswered(action.attempt_id, 200, b"ran " + action.body)
+                self._send_back(vm_id, action.replica_id, event)
+
+        self.at(delay_s, answer)
+
+    def _read_log(self, entry: BenchEntry, vm_id: str) -> None:
+        """Read both streams; what was read arrives later than it was true."""
+        if not entry.alive or self.entries[vm_id] is not entry:
+            return
+        cut = self.cut(vm_id, "log") or self.cut("log", vm_id)
+        if not entry.paused and not cut:
+            for stream in (CONFIGURATION_STREAM, LEDGER_STREAM):
+                self._read_stream(entry, vm_id, stream)
+        period_s = READ_PERIOD_S * self.faults_rng.uniform(0.5, 1.5)
+        self.at(period_s, lambda: self._read_log(entry, vm_id))
+
+    def _read_stream(self, entry: BenchEntry, vm_id: str, stream: str) -> None:
+        start = entry.offsets.get(stream, 0)
+        # The configuration outlives retention by a way that is not this soak's to judge.
+        if stream == CONFIGURATION_STREAM:
+            keep_s, self.log.retention_s = self.log.retention_s, float("inf")
+        answer = self.log.read(stream, start, LOG_READ_MAX_COUNT, self.now_s)
+        if stream == CONFIGURATION_STREAM:
+            self.log.retention_s = keep_s
+        if answer is None:
+            return
+        stored, first, upcoming = answer
+        entry.offsets[stream] = upcoming
+        if stream == CONFIGURATION_STREAM and not stored:
+            return
+        records = tuple(Record(item.offset, item.time_s, *item.data) for item in stored)
+        at_end = len(stored) < LOG_READ_MAX_COUNT
+        event = LogRead(stream, records, first, upcoming, at_end)
+        self._answer(vm_id, entry, event, LOG_LATENCY_S * self.faults_rng.uniform(0.5, 1.5))
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_plan.py
@@ -0,0 +1,168 @@
+"""What happens in one episode of a soak: bookings, their repeats, and faults, by time."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+EPISODE_S = 60.0
+VM_COUNT = 4
+UPSTREAM_COUNT = 2
+BOOKING_COUNT = 90
+KEY_COUNT = 30
+FAULT_COUNT = 26
+OTHER_BODY_SHARE = 0.08
+REPEAT_WITHIN_S = 25.0
+
+
+@dataclass(frozen=True, slots=True)
+class Book:
+    """A caller books, or books again, under a key."""
+
+    at_s: float
+    vm: int
+    key: str
+    variant: int
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """An entry VM freezes."""
+
+    at_s: float
+    vm: int
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Kill:
+    """An entry VM dies without a word and is started again."""
+
+    at_s: float
+    vm: int
+    restart_after_s: float
+    reuse_incarnation: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """An entry VM is told to stop gracefully and is started again."""
+
+    at_s: float
+    vm: int
+    restart_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Nothing passes from ``source`` to ``target``, nor back if ``both_ways``."""
+
+    at_s: float
+    source: str
+    target: str
+    both_ways: bool
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LogOutage:
+    """The log answers nobody."""
+
+    at_s: float
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class BadAppends:
+    """A share of the appends lose their answer, arrive late, or are lost."""
+
+    at_s: float
+    share: float
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class BadUpstreams:
+    """A share of the attempts start late, and a share of the answers come late or never."""
+
+    at_s: float
+    share: float
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class KillUpstream:
+    """An upstream dies and is started again."""
+
+    at_s: float
+    upstream: int
+    restart_after_s: float
+
+
+Operation = Book | Pause | Kill | Stop | Cut | LogOutage | BadAppends | BadUpstreams | KillUpstream
+
+
+def entry_name(vm: int) -> str:
+    """Return an entry VM's id."""
+    return f"entry-{vm + 1}"
+
+
+def upstream_name(upstream: int) -> str:
+    """Return an upstream's id."""
+    return f"orders-{upstream + 1}"
+
+
+def make_plan(seed: int, episode: int) -> list[Operation]:
+    """Return an episode's operations by time."""
+    rng = random.Random(f"{seed}/{episode}")
+    operations = _bookings(rng)
+    operations += [_fault(rng) for _ in range(rng.randint(2, FAULT_COUNT))]
+    return sorted(operations, key=lambda operation: operation.at_s)
+
+
+def _bookings(rng: random.Random) -> list[Operation]:
+    """Return bookings, most of which repeat an earlier key soon after it."""
+    starts = [rng.uniform(0.5, EPISODE_S - 5.0) for _ in range(KEY_COUNT)]
+    bookings: list[Operation] = []
+    for index in range(BOOKING_COUNT):
+        number = index % KEY_COUNT
+        delay_s = 0.0 if index < KEY_COUNT else REPEAT_WITHIN_S * rng.random() ** 4
+        if index >= KEY_COUNT and rng.random() < 0.1:
+            delay_s = rng.uniform(0.0, EPISODE_S)
+        other = index >= KEY_COUNT and rng.random() < OTHER_BODY_SHARE
+        bookings.append(
+            Book(
+                min(EPISODE_S, starts[number] + delay_s),
+                rng.randrange(VM_COUNT),
+                f"key-{number}",
+                int(other),
+                rng.choice((0.5, 3.0, 10.0)),
+            )
+        )
+    return bookings
+
+
+def _fault(rng: random.Random) -> Operation:
+    at_s = rng.uniform(0.0, EPISODE_S)
+    duration_s = rng.choice((0.05, 0.5, 3.0, 15.0)) * rng.uniform(0.5, 1.5)
+    vm = rng.randrange(VM_COUNT)
+    kind = rng.randrange(9)
+    if kind == 0:
+        return Kill(at_s, vm, duration_s, rng.random() < 0.2)
+    if kind == 1:
+        return Stop(at_s, vm, duration_s)
+    if kind == 2:
+        return LogOutage(at_s, duration_s)
+    if kind == 3:
+        return BadAppends(at_s, rng.choice((0.1, 0.5, 1.0)), duration_s)
+    if kind == 4:
+        return BadUpstreams(at_s, rng.choice((0.1, 0.5, 1.0)), duration_s)
+    if kind == 5:
+        return KillUpstream(at_s, rng.randrange(UPSTREAM_COUNT), duration_s)
+    if kind in (6, 7):
+        other = rng.choice(("log", entry_name(rng.randrange(VM_COUNT)), upstream_name(0)))
+        ends = [entry_name(vm), other]
+        rng.shuffle(ends)
+        return Cut(at_s, ends[0], ends[1], rng.random() < 0.5, duration_s)
+    return Pause(at_s, vm, duration_s)
--- /dev/null
+++ b/tests/cover/test_claim_retention.py
@@ -0,0 +1,124 @@
+"""What must outlive the log's retention is written forward, and a gap in reading is noticed."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from coriandershelf_core import Done, RefusalReason, Unknown
+from coriandershelf_rig.internal.bench import Call
+from coriandershelf_rig.internal.soak_bench import RETENTION_S, SOAK_SETTINGS, SoakBench
+from coriandershelf_rig.internal.soak_plan import Book, Cut, Kill, LogOutage
+
+
+def make_bench(*disabled: str) -> SoakBench:
+    bench = SoakBench(11, frozenset(disabled), replace(SOAK_SETTINGS, key_window_s=300.0))
+    bench.run(1.0)
+    return bench
+
+
+def book(bench: SoakBench, vm: int, key: str = "k") -> Call:
+    call = bench.book(Book(bench.now_s, vm, key, 0, 10.0))
+    assert call is not None
+    return call
+
+
+def run_count(bench: SoakBench) -> int:
+    return sum(execution.body == b"k/0" for execution in bench.executions)
+
+
+def outlive_retention(*disabled: str) -> tuple[SoakBench, Call]:
+    """Run a call, let its records expire, start a VM anew and repeat the call there."""
+    bench = make_bench(*disabled)
+    book(bench, 0)
+    bench.run(RETENTION_S + 5.0)
+    bench.apply(Kill(0.0, 1, 0.5, False))
+    bench.run(2.0)
+    repeat = book(bench, 1)
+    bench.run(3.0)
+    return bench, repeat
+
+
+def test_a_vm_started_after_retention_passed_answers_from_the_first_run():
+    bench, repeat = outlive_retention()
+    assert repeat.outcome == Done(200, b"ran k/0")
+    assert run_count(bench) == 1
+
+
+def test_without_writing_forward_a_new_vm_can_only_say_unknown():
+    bench, repeat = outlive_retention("claims-kept")
+    assert isinstance(repeat.outcome, Unknown)
+    assert run_count(bench) == 1
+
+
+def test_without_a_check_that_the_ledger_was_read_whole_a_new_vm_runs_a_call_again():
+    bench, _ = outlive_retention("claims-kept", "claims-complete")
+    assert run_count(bench) == 2
+
+
+def outlast_retention_in_an_outage(*disabled: str) -> tuple[SoakBench, Call]:
+    """Let the log be down until all expired; a VM that booted meanwhile is asked first."""
+    bench = make_bench(*disabled)
+    book(bench, 0)
+    bench.run(1.0)
+    bench.apply(LogOutage(0.0, RETENTION_S + 5.0))
+    bench.apply(Kill(0.0, 1, 0.5, False))
+    bench.run(RETENTION_S + 5.1)
+    for vm in (0, 2, 3):
+        bench.apply(Cut(0.0, f"entry-{vm + 1}", "log", True, 1.0))
+    repeat = book(bench, 1)
+    bench.run(1.0)
+    return bench, repeat
+
+
+def test_a_vm_that_booted_in_an_outage_longer_than_retention_runs_nothing():
+    bench, repeat = outlast_retention_in_an_outage()
+    assert isinstance(repeat.outcome, Unknown)
+    assert run_count(bench) == 1
+    bench.run(15.0)
+    again = book(bench, 1)
+    bench.run(1.0)
+    assert isinstance(again.outcome, Done)
+    assert run_count(bench) == 1
+
+
+def test_without_the_check_an_outage_longer_than_retention_doubles_a_call():
+    bench, _ = outlast_retention_in_an_outage("claims-complete")
+    assert run_count(bench) == 2
+
+
+def fall_behind_retention(*disabled: str) -> tuple[SoakBench, Call]:
+    """Cut a VM off from the log until records that it has not read are gone."""
+    bench = make_bench("claims-kept", *disabled)
+    book(bench, 2, "other")
+    bench.run(1.0)
+    bench.apply(Cut(0.0, "entry-2", "log", True, RETENTION_S + 10.0))
+    bench.run(1.0)
+    book(bench, 0)
+    bench.run(RETENTION_S + 10.0)
+    repeat = book(bench, 1)
+    bench.run(1.0)
+    return bench, repeat
+
+
+def test_a_reader_that_fell_behind_retention_does_not_take_a_key_to_be_free():
+    bench, repeat = fall_behind_retention()
+    assert isinstance(repeat.outcome, Unknown)
+    assert repeat.outcome.reason is RefusalReason.LOG_UNAVAILABLE
+    assert run_count(bench) == 1
+    assert bench.counters["log.gaps"] >= 1
+
+
+def test_without_noticing_the_gap_a_reader_that_fell_behind_runs_a_call_again():
+    bench, _ = fall_behind_retention("claims-gap")
+    assert run_count(bench) == 2
+
+
+def test_states_are_forgotten_once_their_time_has_passed():
+    bench = make_bench()
+    for index in range(20):
+        book(bench, index % 4, f"k{index}")
+    bench.run(2.0)
+    table = bench.entries["entry-1"].core.claims.table
+    assert len(table) == 20
+    table.expire(bench.now_s + bench.settings.key_refuse_s + 1.0)
+    assert len(table) == 0
--- /dev/null
+++ b/tests/cover/test_soak.py
@@ -0,0 +1,37 @@
+"""Random faults break no invariant, and break it once a mechanism is taken out."""
+
+from __future__ import annotations
+
+from claims_machine import ClaimsMachine
+from hypothesis import settings
+
+from coriandershelf_rig.internal.soak import run_episode, run_soak, shrink
+from coriandershelf_rig.internal.soak_plan import make_plan
+
+STEPS = 3000
+
+
+def test_a_short_soak_breaks_nothing():
+    result = run_soak(1, STEPS)
+    assert [episode.broken for episode in result.broken] == []
+    assert result.step_count >= STEPS
+    assert result.executions > 0
+
+
+def test_without_the_first_claim_winning_a_soak_finds_a_double_run():
+    result = run_soak(1, STEPS, frozenset({"claims-first-wins"}))
+    assert any("ran 2 times" in line for item in result.broken for line in item.broken)
+
+
+def test_an_episode_repeats_exactly():
+    assert run_episode(5, 2) == run_episode(5, 2)
+
+
+def test_a_broken_episode_is_shrunk_to_fewer_operations_that_still_break_it():
+    kept, operations, broken = shrink(1, 0, frozenset({"claims-first-wins"}), 12)
+    assert broken
+    assert len(kept) == len(operations) <= len(make_plan(1, 0)) / 3
+
+
+class TestClaims(ClaimsMachine.TestCase):
+    settings = settings(max_examples=15, stateful_step_count=25)
