--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -84,6 +84,13 @@
     CLAIMS_KEPT = ("claims.kept", "Keys written forward before their records expire.")
     REPEATS_ATTACHED = ("claims.repeats-attached", "Repeats that waited for the running call.")
     LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
+    STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
+    JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
+    JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
+    JOBS_RESTARTED = ("jobs.restarted", "Jobs whose output was lost, started from the beginning.")
+    JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
+    JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
+    JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -29,6 +29,7 @@
     SendFinal,
     SendTokens,
     StartAttempt,
+    Stopped,
     TellPeer,
 )
 from coriandershelf_core.internal.events import (
@@ -77,6 +78,7 @@
 LOAD_REPORT_PERIOD_S = 1.0
 LOAD_REPORT_LAG_S = 1.0
 PLAIN_DURATION_S = 0.02
+LAST_PAYLOAD = b'{"choices":[{"delta":{},"finish_reason":"stop"}]}'
 APPEND_LIMIT_S = 2.0
 
 
@@ -110,6 +112,7 @@
     zone: str
     alive: bool = True
     paused: bool = False
+    stopped_at_s: float | None = None
     held: list[Event] = field(default_factory=list)
     offsets: dict[str, int] = field(default_factory=dict)
     read_at_s: dict[str, float] = field(default_factory=dict)
@@ -167,6 +170,7 @@
         self.on_final: Callable[[Call], None] = lambda call: None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
+        self._replica_at: dict[str, str] = {}
         self._incarnation = 0
         for shape in deployment.replicas:
             engine = EngineModel(shape.engine) if shape.engine else None
@@ -374,6 +378,9 @@
                 self.at(LOG_LATENCY_S, lambda: self._append(vm_id, action))
             case TellPeer():
                 self._tell(vm_id, action)
+            case Stopped():
+                self.entries[vm_id].stopped_at_s = self.now_s
+                self.at(0.0, lambda: self.kill_entry(vm_id))
             case Count(name, amount):
                 self.counters[name] = self.counters.get(name, 0) + amount
             case _:
@@ -428,6 +435,7 @@
 
     def _start_attempt(self, vm_id: str, action: StartAttempt) -> None:
         upstream = self.upstreams[action.replica_id]
+        self._replica_at[action.address] = action.replica_id
         if self.cut(vm_id, action.replica_id):
             return
         if not upstream.alive:
@@ -441,7 +449,7 @@
             self._run_sequence(vm_id, upstream, action)
 
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
-        identity = hashlib.sha256(action.path.encode() + action.body).hexdigest()
+        identity = _identity(action.path, action.body)
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
 
         def answer() -> None:
@@ -457,8 +465,9 @@
         request = self.calls[action.request_id].request
         shape = self.shapes[action.request_id]
         position = len(action.resume_payloads)
-        if action.kv_source in self.upstreams:
-            source = self.upstreams[action.kv_source]
+        source_id = self._replica_at.get(action.kv_source)
+        if source_id is not None:
+            source = self.upstreams[source_id]
             if source.alive and source.engine is not None:
                 engine.import_kv(action.request_id, source.engine.export_kv(action.request_id))
         sequence = Sequence(
@@ -505,7 +514,7 @@
         vm_id = upstream.attempts.get(token.attempt_id)
         if vm_id is None or token.attempt_id in upstream.silent:
             return
-        payload = b"%d" % token.position
+        payload = LAST_PAYLOAD if token.finished else b"%d" % token.position
         attempt_id = token.attempt_id
         event = TokensArrived(attempt_id, attempt_id, token.position, (payload,))
         self._send_back(vm_id, replica_id, event)
@@ -555,8 +564,17 @@
     return totals
 
 
+def was_run(bench: Bench, request: Request) -> bool:
+    """Return whether any plain service ran a call's body."""
+    return executions_by_body(bench).get(_identity(request.path, request.body), 0) > 0
+
+
+def _identity(path: str, body: bytes) -> str:
+    return hashlib.sha256(path.encode() + body).hexdigest()
+
+
 def is_whole(call: Call, shape: Shape) -> bool:
     """Return whether a finished call holds each payload once, in order."""
     if not isinstance(call.outcome, Done):
         return False
-    return call.payloads == [b"%d" % position for position in range(shape.length + 1)]
+    return call.payloads == [*(b"%d" % place for place in range(shape.length)), LAST_PAYLOAD]
