Keep taking bookings without the log under tickets granted beforehand

Cause: in a log outage or a cut-off zone no call could be claimed, so every booking was refused.

Ruled out: ownership of slices of the key space with a lease (a paused owner wakes after the lease and sends); slices without a lease (an owner that dies without a word leaves its whole slice unknown, also for callers that never used it); a vote of entry VMs (a consensus group of our own); running now and comparing later (doubles).

Change: a caller takes tickets while the log is up (POST /v1/tickets?count=N); each is a key whose one owner, a process and not a name, is written in the log. The owner runs it from memory; others ask the owner, or say unknown. A stopping owner gives its tickets back through the log, after which they are claimed like any key.

--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claim_answers.py
@@ -0,0 +1,54 @@
+"""What a taken key answers to a call."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.claim_table import ClaimState
+from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_core.internal.records import ClaimFinished
+
+IN_PROGRESS_RETRY_S = 2.0
+LOST_RETRY_S = 30.0
+
+
+def result_entry(
+    key_hash: str, request_id: str, outcome: Done | Unknown, max_bytes: int
+) -> ClaimFinished:
+    """Return the record of a call's result, without an answer that is too large to keep."""
+    if not isinstance(outcome, Done):
+        return ClaimFinished(key_hash, request_id, False)
+    whole = len(outcome.body) <= max_bytes
+    body = outcome.body if whole else b""
+    return ClaimFinished(key_hash, request_id, True, outcome.status, body, whole)
+
+
+def outcome_of_result(result: ClaimFinished) -> Outcome:
+    """Return what a kept result tells a repeat."""
+    if not result.known:
+        return Unknown(RefusalReason.OUTCOME_LOST)
+    if not result.whole:
+        return Unknown(RefusalReason.RESULT_NOT_KEPT, detail=f"status {result.status}")
+    return Done(result.status, result.body)
+
+
+def unfinished_outcome(lost: bool) -> Outcome:
+    """Return what a key without a result tells a call that does not wait longer."""
+    if lost:
+        return Unknown(RefusalReason.OUTCOME_LOST, LOST_RETRY_S)
+    return Unknown(RefusalReason.IN_PROGRESS, IN_PROGRESS_RETRY_S)
+
+
+def outcome_of_state(
+    state: ClaimState, body_hash: str, past_window: bool, lost: bool
+) -> Outcome | None:
+    """Return what a taken key answers to a call, or ``None`` while the first still runs.
+
+    :param lost: whether no result is to be expected any more.
+    """
+    if state.claim.body_hash and state.claim.body_hash != body_hash:
+        return NotRun(RefusalReason.KEY_REUSED)
+    if past_window:
+        return Unknown(RefusalReason.KEY_EXPIRED)
+    if state.finished is None or not state.claim.body_hash:
+        return unfinished_outcome(lost) if lost else None
+    return outcome_of_result(state.finished)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
@@ -14,6 +14,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from coriandershelf_core.internal.claim_answers import (
+    outcome_of_state,
+    result_entry,
+    unfinished_outcome,
+)
 from coriandershelf_core.internal.claim_table import ClaimState, ClaimTable
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.ledger import Ledger
@@ -33,9 +38,7 @@
 from coriandershelf_core.internal.retention import Retention
 from coriandershelf_core.internal.work import Work
 
-IN_PROGRESS_RETRY_S = 2.0
 LOG_RETRY_S = 5.0
-LOST_RETRY_S = 30.0
 UUID_TIME_VERSION = 7
 # A read may have been under way when a call arrived; the one after it began later.
 END_READS_AFTER_ARRIVAL = 2
@@ -196,6 +199,15 @@
                 del self._given_up[request_id]
         self.retention.on_tick(now_s)
 
+    def cut_rest(self, now_s: float) -> None:
+        """Answer every waiting call at once, since this VM is about to end."""
+        for call in list(self._claiming.values()):
+            self._give_up(call, now_s)
+        for call in list(self._attached.values()):
+            del self._attached[call.work.work_id]
+            state = self.table.get(call.key_hash)
+            self._finish(call, self._unfinished(state, now_s), now_s)
+
     def _request(self, call: _Call, now_s: float) -> None:
         state = self.table.get(call.key_hash)
         if state is not None:
@@ -289,13 +301,8 @@
         self._ledger.add(LEDGER_STREAM, entry, now_s)
 
     def _write_result(self, claim: Claim, outcome: Done | Unknown, now_s: float) -> None:
-        entry = ClaimFinished(claim.key_hash, claim.request_id, False)
-        if isinstance(outcome, Done):
-            whole = len(outcome.body) <= self._context.settings.claim_result_max_bytes
-            body = outcome.body if whole else b""
-            entry = ClaimFinished(
-                claim.key_hash, claim.request_id, True, outcome.status, body, whole
-            )
+        max_bytes = self._context.settings.claim_result_max_bytes
+        entry = result_entry(claim.key_hash, claim.request_id, outcome, max_bytes)
         self._ledger.add(LEDGER_STREAM, entry, now_s)
         state = self.table.get(claim.key_hash)
         if state is not None and state.claim.request_id == claim.request_id:
@@ -331,25 +338,12 @@
                 self._finish(call, outcome, now_s)
 
     def _outcome_of(self, call: _Call, state: ClaimState, now_s: float) -> Outcome | None:
-        """Return what a taken key answers to a call, or ``None`` while the first still runs."""
-        if state.claim.body_hash and state.claim.body_hash != call.body_hash:
-            return NotRun(RefusalReason.KEY_REUSED)
-        if self.table.is_past_window(state, max(self.retention.log_time_s, 0.0)):
-            return Unknown(RefusalReason.KEY_EXPIRED)
-        finished = state.finished
-        if finished is None or not state.claim.body_hash:
-            lost = self._is_lost(state, now_s)
-            return self._unfinished(state, now_s) if lost else None
-        if not finished.known:
-            return Unknown(RefusalReason.OUTCOME_LOST)
-        if not finished.whole:
-            return Unknown(RefusalReason.RESULT_NOT_KEPT, detail=f"status {finished.status}")
-        return Done(finished.status, finished.body)
+        past_window = self.table.is_past_window(state, self.retention.log_time_s)
+        lost = self._is_lost(state, now_s)
+        return outcome_of_state(state, call.body_hash, past_window, lost)
 
     def _unfinished(self, state: ClaimState | None, now_s: float) -> Outcome:
-        if state is not None and self._is_lost(state, now_s):
-            return Unknown(RefusalReason.OUTCOME_LOST, LOST_RETRY_S)
-        return Unknown(RefusalReason.IN_PROGRESS, IN_PROGRESS_RETRY_S)
+        return unfinished_outcome(state is not None and self._is_lost(state, now_s))
 
     def _is_lost(self, state: ClaimState, now_s: float) -> bool:
         """Return whether no result is to be expected; this changes words only, never who runs."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -75,6 +75,15 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class TicketsAsked:
+    """A caller asks for tickets, keys that their owner can run without the log."""
+
+    request_id: str
+    credential_hash: str
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptOpened:
     """The upstream answered with a response head."""
@@ -224,6 +233,7 @@
     RequestArrived
     | CallerGone
     | JobRead
+    | TicketsAsked
     | AttemptOpened
     | TokensArrived
     | StreamEnded
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -30,6 +30,7 @@
     StopAsked,
     StreamEnded,
     Tick,
+    TicketsAsked,
     TokensArrived,
     VmListRead,
     VmRole,
@@ -39,8 +40,13 @@
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, Message
-from coriandershelf_core.internal.outcome import NotRun, Outcome
+from coriandershelf_core.internal.messages import (
+    Heartbeat,
+    Message,
+    TicketCall,
+    TicketResult,
+)
+from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     LEDGER_STREAM,
@@ -51,11 +57,14 @@
     JobFinished,
     JobMoved,
     JobSnapshot,
+    TicketEntry,
 )
 from coriandershelf_core.internal.request import Request, RequestKind
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
 from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
+from coriandershelf_core.internal.ticket_table import parse_ticket
+from coriandershelf_core.internal.tickets import Tickets
 from coriandershelf_core.internal.work import Work, WorkOwner
 
 
@@ -93,6 +102,14 @@
             self.serving.cancel,
             self._tell,
         )
+        self.tickets = Tickets(
+            self.context,
+            self.ledger,
+            self.serving.enqueue,
+            self._tell,
+            self.claims.request,
+            self.membership.is_gone,
+        )
         self._heartbeat_at_s = 0.0
         self._stopped = False
 
@@ -136,6 +153,8 @@
                 self.serving.on_failed(event, now_s)
             case JobRead():
                 self._on_job_read(event, now_s)
+            case TicketsAsked():
+                self.tickets.on_asked(event, now_s)
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
@@ -185,6 +204,9 @@
         elif request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
+        elif parse_ticket(request.idempotency_key) is not None:
+            work = make_work(request, customer, inventory, WorkOwner.TICKET, now_s)
+            self.tickets.request(work, now_s)
         else:
             work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
             self.claims.request(work, now_s)
@@ -194,6 +216,9 @@
         outcome: Outcome = refusal
         if request.kind is RequestKind.SERVICE and request.idempotency_key is not None:
             outcome = self.claims.early_refusal(refusal, now_s)
+            if parse_ticket(request.idempotency_key) is not None:
+                # Only the ticket's owner knows whether it ran.
+                outcome = Unknown(refusal.reason, refusal.retry_after_s, refusal.detail)
         self.context.finish(request.request_id, outcome, now_s)
 
     def _answer_known_key(
@@ -228,6 +253,7 @@
         gap = self.ledger.on_read(event)
         if event.stream == LEDGER_STREAM:
             self.claims.on_read(event.first_offset, gap)
+            self.tickets.on_read(gap)
         for record in event.records:
             first = self.ledger.on_record(event.stream, record)
             if event.stream == LEDGER_STREAM:
@@ -236,6 +262,8 @@
                 if isinstance(entry, ClaimEntry):
                     # Claims are folded without regard to copies; see claim_table.
                     self.claims.on_entry(entry, record, now_s)
+                elif isinstance(entry, TicketEntry):
+                    self.tickets.on_entry(entry, self.claims.retention.log_time_s, now_s)
                 elif first:
                     self._on_entry(entry, now_s)
         self.ledger.on_read_applied(event, now_s)
@@ -284,7 +312,10 @@
             begin_stop(self.context, at_s, False, now_s)
 
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
-        self.jobs.on_message(sender, message, now_s)
+        if isinstance(message, TicketCall | TicketResult):
+            self.tickets.on_message(sender, message, now_s)
+        else:
+            self.jobs.on_message(sender, message, now_s)
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
@@ -297,6 +328,7 @@
     def _on_tick(self, now_s: float) -> None:
         self.ledger.on_tick(now_s)
         self.claims.on_tick(now_s)
+        self.tickets.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
         if now_s >= self._heartbeat_at_s:
@@ -320,7 +352,8 @@
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
-        idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
+        parts = (self.claims, self.tickets, self.jobs, self.ledger)
+        idle = all(part.idle for part in parts) and not self.serving.works
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
@@ -328,6 +361,7 @@
 
     def _cut_rest(self, now_s: float) -> None:
         """Tell the callers whose answers the notice cuts off, while there is time to."""
+        self.claims.cut_rest(now_s)
         for work in list(self.serving.works.values()):
             if work.owner is not WorkOwner.JOB:
                 self.serving.cancel(work.work_id)
@@ -346,5 +380,7 @@
             self.jobs.finish(work, outcome, now_s)
         elif work.owner is WorkOwner.CLAIM:
             self.claims.finish(work, outcome, now_s)
+        elif work.owner is WorkOwner.TICKET:
+            self.tickets.finish(work, outcome, now_s)
         else:
             self.context.finish(work.work_id, outcome, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -82,4 +82,32 @@
     replica_id: str = ""
 
 
-Message = Heartbeat | JobQuery | JobReply | JobCopy | JobCopied | JobHandover
+@dataclass(frozen=True, slots=True)
+class TicketCall:
+    """Asks a ticket's owner to run a call, or for the result if it ran before."""
+
+    request_id: str
+    customer: str
+    service: str
+    path: str
+    body: bytes
+    key: str
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TicketResult:
+    """Answers a :class:`TicketCall`; ``outcome`` is ``done``, ``not-run`` or ``unknown``."""
+
+    request_id: str
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
+    detail: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+Message = (
+    TicketCall | TicketResult | Heartbeat | JobQuery | JobReply | JobCopy | JobCopied | JobHandover
+)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -70,6 +70,33 @@
     start_offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class TicketsGranted:
+    """Tickets of a customer that only ``holder`` in this incarnation may run."""
+
+    grant_id: str
+    customer: str
+    holder: str
+    incarnation: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketUsed:
+    """The result of a call that its ticket's owner ran."""
+
+    key_hash: str
+    body_hash: str
+    result: ClaimFinished
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsReleased:
+    """The owner gives back a grant; what it used of it stands earlier in the log."""
+
+    grant_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
     """A job that some entry VM must finish."""
@@ -153,8 +180,12 @@
 
 
 ClaimEntry = Claim | ClaimReleased | ClaimFinished | ClaimKept | LedgerKept
+TicketEntry = TicketsGranted | TicketUsed | TicketsReleased
 Entry = (
-    Claim
+    TicketsGranted
+    | TicketUsed
+    | TicketsReleased
+    | Claim
     | ClaimReleased
     | ClaimFinished
     | ClaimKept
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -43,6 +43,13 @@
     repeat_wait_s: float = documented(
         5.0, "Longest wait of a repeated call for the result of the running one.", 0.0
     )
+    ticket_life_s: float = documented(
+        21_600.0, "How long tickets are valid; at most half of log_retention_s counts.", 1.0
+    )
+    ticket_ask_s: float = documented(
+        0.5, "Period in which a silent owner of a ticket is asked again.", 0.01
+    )
+    tickets_max_count: int = documented(1000, "Tickets of one grant at the most.", 1)
     ledger_fresh_s: float = documented(
         3.0, "Age of the last read to the ledger's end at which refusals still rest on it.", 0.1
     )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -14,6 +14,7 @@
     CALLER = "caller"
     JOB = "job"
     CLAIM = "claim"
+    TICKET = "ticket"
 
 
 class WorkClass(Enum):
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -37,6 +37,7 @@
 from coriandershelf_entry.internal.peers import PeerSender, PeerServer
 from coriandershelf_entry.internal.platform import poll_notices, poll_vm_list
 from coriandershelf_entry.internal.settings import EntrySettings
+from coriandershelf_entry.internal.ticket_handler import TicketsHandler
 from coriandershelf_entry.internal.upstream import ConnectionPool, run_attempt
 from coriandershelf_wire import parse_or_none
 
@@ -74,7 +75,9 @@
         self._peer_server = PeerServer(settings.peer_listen, post, log)
         self._peer_sender = PeerSender(settings.vm_id, incarnation)
         callers = Callers(settings, self._core_task, self._clock, self._metrics, self._mailboxes)
-        self._server = HTTPServer(make_application(callers))
+        application = make_application(callers)
+        application.add_handlers(".*", [("/v1/tickets", TicketsHandler, {"callers": callers})])
+        self._server = HTTPServer(application)
 
     async def start(self) -> None:
         """Listen and start every task."""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_plan.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_plan.py
@@ -13,6 +13,10 @@
 FAULT_COUNT = 26
 OTHER_BODY_SHARE = 0.08
 REPEAT_WITHIN_S = 25.0
+TICKET_PREFIX = "ticket-"
+TICKET_STRIDE = 3
+TICKET_TAKES_COUNT = 12
+TICKETS_PER_TAKE = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +30,15 @@
     deadline_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TakeTickets:
+    """A caller takes tickets, which later bookings name by number."""
+
+    at_s: float
+    vm: int
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class Pause:
     """An entry VM freezes."""
@@ -91,6 +104,15 @@
     duration_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class BadPeers:
+    """A share of the messages between entry VMs is lost, and a share comes late or twice."""
+
+    at_s: float
+    share: float
+    duration_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class KillUpstream:
     """An upstream dies and is started again."""
@@ -100,7 +122,19 @@
     restart_after_s: float
 
 
-Operation = Book | Pause | Kill | Stop | Cut | LogOutage | BadAppends | BadUpstreams | KillUpstream
+Operation = (
+    Book
+    | TakeTickets
+    | Pause
+    | Kill
+    | Stop
+    | Cut
+    | LogOutage
+    | BadAppends
+    | BadUpstreams
+    | BadPeers
+    | KillUpstream
+)
 
 
 def entry_name(vm: int) -> str:
@@ -117,6 +151,7 @@
     """Return an episode's operations by time."""
     rng = random.Random(f"{seed}/{episode}")
     operations = _bookings(rng)
+    operations += _ticket_takes(rng)
     operations += [_fault(rng) for _ in range(rng.randint(2, FAULT_COUNT))]
     return sorted(operations, key=lambda operation: operation.at_s)
 
@@ -130,12 +165,13 @@
         delay_s = 0.0 if index < KEY_COUNT else REPEAT_WITHIN_S * rng.random() ** 4
         if index >= KEY_COUNT and rng.random() < 0.1:
             delay_s = rng.uniform(0.0, EPISODE_S)
+        is_ticket = number % TICKET_STRIDE == 0
         other = index >= KEY_COUNT and rng.random() < OTHER_BODY_SHARE
         bookings.append(
             Book(
                 min(EPISODE_S, starts[number] + delay_s),
                 rng.randrange(VM_COUNT),
-                f"key-{number}",
+                f"{TICKET_PREFIX}{number}" if is_ticket else f"key-{number}",
                 int(other),
                 rng.choice((0.5, 3.0, 10.0)),
             )
@@ -143,11 +179,16 @@
     return bookings
 
 
+def _ticket_takes(rng: random.Random) -> list[Operation]:
+    times = sorted(rng.uniform(0.1, EPISODE_S) for _ in range(TICKET_TAKES_COUNT))
+    return [TakeTickets(at_s, rng.randrange(VM_COUNT), TICKETS_PER_TAKE) for at_s in times]
+
+
 def _fault(rng: random.Random) -> Operation:
     at_s = rng.uniform(0.0, EPISODE_S)
     duration_s = rng.choice((0.05, 0.5, 3.0, 15.0)) * rng.uniform(0.5, 1.5)
     vm = rng.randrange(VM_COUNT)
-    kind = rng.randrange(9)
+    kind = rng.randrange(10)
     if kind == 0:
         return Kill(at_s, vm, duration_s, rng.random() < 0.2)
     if kind == 1:
@@ -160,6 +201,8 @@
         return BadUpstreams(at_s, rng.choice((0.1, 0.5, 1.0)), duration_s)
     if kind == 5:
         return KillUpstream(at_s, rng.randrange(UPSTREAM_COUNT), duration_s)
+    if kind == 9:
+        return BadPeers(at_s, rng.choice((0.1, 0.5, 1.0)), duration_s)
     if kind in (6, 7):
         other = rng.choice(("log", entry_name(rng.randrange(VM_COUNT)), upstream_name(0)))
         ends = [entry_name(vm), other]
