Ask every VM for a handed-over job before it is made anew; drop what does not fit a stream

The restarter now asks all VMs first and leaves the job to one that has it. Cause 2: after a gap the attempt was forgotten but its connection stayed open; it is closed.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/copies.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/copies.py
@@ -17,6 +17,7 @@
     """The output made in one term of a job, without a gap from its first payload.
 
     :param visible_count: payloads that the holder shows to callers.
+    :param handed_over: the holder stopped, and this is all it made.
     """
 
     source: str
@@ -25,6 +26,7 @@
     payloads: list[bytes] = field(default_factory=list)
     visible_count: int = 0
     replica_id: str = ""
+    handed_over: bool = False
 
 
 class Copies:
@@ -72,6 +74,7 @@
         if copy is None or copy.term < message.term:
             copy = self._copies[message.job_id] = KeptCopy(sender, message.term, now_s)
         copy.replica_id = message.replica_id or copy.replica_id
+        copy.handed_over = len(copy.payloads) == message.held_count
         return copy
 
     def find(self, job: Job) -> KeptCopy | None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ending.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/ending.py
@@ -8,6 +8,10 @@
 
 def is_last(payload: bytes) -> bool:
     """Return whether an engine sends nothing but its end marker behind this payload."""
+    # Asked for each token, so the common case is told without parsing; a quote inside generated
+    # text is escaped and cannot match.
+    if b"finish_reason" not in payload or b'"finish_reason":null' in payload:
+        return False
     try:
         choices = json.loads(payload)["choices"]
         return any(choice.get("finish_reason") is not None for choice in choices)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
@@ -22,9 +22,11 @@
     Heartbeat,
     JobCopied,
     JobCopy,
+    JobFound,
     JobHandover,
     JobQuery,
     JobReply,
+    JobSought,
     Message,
 )
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
@@ -91,7 +93,7 @@
         self.table = JobTable()
         self.copies = Copies(context, self.table)
         self.replication = Replication(context, ledger, membership, tell, self._suspend)
-        self.takeover = Takeover(context, ledger, membership, self.table, self.copies)
+        self.takeover = Takeover(context, ledger, membership, self.table, self.copies, tell)
         self.reads = JobReads(context, self.table, self.copies, self.replication, tell)
 
     def request(self, work: Work, now_s: float) -> None:
@@ -186,6 +188,12 @@
                 self.replication.on_copied(sender, message, now_s)
             case JobHandover():
                 self.takeover.on_handover(sender, message, now_s)
+            case JobSought():
+                found = self.takeover.on_sought(message)
+                if found is not None:
+                    self._tell(sender, found)
+            case JobFound():
+                self.takeover.on_found(message, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Give up on records that were not read back, and let every part do what is due."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -286,6 +286,7 @@
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
         idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
+        idle = idle or not self.context.enabled("finish-in-flight")
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -82,4 +82,20 @@
     replica_id: str = ""
 
 
-Message = Heartbeat | JobQuery | JobReply | JobCopy | JobCopied | JobHandover
+@dataclass(frozen=True, slots=True)
+class JobSought:
+    """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobFound:
+    """Answers a :class:`JobSought`: the sender has the whole output and goes on with it."""
+
+    job_id: str
+    term: int
+
+
+Message = Heartbeat | JobQuery | JobReply | JobCopy | JobCopied | JobHandover | JobSought | JobFound
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -91,6 +91,9 @@
             return
         repeated = work.position - event.first_position
         if repeated < 0:
+            # Tokens are missing in between; the stream is of no use beyond this place.
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            self._context.emit(CancelAttempt(attempt.attempt_id))
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         attempt.last_token_at_s = now_s
@@ -110,6 +113,7 @@
             return
         crossed = event.stream_attempt_id != event.attempt_id
         if crossed or event.position != attempt.work.position:
+            self._context.emit(CancelAttempt(attempt.attempt_id))
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._complete(attempt, Done(), now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/takeover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/takeover.py
@@ -7,20 +7,34 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.copies import Copies
 from coriandershelf_core.internal.events import VmState
 from coriandershelf_core.internal.job_table import FAILED, Job, JobTable, VmRef
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import JobHandover
+from coriandershelf_core.internal.messages import JobFound, JobHandover, JobSought
 from coriandershelf_core.internal.placement import restart_rank
 from coriandershelf_core.internal.records import LEDGER_STREAM, JobMoved
+from coriandershelf_core.internal.replication import Tell
 
 SCAN_PERIOD_S = 0.25
 ABSENT_LIMIT_S = 30.0
 RESTART_STEP_S = 2.0
 COPY_KEEPER_FACTOR = 4.0
+SEEK_WAIT_S = 1.0
+SEEK_AGAIN_S = 10.0
+
+
+@dataclass(slots=True)
+class _Seeking:
+    """A question to all VMs for one term of a job."""
+
+    term: int
+    asked_at_s: float
+    found_at_s: float | None = None
 
 
 class Takeover:
@@ -33,13 +47,16 @@
         membership: Membership,
         table: JobTable,
         copies: Copies,
+        tell: Tell,
     ) -> None:
         self._context = context
         self._ledger = ledger
         self._membership = membership
         self._table = table
         self._copies = copies
+        self._tell = tell
         self._scan_at_s = 0.0
+        self._seeking: dict[str, _Seeking] = {}
         self._lost_since_s: dict[str, float] = {}
         self._absent_since_s: dict[str, float] = {}
         self._proposed: dict[str, int] = {}
@@ -58,12 +75,27 @@
         if (job.epoch, job.term) != (message.epoch, message.term):
             return
         copy = self._copies.on_handover(sender, message, now_s)
-        if len(copy.payloads) == message.held_count:
+        if copy.handed_over:
             self._propose(job, False, now_s)
 
+    def on_sought(self, message: JobSought) -> JobFound | None:
+        """Answer a VM that would make a job anew, if its holder handed it over to this one."""
+        job = self._table.jobs.get(message.job_id)
+        copy = self._copies.find(job) if job is not None else None
+        if copy is None or copy.term != message.term or not copy.handed_over:
+            return None
+        return JobFound(message.job_id, message.term)
+
+    def on_found(self, message: JobFound, now_s: float) -> None:
+        """Leave a job to the VM that its holder handed it over to."""
+        seeking = self._seeking.get(message.job_id)
+        if seeking is not None and seeking.term == message.term:
+            seeking.found_at_s = now_s
+
     def on_moved(self, job: Job) -> None:
         """Forget what was judged of the former holder."""
         self._lost_since_s.pop(job.job_id, None)
+        self._seeking.pop(job.job_id, None)
 
     def on_tick(self, now_s: float) -> None:
         """Propose to take over what is lost."""
@@ -90,6 +122,20 @@
             return
         since_s = self._lost_since_s.setdefault(job.job_id, now_s)
         if now_s - since_s >= self._restart_delay_s(job, now_s):
+            self._seek_or_restart(job, now_s)
+
+    def _seek_or_restart(self, job: Job, now_s: float) -> None:
+        """Ask every VM for a handed-over job, and make it anew only if none has it.
+
+        A handover's entry may wait for a log that is down, while its receiver has all the output.
+        """
+        seeking = self._seeking.get(job.job_id)
+        known = seeking is not None and seeking.term == job.term
+        if seeking is None or not known or now_s >= seeking.asked_at_s + SEEK_AGAIN_S:
+            self._seeking[job.job_id] = _Seeking(job.term, now_s)
+            for peer in self._membership.peers(self._context.identity):
+                self._tell(peer.vm_id, JobSought(job.job_id, job.term))
+        elif seeking.found_at_s is None and now_s >= seeking.asked_at_s + SEEK_WAIT_S:
             self._propose(job, True, now_s)
 
     def _restart_delay_s(self, job: Job, now_s: float) -> float:
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_faults.py
@@ -0,0 +1,186 @@
+"""Jobs under faults at random times in virtual time; one run is one seed."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.events import ReclaimNotice, VmState
+from coriandershelf_rig.internal.bench import Bench
+from coriandershelf_rig.internal.deployments import Deployment, kingston
+from coriandershelf_rig.internal.job_callers import Balancer, JobCallers
+
+FAULTS_S = 60.0
+TAIL_S = 120.0
+JOBS_PER_S = 0.7
+FAULT_EVERY_S = 4.0
+LIST_LAG_S = 1.0
+REPLACED_AFTER_S = 4.0
+
+
+@dataclass(slots=True)
+class JobFaultsResult:
+    """What came of one run.
+
+    :param cut_off: accepted jobs that did not end, or whose output was not whole.
+    :param restarted: jobs whose output was lost after their caller had read some.
+    """
+
+    jobs: int = 0
+    cut_off: int = 0
+    twisted: int = 0
+    restarted: int = 0
+    faults: Counter[str] = field(default_factory=Counter)
+    counters: dict[str, int] = field(default_factory=dict)
+
+
+class JobFaults:
+    """A load of jobs and a schedule of faults.
+
+    :param kinds: faults to choose from; see ``FAULTS``.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        kinds: tuple[str, ...],
+        disabled: frozenset[str] = frozenset(),
+        deployment: Deployment | None = None,
+    ) -> None:
+        self.bench = Bench(deployment or kingston(), seed, disabled=disabled)
+        self.rng = random.Random(seed)
+        self.result = JobFaultsResult()
+        self._kinds = kinds
+        self._cuts: set[tuple[str, str]] = set()
+        self.bench.cut = lambda source, target: (source, target) in self._cuts
+        self.bench.run(1.0)
+        balancer = Balancer(self.bench, 1.0)
+        balancer.watch()
+        self.callers = JobCallers(self.bench, balancer.choose)
+
+    def run(self) -> JobFaultsResult:
+        """Run the schedule, let everything heal, and judge."""
+        self._plan(JOBS_PER_S, self._post)
+        self._plan(1 / FAULT_EVERY_S, self._inject)
+        self.bench.run(FAULTS_S + TAIL_S)
+        result = self.result
+        accepted = [job for job in self.callers.jobs if job.accepted]
+        result.jobs = len(accepted)
+        result.cut_off = sum(not job.whole for job in accepted)
+        result.twisted = sum(job.twisted for job in accepted)
+        result.restarted = sum(job.restarted for job in accepted)
+        result.counters = dict(self.bench.counters)
+        return result
+
+    def _plan(self, rate_per_s: float, call: Callable[[], None]) -> None:
+        at_s = self.rng.expovariate(rate_per_s)
+        while at_s < FAULTS_S:
+            self.bench.at(at_s, call)
+            at_s += self.rng.expovariate(rate_per_s)
+
+    def _post(self) -> None:
+        customer = self.rng.choice(self.bench.deployment.customers).name
+        self.callers.post(customer, self.rng.randint(50, 1200))
+
+    def _inject(self) -> None:
+        kind = self.rng.choice(self._kinds)
+        self.result.faults[kind] += 1
+        FAULTS[kind](self)
+
+    def choose_entry(self) -> str:
+        """Return an entry VM that runs."""
+        alive = [
+            vm_id
+            for vm_id, entry in self.bench.entries.items()
+            if entry.alive and not entry.paused and self.bench.vms[vm_id].state is VmState.LIVE
+        ]
+        return self.rng.choice(alive)
+
+    def kill(self) -> None:
+        """Let an entry VM die without a word; another takes its name later."""
+        self._replace(self.choose_entry())
+
+    def reclaim(self) -> None:
+        """Announce an entry VM's end, then take it."""
+        vm_id = self.choose_entry()
+        notice_s = self.rng.uniform(1.0, 6.0)
+        self.bench.set_vm_state(vm_id, VmState.LEAVING)
+        for observer in self.bench.entries:
+            self.bench.feed(observer, ReclaimNotice(vm_id, self.bench.now_s + notice_s))
+        self.bench.at(notice_s, lambda: self._replace(vm_id))
+
+    def pause(self) -> None:
+        """Freeze an entry VM for a while."""
+        vm_id = self.choose_entry()
+        entry = self.bench.entries[vm_id]
+        self.bench.pause_entry(vm_id)
+
+        def wake() -> None:
+            if entry.alive:
+                self.bench.resume_entry(vm_id)
+
+        self.bench.at(self.rng.uniform(1.0, 15.0), wake)
+
+    def cut_one_way(self) -> None:
+        """Cut one entry VM's messages to another, or to the log."""
+        source = self.choose_entry()
+        target = self.rng.choice([*self.bench.entries, "log"])
+        self._cut_for({(source, target)}, self.rng.uniform(1.0, 12.0))
+
+    def cut_zone(self) -> None:
+        """Cut one zone's entry VMs off from the others, and at times from the log."""
+        zone = self.rng.choice(self.bench.deployment.zones)
+        zone_of = {vm_id: entry.zone for vm_id, entry in self.bench.entries.items()}
+        cuts = {(one, two) for one in zone_of for two in zone_of if self._splits(zone, one, two)}
+        if self.rng.random() < 0.5:
+            cuts |= {(vm_id, "log") for vm_id, name in zone_of.items() if name == zone}
+        self._cut_for(cuts, self.rng.uniform(2.0, 12.0))
+
+    def log_outage(self) -> None:
+        """Let the log be down for a while."""
+        self.bench.log.down = True
+        self.bench.at(self.rng.uniform(2.0, 15.0), lambda: setattr(self.bench.log, "down", False))
+
+    def lose_answers(self) -> None:
+        """Let the log lose answers for a while."""
+        self.bench.log.lost_answer_share = 0.4
+        self.bench.at(10.0, lambda: setattr(self.bench.log, "lost_answer_share", 0.0))
+
+    def kill_upstream(self) -> None:
+        """Let a replica die; it starts again later."""
+        alive = [name for name, upstream in self.bench.upstreams.items() if upstream.alive]
+        replica_id = self.rng.choice(alive)
+        self.bench.kill_upstream(replica_id)
+        self.bench.at(REPLACED_AFTER_S, lambda: self.bench.restart_upstream(replica_id))
+
+    def _splits(self, zone: str, one: str, two: str) -> bool:
+        entries = self.bench.entries
+        return (entries[one].zone == zone) != (entries[two].zone == zone)
+
+    def _cut_for(self, cuts: set[tuple[str, str]], duration_s: float) -> None:
+        self._cuts |= cuts
+        self.bench.at(duration_s, lambda: self._cuts.difference_update(cuts))
+
+    def _replace(self, vm_id: str) -> None:
+        entry = self.bench.entries[vm_id]
+        self.bench.kill_entry(vm_id)
+        self.bench.at(LIST_LAG_S, lambda: self.bench.set_vm_state(vm_id, VmState.GONE))
+        self.bench.at(REPLACED_AFTER_S, lambda: self._start_again(vm_id, entry.zone))
+
+    def _start_again(self, vm_id: str, zone: str) -> None:
+        if not self.bench.entries[vm_id].alive:
+            self.bench.start_entry(vm_id, zone)
+
+
+FAULTS: dict[str, Callable[[JobFaults], None]] = {
+    "kill": JobFaults.kill,
+    "reclaim": JobFaults.reclaim,
+    "pause": JobFaults.pause,
+    "cut": JobFaults.cut_one_way,
+    "cut-zone": JobFaults.cut_zone,
+    "log-outage": JobFaults.log_outage,
+    "lost-answers": JobFaults.lose_answers,
+    "kill-upstream": JobFaults.kill_upstream,
+}
