--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -8,7 +8,7 @@
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
 from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import is_repeatable, make_work
+from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import (
@@ -16,6 +16,8 @@
     AppendFailed,
     AttemptFailed,
     AttemptOpened,
+    AttemptPaused,
+    AttemptResumed,
     CallerGone,
     Event,
     JobRead,
@@ -30,28 +32,33 @@
     Tick,
     TokensArrived,
     VmListRead,
-    VmRole,
     VmState,
 )
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, Message
+from coriandershelf_core.internal.messages import (
+    ConfigurationQuery,
+    ConfigurationReply,
+    Heartbeat,
+    Message,
+)
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
+    CONFIGURATION_STREAM,
     Claim,
     ClaimFinished,
     ClaimReleased,
-    ConfigurationProposed,
+    ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
     JobMoved,
     JobSnapshot,
 )
-from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
 from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
@@ -79,7 +86,9 @@
         self.context = Context(identity, settings, rng, disabled)
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
-        self.configuration = Configuration(parse)
+        self.configuration = Configuration(
+            self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
+        )
         self.serving = Serving(self.context, self._deliver, self._finish)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
         self.jobs = Jobs(
@@ -123,6 +132,10 @@
                 self.serving.on_opened(event, now_s)
             case StreamEnded():
                 self.serving.on_stream_ended(event, now_s)
+            case AttemptPaused(attempt_id):
+                self.serving.on_paused(attempt_id, True, now_s)
+            case AttemptResumed(attempt_id):
+                self.serving.on_paused(attempt_id, False, now_s)
             case PlainAnswered():
                 self.serving.on_plain_answered(event, now_s)
             case AttemptFailed():
@@ -139,6 +152,7 @@
                 self._on_peer_message(sender, message, now_s)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
+                self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id, at_s):
                 self._on_notice(vm_id, at_s, now_s)
@@ -156,28 +170,25 @@
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
-        refusal = admit(
-            request,
-            inventory,
-            self.serving.queue,
-            self.context.settings,
-            refuses(self.context, request, inventory.rules, now_s),
-            now_s,
-        )
+        stopping = refuses(self.context, request, inventory.rules, now_s)
+        refusal = admit(request, inventory, stopping, now_s)
         if refusal is not None:
             self.context.finish(request.request_id, refusal, now_s)
             return
-        if request.kind is RequestKind.JOB:
-            work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
-            self.jobs.request(work, now_s)
-        elif is_repeatable(request, inventory):
-            work = make_work(request, customer, inventory, WorkOwner.CALLER, now_s)
-            self.serving.enqueue(work, now_s)
-        elif request.idempotency_key is None:
+        owner = owner_of(request, inventory)
+        if owner is WorkOwner.CLAIM and request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
+            return
+        work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
+        refusal = self.serving.refusal_of(work, now_s)
+        if refusal is not None:
+            self.context.finish(request.request_id, refusal, now_s)
+        elif owner is WorkOwner.JOB:
+            self.jobs.request(work, now_s)
+        elif owner is WorkOwner.CALLER:
+            self.serving.enqueue(work, now_s)
         else:
-            work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
             self.claims.request(work, now_s)
 
     def _on_caller_gone(self, request_id: str) -> None:
@@ -194,6 +205,9 @@
         self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        if event.stream == CONFIGURATION_STREAM:
+            self.configuration.on_log_read(event, now_s)
+            return
         for record in event.records:
             if self.ledger.is_first(event.stream, record):
                 for entry in record.entries:
@@ -215,13 +229,9 @@
                 self.jobs.on_finished(entry)
             case JobSnapshot():
                 self.jobs.on_snapshot(entry, now_s)
-            case ConfigurationProposed():
-                self._on_proposal(entry, now_s)
 
-    def _on_proposal(self, proposal: ConfigurationProposed, now_s: float) -> None:
-        inventory = self.configuration.apply(proposal)
-        if inventory is not None:
-            self._adopt(inventory, now_s)
+    def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
+        self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
         self.context.inventory = inventory
@@ -248,8 +258,30 @@
             # A notice that has run out was meant for an earlier VM of the same name.
             begin_stop(self.context, at_s, False, now_s)
 
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
+
+    def _entry_vm_ids(self) -> tuple[str, ...]:
+        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
+        return tuple(sorted([*peers, self.context.identity.vm_id]))
+
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
         self.jobs.on_message(sender, message, now_s)
+        match message:
+            case ConfigurationQuery():
+                self._answer_configuration(sender, message)
+            case ConfigurationReply():
+                self.configuration.on_reply(message, now_s)
+            case Heartbeat():
+                self.configuration.on_peer_version(sender, message.version, now_s)
+            case _:
+                pass
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
@@ -264,6 +296,7 @@
         self.claims.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.configuration.on_tick(now_s)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
@@ -279,8 +312,11 @@
             self.context.stopping,
         )
         for peer in self.membership.peers(identity):
-            if peer.role is VmRole.ENTRY and peer.zone == identity.zone:
+            if peer.zone == identity.zone:
                 self._tell(peer.vm_id, heartbeat)
+        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
+        if far:
+            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -15,6 +15,7 @@
 from coriandershelf_rig.internal.demo import run_demo
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, inventory_yaml, rules_yaml
 from coriandershelf_rig.internal.engine_model import EngineShape
+from coriandershelf_rig.internal.faults import FAULTS, plan_windows, run_faults
 from coriandershelf_rig.internal.load import Mix, run_load
 from coriandershelf_rig.internal.registry import find_modules
 from coriandershelf_rig.internal.standin_engine import serve_engine
@@ -101,6 +102,26 @@
     click.echo(found[name].run(seed))
 
 
+@main.command()
+@seed_option
+@click.option("--alone/--no-alone", default=True, help="One window for each fault.")
+@click.option("--pairs/--no-pairs", default=True, help="One window for each pair of faults.")
+@click.option("--only", default="", help="Faults to inject, comma-separated; default: all.")
+@click.option("--disable", default="", help="Mechanisms to take out, comma-separated.")
+@click.option("--json", "as_json", is_flag=True, help="Print only the JSON line.")
+def faults(seed: int, alone: bool, pairs: bool, only: str, disable: str, as_json: bool) -> None:
+    """Kill, freeze, cut and silence real processes under load; the stand-ins judge."""
+    names = list(filter(None, only.split(","))) or list(FAULTS)
+    unknown = [name for name in names if name not in FAULTS]
+    if unknown:
+        raise click.BadParameter(f"choose from {', '.join(FAULTS)}", param_hint="--only")
+    windows = plan_windows(names, alone, pairs)
+    note = (lambda line: None) if as_json else click.echo
+    report = asyncio.run(run_faults(seed, windows, disable=disable, note=note))
+    click.echo(json.dumps(report.to_document()))
+    sys.exit(EXIT_BROKEN if report.violations else 0)
+
+
 @main.command()
 @click.argument("folder", type=click.Path(file_okay=False))
 def examples(folder: str) -> None:
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/faults.py
@@ -0,0 +1,311 @@
+"""Faults on real processes while load runs, each alone and in pairs; the stand-ins judge."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from coriandershelf_rig.internal.cluster import Cluster
+from coriandershelf_rig.internal.demo import booking_identity, executions
+from coriandershelf_rig.internal.deployments import Deployment, inventory_yaml, kingston
+from coriandershelf_rig.internal.fault_callers import FaultCallers, Told
+from coriandershelf_rig.internal.processes import free_ports
+from coriandershelf_rig.internal.relay import Relay
+
+WINDOW_S = 7.0
+HEAL_S = 3.0
+RATE_PER_S = 6.0
+FAULT_S = 5.0
+LIST_LAG_S = 1.0
+REPLACED_AFTER_S = 2.0
+STOP_LIMIT_S = 60.0
+NOTICE_S = 3.0
+KINDS = ("stream", "book", "job")
+WEIGHTS = (0.5, 0.4, 0.1)
+
+
+@dataclass(slots=True)
+class FaultsReport:
+    """What came of a run.
+
+    :param violations: each broken promise in words.
+    """
+
+    seed: int
+    windows: list[str] = field(default_factory=list)
+    bookings: Counter[str] = field(default_factory=Counter)
+    streams: Counter[str] = field(default_factory=Counter)
+    jobs: Counter[str] = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the report for JSON."""
+        return {
+            "seed": self.seed,
+            "windows": len(self.windows),
+            "faults": self.windows,
+            "bookings": dict(self.bookings),
+            "streams": dict(self.streams),
+            "jobs": dict(self.jobs),
+            "violations": self.violations,
+        }
+
+
+def small(deployment: Deployment) -> Deployment:
+    """Return a deployment with one entry VM and one replica of each kind a zone."""
+    seen: set[tuple[str, str]] = set()
+    replicas = []
+    for shape in deployment.replicas:
+        if (shape.service, shape.zone) not in seen:
+            seen.add((shape.service, shape.zone))
+            replicas.append(shape)
+    entries = deployment.entries[: len(deployment.zones)]
+    return replace(deployment, entries=entries, replicas=tuple(replicas))
+
+
+class FaultDriver:
+    """Injects faults into a cluster whose entry VMs reach upstreams and platform by relays."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.cluster = Cluster(deployment, seed)
+        self._rng = random.Random(seed)
+        self._upstream_relays: dict[str, Relay] = {}
+        self._platform_relays: dict[str, Relay] = {}
+        self._addresses: dict[str, str] = {}
+        self._models = [item.replica_id for item in deployment.replicas if item.engine is not None]
+        self._zone_of = dict(deployment.entries)
+        self._busy: set[str] = set()
+
+    async def start(self) -> None:
+        """Start the relays; the cluster is started afterwards."""
+        cluster = self.cluster
+        replica_ids = [shape.replica_id for shape in cluster.deployment.replicas]
+        ports = iter(free_ports(len(replica_ids) + len(self._zone_of)))
+        for replica_id in replica_ids:
+            relay = self._upstream_relays[replica_id] = Relay(cluster.addresses[replica_id])
+            self._addresses[replica_id] = f"127.0.0.1:{next(ports)}"
+            await relay.start(self._addresses[replica_id])
+        for vm_id in self._zone_of:
+            relay = self._platform_relays[vm_id] = Relay(cluster.addresses["platform"])
+            cluster.platform_relays[vm_id] = f"127.0.0.1:{next(ports)}"
+            await relay.start(cluster.platform_relays[vm_id])
+        cluster.inventory_text = inventory_yaml(cluster.deployment, self._addresses)
+
+    async def stop(self) -> None:
+        """Close every relay."""
+        for relay in [*self._upstream_relays.values(), *self._platform_relays.values()]:
+            await relay.stop()
+
+    async def kill_entry(self) -> None:
+        """Kill an entry VM's process; another takes its name."""
+        async with self._victim() as vm_id:
+            self.cluster.processes.signal(vm_id, signal.SIGKILL)
+            await self._replace_entry(vm_id)
+
+    async def stop_entry(self) -> None:
+        """Stop an entry VM by SIGTERM, wait for its end, and start another."""
+        async with self._victim() as vm_id:
+            self.cluster.processes.signal(vm_id, signal.SIGTERM)
+            await self._await_end(vm_id, STOP_LIMIT_S)
+            await self._replace_entry(vm_id)
+
+    async def reclaim_entry(self) -> None:
+        """Announce an entry VM's end seconds before its process is killed."""
+        async with self._victim() as vm_id:
+            await self.cluster.announce_reclaim(vm_id, NOTICE_S)
+            await self._await_end(vm_id, NOTICE_S)
+            self.cluster.processes.signal(vm_id, signal.SIGKILL)
+            await self._replace_entry(vm_id)
+
+    async def pause_entry(self) -> None:
+        """Freeze an entry VM for longer than others wait for it."""
+        async with self._victim() as vm_id:
+            self.cluster.processes.signal(vm_id, signal.SIGSTOP)
+            await asyncio.sleep(FAULT_S + 1.0)
+            self.cluster.processes.signal(vm_id, signal.SIGCONT)
+
+    async def cut_platform(self) -> None:
+        """Cut an entry VM off from log and VM list."""
+        relay = self._platform_relays[self._rng.choice(sorted(self._zone_of))]
+        await relay.cut()
+        await asyncio.sleep(FAULT_S)
+        relay.heal()
+
+    async def silence_platform(self) -> None:
+        """Let an entry VM's open connections to log and VM list go silent for good."""
+        self._platform_relays[self._rng.choice(sorted(self._zone_of))].silence()
+
+    async def kill_upstream(self) -> None:
+        """Kill a model engine; it starts again."""
+        async with self._victim(self._models) as replica_id:
+            self.cluster.processes.signal(replica_id, signal.SIGKILL)
+            await asyncio.sleep(REPLACED_AFTER_S)
+            self.cluster.start_upstream(replica_id)
+
+    async def cut_upstream(self) -> None:
+        """Cut every connection to an upstream, and refuse new ones for a while."""
+        relay = self._upstream_relays[self._rng.choice(sorted(self._upstream_relays))]
+        await relay.cut()
+        await asyncio.sleep(FAULT_S / 2)
+        relay.heal()
+
+    async def silence_upstream(self) -> None:
+        """Let the open connections to an upstream go silent for good."""
+        self._upstream_relays[self._rng.choice(sorted(self._upstream_relays))].silence()
+
+    async def log_outage(self) -> None:
+        """Let the platform's log be down for a while."""
+        await self._set_fault("log_down", True)
+        await asyncio.sleep(FAULT_S)
+        await self._set_fault("log_down", False)
+
+    async def lose_answers(self) -> None:
+        """Let answers to appends be lost for a while."""
+        await self._set_fault("lost_answer_share", 0.5)
+        await asyncio.sleep(FAULT_S)
+        await self._set_fault("lost_answer_share", 0.0)
+
+    def _victim(self, names: Sequence[str] | None = None) -> _Victim:
+        return _Victim(self._busy, self._rng, names or sorted(self._zone_of))
+
+    async def _set_fault(self, name: str, value: object) -> None:
+        await self.cluster.post(self.cluster.platform_url("faults"), {name: value})
+
+    async def _await_end(self, vm_id: str, limit_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + limit_s
+        while self.cluster.processes.running(vm_id) and loop.time() < until_s:
+            await asyncio.sleep(0.05)
+
+    async def _replace_entry(self, vm_id: str) -> None:
+        url = self.cluster.platform_url("vms")
+        await self.cluster.post(url, {"id": vm_id, "state": "gone"})
+        await asyncio.sleep(REPLACED_AFTER_S)
+        await self.cluster.start_entry(vm_id, self._zone_of[vm_id])
+
+
+class _Victim:
+    """Takes a name that no other fault works on, for as long as the block runs."""
+
+    def __init__(self, busy: set[str], rng: random.Random, names: Sequence[str]) -> None:
+        self._busy = busy
+        free = [name for name in names if name not in busy]
+        self._name = rng.choice(free or list(names))
+
+    async def __aenter__(self) -> str:
+        self._busy.add(self._name)
+        return self._name
+
+    async def __aexit__(self, *details: object) -> None:
+        self._busy.discard(self._name)
+
+
+Inject = Callable[[FaultDriver], Awaitable[None]]
+FAULTS: dict[str, Inject] = {
+    "kill-entry": FaultDriver.kill_entry,
+    "stop-entry": FaultDriver.stop_entry,
+    "reclaim-entry": FaultDriver.reclaim_entry,
+    "pause-entry": FaultDriver.pause_entry,
+    "cut-platform": FaultDriver.cut_platform,
+    "silence-platform": FaultDriver.silence_platform,
+    "kill-upstream": FaultDriver.kill_upstream,
+    "cut-upstream": FaultDriver.cut_upstream,
+    "silence-upstream": FaultDriver.silence_upstream,
+    "log-outage": FaultDriver.log_outage,
+    "lost-answers": FaultDriver.lose_answers,
+}
+
+
+def plan_windows(names: Sequence[str], alone: bool, pairs: bool) -> list[tuple[str, ...]]:
+    """Return the faults of each window, in order."""
+    windows: list[tuple[str, ...]] = [(name,) for name in names] if alone else []
+    if pairs:
+        windows += itertools.combinations_with_replacement(names, 2)
+    return windows
+
+
+async def _run_window(driver: FaultDriver, window: tuple[str, ...], rng: random.Random) -> None:
+    async def inject(name: str) -> None:
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+        await FAULTS[name](driver)
+
+    faults = [asyncio.create_task(inject(name)) for name in window]
+    await asyncio.sleep(WINDOW_S)
+    await asyncio.gather(*faults)
+    await asyncio.sleep(HEAL_S)
+
+
+async def _send_load(callers: FaultCallers, rng: random.Random, ended: asyncio.Event) -> None:
+    sends = {"stream": callers.stream, "book": callers.book, "job": callers.job}
+    tasks = []
+    while not ended.is_set():
+        await asyncio.sleep(rng.expovariate(RATE_PER_S))
+        kind = rng.choices(KINDS, WEIGHTS)[0]
+        tasks.append(asyncio.create_task(sends[kind]()))
+    await asyncio.gather(*tasks)
+
+
+def judge(told: Told, counts: dict[str, int], report: FaultsReport) -> None:
+    """Hold what callers were told against what the plain services counted."""
+    for booking in told.bookings:
+        count = counts.get(booking_identity(booking.path, booking.body), 0)
+        report.bookings[booking.told or "no-answer"] += 1
+        if count > 1:
+            report.violations.append(f"{booking.body} ran {count} times")
+        if booking.told == "done" and count == 0:
+            report.violations.append(f"{booking.body} was told done, but never ran")
+        if booking.tries == 1 and booking.told == "not-run" and count:
+            report.violations.append(f"{booking.body} was told not run, but ran")
+    report.streams, report.jobs = told.streams, told.jobs
+    report.violations += told.wrong
+
+
+async def run_faults(
+    seed: int,
+    windows: Sequence[tuple[str, ...]],
+    deployment: Deployment | None = None,
+    disable: str = "",
+    note: Callable[[str], None] = lambda line: None,
+) -> FaultsReport:
+    """Run the windows one after another under load and judge at the end.
+
+    :param disable: mechanisms taken out of every entry VM, comma-separated.
+    """
+    driver = FaultDriver(deployment or small(kingston()), seed)
+    driver.cluster.entry_flags = ["--disabled", disable] if disable else []
+    report = FaultsReport(seed)
+    rng = random.Random(seed)
+    await driver.start()
+    try:
+        async with driver.cluster as cluster:
+            callers = FaultCallers(cluster.description(), seed)
+            ended = asyncio.Event()
+            load = asyncio.create_task(_send_load(callers, rng, ended))
+            for window in windows:
+                report.windows.append("+".join(window))
+                await _run_window(driver, window, rng)
+                note(f"{report.windows[-1]}: wrong so far {len(callers.told.wrong)}")
+            ended.set()
+            await load
+            judge(callers.told, await executions(cluster), report)
+            report.violations += _broken_invariants(cluster)
+            callers.close()
+    finally:
+        await driver.stop()
+    return report
+
+
+def _broken_invariants(cluster: Cluster) -> list[str]:
+    """Return what entry VMs logged when an invariant stopped them."""
+    found = []
+    for path in sorted(cluster.log_folder.glob("*.log")):
+        for line in path.read_text().splitlines():
+            if "invariant broken" in line or "task failed" in line:
+                found.append(f"{path.name}: {line[:400]}")
+    return found
