--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -382,6 +382,7 @@
             self._cut_rest(now_s)
         parts = (self.claims, self.tickets, self.jobs, self.ledger)
         idle = all(part.idle for part in parts) and not self.serving.works
+        idle = idle or not self.context.enabled("finish-in-flight")
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -132,6 +132,22 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class JobSought:
+    """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobFound:
+    """Answers a :class:`JobSought`: the sender has the whole output and goes on with it."""
+
+    job_id: str
+    term: int
+
+
 Message = (
     Heartbeat
     | ConfigurationQuery
@@ -143,4 +159,6 @@
     | JobHandover
     | TicketCall
     | TicketResult
+    | JobSought
+    | JobFound
 )
