Eject replicas that stall, move their streams with the KV cache, hedge late first tokens

Cause: with a quarter of the upstreams slowed tenfold, streams stayed where they were. Change: stall = no stream of a replica moved for 1.5 times its longest normal gap; ejection with a floor of half the slots; verdicts told to the other entry VMs; streams moved with their KV cache, one left behind as the probe; hedges inside a budget of 2.5% of work done, which also pays for duplicate tokens; others' load scaled by its usual ratio to own; waits seen now count in the score.

--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
@@ -0,0 +1,113 @@
+"""The live attempts of this VM: started, cancelled and forgotten here only."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.reasons import Counter
+from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
+
+
+def kind_of(work: Work) -> ServiceKind:
+    """Return whether a work runs on a model engine or a plain service."""
+    return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
+
+
+class Attempts:
+    """Every live attempt by id."""
+
+    def __init__(self, context: Context, replicas: ReplicaTable) -> None:
+        self._context = context
+        self._replicas = replicas
+        self._sequence = 0
+        self.live: dict[str, Attempt] = {}
+
+    def start(
+        self,
+        work: Work,
+        state: ReplicaState,
+        purpose: AttemptPurpose,
+        now_s: float,
+        kv_source: str = "",
+    ) -> Attempt:
+        """Send a work to a replica; a stream goes on behind what was delivered.
+
+        :param kv_source: address of the replica whose KV cache is to be imported, or empty.
+        """
+        assert state.usable, f"new work for {state.replica.replica_id}, which is leaving"
+        assert work.repeatable or not work.attempt_count, f"{work.work_id} would run twice"
+        replica = state.replica
+        attempt = Attempt(self._next_id(), work, replica.replica_id, now_s, purpose=purpose)
+        self.live[attempt.attempt_id] = attempt
+        state.in_flight.add(attempt.attempt_id)
+        state.waiting[attempt.attempt_id] = now_s
+        work.live_attempts.append(attempt.attempt_id)
+        work.tried_replicas.append(replica.replica_id)
+        work.attempt_count += 1
+        step = "dispatched" if purpose is AttemptPurpose.FIRST else purpose.value
+        self._context.trace(work.work_id, now_s, step, replica.replica_id)
+        self._context.emit(
+            StartAttempt(
+                attempt_id=attempt.attempt_id,
+                request_id=work.work_id,
+                kind=kind_of(work),
+                replica_id=replica.replica_id,
+                address=replica.address,
+                path=work.request.path,
+                body=work.request.body,
+                deadline_s=work.request.deadline_s,
+                priority=work.priority,
+                resume_payloads=tuple(work.payloads),
+                fresh_connection=purpose is AttemptPurpose.RECONNECT,
+                kv_source=kv_source,
+            )
+        )
+        return attempt
+
+    def serving_count(self, work: Work) -> int:
+        """Return the live attempts of a work that are not only probes."""
+        purposes = [self.live[attempt_id].purpose for attempt_id in work.live_attempts]
+        return sum(purpose is not AttemptPurpose.PROBE for purpose in purposes)
+
+    def at(self, state: ReplicaState) -> list[Attempt]:
+        """Return the live attempts at a replica."""
+        return [self.live[attempt_id] for attempt_id in sorted(state.in_flight)]
+
+    def forget(self, attempt: Attempt) -> None:
+        """Drop an attempt that ended."""
+        del self.live[attempt.attempt_id]
+        attempt.work.live_attempts.remove(attempt.attempt_id)
+        state = self._replicas.get(attempt.replica_id)
+        if state is not None:
+            state.in_flight.discard(attempt.attempt_id)
+            state.waiting.pop(attempt.attempt_id, None)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Close an attempt's connection and forget it."""
+        self.forget(attempt)
+        self._context.emit(CancelAttempt(attempt.attempt_id))
+
+    def announce_cancel(self, attempt: Attempt) -> None:
+        """Close the connection of an attempt that is about to be forgotten."""
+        self._context.emit(CancelAttempt(attempt.attempt_id))
+
+    def cancel_all(self, work: Work) -> None:
+        """Cancel every live attempt of a work."""
+        for attempt_id in list(work.live_attempts):
+            self.cancel(self.live[attempt_id])
+
+    def cancel_losers(self, winner: Attempt, now_s: float) -> None:
+        """Cancel the other attempts of a work after one has won, but for probes."""
+        for attempt_id in list(winner.work.live_attempts):
+            loser = self.live[attempt_id]
+            if loser is not winner and loser.purpose is not AttemptPurpose.PROBE:
+                self.cancel(loser)
+                self._context.count(Counter.ATTEMPTS_LOST)
+                self._context.trace(winner.work.work_id, now_s, "cancelled", loser.replica_id)
+
+    def _next_id(self) -> str:
+        self._sequence += 1
+        identity = self._context.identity
+        return f"{identity.vm_id}-{identity.incarnation}-{self._sequence}"
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
@@ -9,6 +9,8 @@
 FIRST_TOKEN_WEIGHT = 0.2
 PEAK_DECAY_S = 30.0
 PEAK_GROWTH_MAX = 1.1
+PREFILL_SAMPLE_TOKENS = 64
+PREFILL_GROWTH_MAX = 1.5
 DEFAULT_GAP_S = 0.02
 DEFAULT_PEAK_GAP_S = 0.08
 DEFAULT_PREFILL_S_PER_TOKEN = 0.0001
@@ -26,6 +28,7 @@
     :param probe_at_s: when an ejected replica is next offered a probe.
     :param eject_count: ejections and failed probes in a row, for backoff.
     :param probe_id: the attempt that probes an ejected replica, or empty.
+    :param probe_passed_count: tokens in a row that the probe got in time.
     """
 
     gap_s: float = 0.0
@@ -38,6 +41,7 @@
     probe_at_s: float = 0.0
     eject_count: int = 0
     probe_id: str = ""
+    probe_passed_count: int = 0
 
     def on_gap(self, gap_s: float, now_s: float) -> None:
         """Learn from the time between two tokens.
@@ -59,11 +63,12 @@
     def on_first_token(self, waited_s: float, prompt_tokens: int, now_s: float) -> None:
         """Learn from the wait for a first token."""
         self.progress_at_s = max(self.progress_at_s, now_s)
-        if self.ejected or prompt_tokens <= 0:
+        if self.ejected or prompt_tokens < PREFILL_SAMPLE_TOKENS:
             return
         sample = max(0.0, waited_s - self.expected_gap_s) / prompt_tokens
-        known = self.prefill_s_per_token
-        self.prefill_s_per_token = _mix(known, sample, FIRST_TOKEN_WEIGHT) if known else sample
+        known = self.prefill_s_per_token or DEFAULT_PREFILL_S_PER_TOKEN
+        sample = min(sample, PREFILL_GROWTH_MAX * known)
+        self.prefill_s_per_token = _mix(known, sample, FIRST_TOKEN_WEIGHT)
 
     @property
     def expected_gap_s(self) -> float:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -37,7 +37,13 @@
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, JobQuery, JobReply, Message
+from coriandershelf_core.internal.messages import (
+    Heartbeat,
+    JobQuery,
+    JobReply,
+    Message,
+    ReplicaVerdict,
+)
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
@@ -77,7 +83,7 @@
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
         self.configuration = Configuration(parse)
-        self.serving = Serving(self.context, self._deliver, self._finish)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
         self.jobs = Jobs(self.context, self.ledger, self.serving.enqueue, self._ask_peer)
         self._heartbeat_at_s = 0.0
@@ -230,9 +236,16 @@
                 self._tell(sender, self.jobs.answer_query(message))
             case JobReply():
                 self.jobs.on_reply(message, now_s)
+            case ReplicaVerdict(replica_id, in_order):
+                self.serving.stalls.on_verdict(replica_id, in_order, now_s)
             case Heartbeat():
                 pass
 
+    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
+        """Tell every entry VM of a replica that stalls or is in order again."""
+        for peer in self.membership.peers(self.context.identity):
+            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+
     def _ask_peer(self, vm_id: str, query: JobQuery) -> bool:
         return self._tell(vm_id, query)
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -51,4 +51,12 @@
     payloads: tuple[bytes, ...]
 
 
-Message = Heartbeat | JobQuery | JobReply | JobHandover
+@dataclass(frozen=True, slots=True)
+class ReplicaVerdict:
+    """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
+
+    replica_id: str
+    in_order: bool
+
+
+Message = Heartbeat | JobQuery | JobReply | JobHandover | ReplicaVerdict
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
@@ -39,7 +39,7 @@
     """
     if sent and not work.repeatable:
         return Unknown(RefusalReason.OUTCOME_LOST, retry_after_s=5.0)
-    spent = work.attempt_count >= settings.attempts_max_count
+    spent = work.failure_count >= settings.attempts_max_count
     late = now_s >= work.request.deadline_s
     if spent or late:
         reason = RefusalReason.DEADLINE if late else RefusalReason.RETRIES_EXHAUSTED
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -12,6 +12,7 @@
 
 HISTORY_SAMPLES_COUNT = 64
 REPORT_AGE_SCALE_S = 2.0
+RATIO_WEIGHT = 0.2
 
 
 @dataclass(slots=True)
@@ -21,6 +22,8 @@
     :param in_flight: attempt ids of this VM that run there.
     :param history: samples of ``in_flight``'s size, to tell own work apart in late reports.
     :param others_count: requests of other entry VMs there, by the last report.
+    :param others_ratio: moving mean of others' requests for each own one.
+    :param waiting: start times of own attempts that wait for a first token, by attempt id.
     """
 
     replica: Replica
@@ -31,6 +34,8 @@
     reported_waiting_count: int = 0
     reported_at_s: float = 0.0
     others_count: float = 0.0
+    others_ratio: float = 1.0
+    waiting: dict[str, float] = field(default_factory=dict)
     history: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=HISTORY_SAMPLES_COUNT)
     )
@@ -52,18 +57,29 @@
         self.reported_running_count = running_count
         self.reported_waiting_count = waiting_count
         self.reported_at_s = reported_at_s
-        self.others_count = max(0.0, running_count + waiting_count - self._own_at(reported_at_s))
+        own_count = self._own_at(reported_at_s)
+        self.others_count = max(0.0, running_count + waiting_count - own_count)
+        if own_count:
+            ratio = self.others_count / own_count
+            self.others_ratio += RATIO_WEIGHT * (ratio - self.others_ratio)
 
     def load(self, now_s: float) -> float:
         """Return the expected requests per slot: own ones, and others' corrected for age.
 
-        An old report says little, so others' share fades towards what this VM itself has there.
+        An old report says little, so others' part fades towards its usual ratio to own requests.
         """
         own_count = len(self.in_flight)
         trust = math.exp(-max(0.0, now_s - self.reported_at_s) / REPORT_AGE_SCALE_S)
-        others_count = trust * self.others_count + (1.0 - trust) * own_count
+        others_count = trust * self.others_count + (1.0 - trust) * self.others_ratio * own_count
         return (own_count + others_count) / self.replica.slots
 
+    def oldest_wait_s(self, now_s: float) -> float:
+        """Return for how long the oldest own attempt has waited for its first token.
+
+        It shows at once that the batch is full, whoever filled it.
+        """
+        return now_s - next(iter(self.waiting.values())) if self.waiting else 0.0
+
     def _own_at(self, at_s: float) -> int:
         for sampled_at_s, count in reversed(self.history):
             if sampled_at_s <= at_s:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
@@ -13,6 +13,8 @@
 BUSY_LOAD = 0.7
 BUSY_PENALTY = 4.0
 FULL_PENALTY_S = 2.0
+WAIT_NORMAL_S = 0.1
+WAIT_FACTOR = 8.0
 SPILL_FACTOR = 1.15
 ZONE_HOP_S = 0.002
 
@@ -34,7 +36,8 @@
     rest_s = work.expected_tokens * state.health.expected_gap_s
     busy = 1.0 + BUSY_PENALTY * max(0.0, load - BUSY_LOAD)
     full_s = FULL_PENALTY_S * max(0.0, load - 1.0)
-    return (first_s + rest_s) * busy + full_s
+    wait_s = max(0.0, state.oldest_wait_s(now_s) - WAIT_NORMAL_S)
+    return (first_s + rest_s) * busy + full_s + WAIT_FACTOR * wait_s
 
 
 class Router:
@@ -50,9 +53,17 @@
         self.affinity = Affinity()
 
     def choose(
-        self, work: Work, candidates: Sequence[ReplicaState], now_s: float
+        self,
+        work: Work,
+        candidates: Sequence[ReplicaState],
+        now_s: float,
+        any_zone: bool = False,
     ) -> ReplicaState | None:
-        """Return the replica for the next attempt, or ``None`` if none has room."""
+        """Return the replica for the next attempt, or ``None`` if none has room.
+
+        :param any_zone: give this zone no preference. Where one of its replicas is ejected, its
+            work would fill the zone's others while those of other zones have room.
+        """
         roomy = [state for state in candidates if relative_load(state) < 1.0]
         fresh = [state for state in roomy if state.replica.replica_id not in work.tried_replicas]
         pool = fresh or roomy
@@ -65,8 +76,8 @@
             return min(pool, key=_reported_load)
         cached = self._cached_tokens(work)
         zone = self._context.identity.zone
-        near = [state for state in pool if state.replica.zone == zone]
-        far = [state for state in pool if state.replica.zone != zone]
+        near = [state for state in pool if state.replica.zone == zone and not any_zone]
+        far = [state for state in pool if state.replica.zone != zone or any_zone]
         sampled = self._sample(near) + self._sample(far)
         sampled += [state for state in pool if state.replica.replica_id in cached]
         sampled += self._home(work, near or pool)
@@ -74,7 +85,7 @@
         def score(state: ReplicaState) -> float:
             held = cached.get(state.replica.replica_id, 0)
             latency_s = expected_latency_s(state, work, held, now_s)
-            if state.replica.zone == zone:
+            if state.replica.zone == zone or any_zone:
                 return latency_s
             return latency_s * SPILL_FACTOR + ZONE_HOP_S
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
+from coriandershelf_core.internal.attempts import Attempts, kind_of
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.eject import Ejector
 from coriandershelf_core.internal.events import (
     AttemptFailed,
     AttemptOpened,
@@ -15,15 +16,15 @@
     StreamEnded,
     TokensArrived,
 )
-from coriandershelf_core.internal.inventory import ServiceKind
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
+from coriandershelf_core.internal.stalls import Stalls, TellVerdict
 from coriandershelf_core.internal.watch import overdue
-from coriandershelf_core.internal.work import Attempt, Work
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
 
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
@@ -34,18 +35,30 @@
 
     :param deliver: called with each run of new payloads.
     :param finish: called once with a work's final outcome.
+    :param tell: tells other entry VMs of a replica that stalls or is in order again.
     """
 
-    def __init__(self, context: Context, deliver: Deliver, finish: Finish) -> None:
+    def __init__(
+        self, context: Context, deliver: Deliver, finish: Finish, tell: TellVerdict
+    ) -> None:
         self._context = context
         self._deliver = deliver
         self._finish = finish
-        self._attempt_sequence = 0
         self.replicas = ReplicaTable()
         self.router = Router(context)
         self.queue = WorkQueue()
         self.works: dict[str, Work] = {}
-        self.attempts: dict[str, Attempt] = {}
+        self.attempts = Attempts(context, self.replicas)
+        self._ejector = Ejector(context, self.replicas)
+        self.stalls = Stalls(
+            context,
+            self.replicas,
+            self.router,
+            self.attempts,
+            self._ejector,
+            tell,
+            lambda: len(self.queue) > 0,
+        )
 
     def enqueue(self, work: Work, now_s: float) -> None:
         """Accept a work and dispatch what can be dispatched."""
@@ -70,18 +83,18 @@
         if work is None:
             return None
         self.queue.remove(work_id)
-        self._cancel_attempts(work)
+        self.attempts.cancel_all(work)
         return work
 
     def on_opened(self, event: AttemptOpened, now_s: float) -> None:
         """Note that an upstream took an attempt."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is not None:
             attempt.opened_at_s = now_s
 
     def on_tokens(self, event: TokensArrived, now_s: float) -> None:
         """Deliver the payloads that are new; drop late, crossed and repeated ones."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is None or event.stream_attempt_id != event.attempt_id:
             self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
             return
@@ -91,9 +104,12 @@
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._learn(attempt, len(event.payloads), now_s)
+        self.stalls.check(now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
-            self._context.count(Counter.TOKENS_DROPPED, min(repeated, len(event.payloads)))
+            dropped = min(repeated, len(event.payloads))
+            self._context.count(Counter.TOKENS_DROPPED, dropped)
+            self.stalls.hedges.charge(dropped)
         if not fresh:
             return
         work.payloads.extend(fresh)
@@ -101,7 +117,7 @@
 
     def on_stream_ended(self, event: StreamEnded, now_s: float) -> None:
         """Finish a work whose answer is whole; a cut answer is a failed attempt."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is None:
             return
         crossed = event.stream_attempt_id != event.attempt_id
@@ -112,13 +128,13 @@
 
     def on_plain_answered(self, event: PlainAnswered, now_s: float) -> None:
         """Finish a call with the plain service's answer."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is not None:
             self._complete(attempt, Done(event.status, event.body), now_s)
 
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
         """Recover from an attempt that ended early."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is not None:
             self._fail(attempt, event.cause, event.sent, now_s)
 
@@ -131,13 +147,19 @@
     def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
         """Take tokens as evidence on their replica."""
         state = self.replicas.get(attempt.replica_id)
-        if state is not None and attempt.last_token_at_s is None:
-            waited_s = now_s - attempt.started_at_s
-            state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
-        elif state is not None and attempt.last_token_at_s is not None:
-            state.health.on_gap((now_s - attempt.last_token_at_s) / count, now_s)
+        last_s = attempt.last_token_at_s
         attempt.last_token_at_s = now_s
         attempt.token_count += count
+        if last_s is None:
+            if state is not None:
+                state.waiting.pop(attempt.attempt_id, None)
+                waited_s = now_s - attempt.started_at_s
+                state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+            self.stalls.on_first_token(attempt, now_s)
+        elif state is not None:
+            gap_s = (now_s - last_s) / count
+            state.health.on_gap(gap_s, now_s)
+            self.stalls.on_token(state, attempt, gap_s, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
@@ -145,11 +167,12 @@
             state.sample(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
-        for attempt in list(self.attempts.values()):
-            kind = self._kind_of(attempt.work)
+        self.stalls.check(now_s)
+        for attempt in list(self.attempts.live.values()):
+            kind = kind_of(attempt.work)
             cause = overdue(attempt, kind, self._context.settings, now_s)
-            if cause is not None and attempt.attempt_id in self.attempts:
-                self._context.emit(CancelAttempt(attempt.attempt_id))
+            if cause is not None and attempt.attempt_id in self.attempts.live:
+                self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
         self.pump(now_s)
 
@@ -158,59 +181,35 @@
             return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
         return NotRun(RefusalReason.DEADLINE, retry_after_s=2.0)
 
-    def _kind_of(self, work: Work) -> ServiceKind:
-        return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
-
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
-        candidates = self.replicas.of_service(work.request.service)
-        return self.router.choose(work, candidates, now_s)
+        pool = self.replicas.of_service(work.request.service)
+        probed = self._ejector.probe_for(work, pool, now_s)
+        if probed is not None:
+            return probed
+        healthy = [state for state in pool if not state.health.ejected]
+        zone = self._context.identity.zone
+        degraded = any(state.health.ejected and state.replica.zone == zone for state in pool)
+        return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
-        assert state.usable, f"new work for {state.replica.replica_id}, which is leaving"
-        assert work.repeatable or not work.attempt_count, f"{work.work_id} would run twice"
-        self._attempt_sequence += 1
-        identity = self._context.identity
-        attempt_id = f"{identity.vm_id}-{identity.incarnation}-{self._attempt_sequence}"
-        replica = state.replica
-        attempt = Attempt(attempt_id, work, replica.replica_id, now_s)
-        self.attempts[attempt_id] = attempt
-        state.in_flight.add(attempt_id)
-        work.live_attempts.append(attempt_id)
-        work.tried_replicas.append(replica.replica_id)
-        work.attempt_count += 1
-        self.router.note(work, replica.replica_id)
-        self._context.trace(work.work_id, now_s, "dispatched", replica.replica_id)
-        self._context.emit(
-            StartAttempt(
-                attempt_id=attempt_id,
-                request_id=work.work_id,
-                kind=self._kind_of(work),
-                replica_id=replica.replica_id,
-                address=replica.address,
-                path=work.request.path,
-                body=work.request.body,
-                deadline_s=work.request.deadline_s,
-                priority=work.priority,
-                resume_payloads=tuple(work.payloads),
-            )
-        )
-
-    def _forget(self, attempt: Attempt) -> None:
-        del self.attempts[attempt.attempt_id]
-        attempt.work.live_attempts.remove(attempt.attempt_id)
-        state = self.replicas.get(attempt.replica_id)
-        if state is not None:
-            state.in_flight.discard(attempt.attempt_id)
-
-    def _cancel_attempts(self, work: Work) -> None:
-        for attempt_id in list(work.live_attempts):
-            self._forget(self.attempts[attempt_id])
-            self._context.emit(CancelAttempt(attempt_id))
+        purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
+        if state.health.ejected:
+            purpose = AttemptPurpose.PROBE
+        attempt = self.attempts.start(work, state, purpose, now_s)
+        self.router.note(work, state.replica.replica_id)
+        if state.health.ejected:
+            self._ejector.on_probe_started(state, attempt)
+
+    def _forget(self, attempt: Attempt, now_s: float) -> None:
+        self.attempts.forget(attempt)
+        self._ejector.on_probe_ended(attempt, now_s)
 
     def _complete(self, attempt: Attempt, outcome: Outcome, now_s: float) -> None:
-        self._forget(attempt)
-        self._cancel_attempts(attempt.work)
-        self._settle(attempt.work, outcome, now_s)
+        work = attempt.work
+        self._forget(attempt, now_s)
+        self.attempts.cancel_all(work)
+        self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
+        self._settle(work, outcome, now_s)
         self.pump(now_s)
 
     def _settle(self, work: Work, outcome: Outcome, now_s: float) -> None:
@@ -219,7 +218,8 @@
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
         work = attempt.work
-        self._forget(attempt)
+        self._forget(attempt, now_s)
+        work.failure_count += 1
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -19,6 +19,21 @@
     first_token_limit_s: float = documented(10.0, "Longest wait for a first token.", 0.01)
     token_gap_limit_s: float = documented(2.0, "Longest silence between two tokens.", 0.01)
     plain_answer_limit_s: float = documented(10.0, "Longest wait for a plain service.", 0.01)
+    stall_factor: float = documented(
+        1.5, "Multiple of a replica's longest normal token gap after which it is stalled.", 1.0
+    )
+    stall_floor_s: float = documented(0.06, "Least silence that counts as a stall.", 0.001)
+    first_token_factor: float = documented(
+        1.5, "Multiple of the expected first-token time after which a hedge may start.", 1.0
+    )
+    own_pause_s: float = documented(
+        0.3, "Time between two checks after which silence is put down to this VM itself.", 0.06
+    )
+    ejected_max_share: float = documented(0.5, "Share of a service's slots ejected at most.", 0.0)
+    probe_after_s: float = documented(0.5, "Wait before an ejected replica is tried.", 0.01)
+    probe_after_max_s: float = documented(8.0, "Longest wait between two tries.", 0.01)
+    hedge_share: float = documented(0.025, "Hedged work as a share of work done.", 0.0)
+    hedge_reserve_tokens: int = documented(2000, "Hedged work held in reserve at most.", 0)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
     queue_max_count: int = documented(2000, "Requests that wait at the most.", 1)
     claim_wait_s: float = documented(2.0, "Longest wait for a claim to be read back.", 0.01)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -23,6 +23,17 @@
     LONG = "long"
 
 
+class AttemptPurpose(Enum):
+    """Why an attempt was started."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    RECONNECT = "reconnect"
+    MOVE = "move"
+    HEDGE = "hedge"
+    PROBE = "probe"
+
+
 @dataclass(slots=True)
 class Work:
     """One request on its way through queue, attempts and answer.
@@ -30,6 +41,8 @@
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
     :param expected_tokens: guess of the tokens still to come.
+    :param failure_count: attempts that failed; moves and hedges do not count.
+    :param move_count: times that a stream was moved off a stalled replica.
     """
 
     request: Request
@@ -43,6 +56,8 @@
     expected_tokens: float = 0.0
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
+    failure_count: int = 0
+    move_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
 
@@ -59,7 +74,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One try of a work at one replica."""
+    """One try of a work at one replica.
+
+    :param watched_from_s: silence before this time is not held against the replica.
+    """
 
     attempt_id: str
     work: Work
@@ -68,3 +86,11 @@
     opened_at_s: float | None = None
     last_token_at_s: float | None = None
     token_count: int = 0
+    purpose: AttemptPurpose = AttemptPurpose.FIRST
+    watched_from_s: float = 0.0
+    hedge_refused: bool = False
+
+    def silent_s(self, now_s: float) -> float:
+        """Return for how long nothing was heard of the attempt."""
+        heard_at_s = self.started_at_s if self.last_token_at_s is None else self.last_token_at_s
+        return now_s - max(heard_at_s, self.watched_from_s)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -431,9 +431,29 @@
         upstream.attempts[action.attempt_id] = vm_id
         if action.kind is ServiceKind.PLAIN:
             self._run_plain(vm_id, upstream, action)
+        elif action.kv_source:
+            self._import_then_run(vm_id, upstream, action)
         else:
             self._run_sequence(vm_id, upstream, action)
 
+    def _import_then_run(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+        """Run a sequence once its KV cache has come; a slowed end slows the transfer as well."""
+        inventory = self.entries[vm_id].core.context.inventory
+        assert inventory is not None and upstream.engine is not None
+        addresses = {item.address: item.replica_id for item in inventory.replicas}
+        source = self.upstreams[addresses[action.kv_source]]
+        tokens = 0
+        if source.alive and source.engine is not None:
+            tokens = source.engine.export_kv(action.request_id)
+        factor = max(source.engine.slow_factor if source.engine else 1.0, 1.0)
+        delay_s = tokens / upstream.engine.shape.kv_tokens_per_s * factor
+
+        def begin() -> None:
+            if upstream.alive and action.attempt_id in upstream.attempts:
+                self._run_sequence(vm_id, upstream, action, tokens)
+
+        self.at(delay_s, begin)
+
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
         identity = hashlib.sha256(action.path.encode() + action.body).hexdigest()
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
@@ -445,16 +465,20 @@
 
         self.at(PLAIN_DURATION_S, answer)
 
-    def _run_sequence(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+    def _run_sequence(
+        self,
+        vm_id: str,
+        upstream: BenchUpstream,
+        action: StartAttempt,
+        imported_tokens: int = 0,
+    ) -> None:
         engine = upstream.engine
         assert engine is not None, f"{action.replica_id} runs no model"
         request = self.calls[action.request_id].request
         shape = self.shapes[action.request_id]
         position = len(action.resume_payloads)
-        if action.kv_source in self.upstreams:
-            source = self.upstreams[action.kv_source]
-            if source.alive and source.engine is not None:
-                engine.import_kv(action.request_id, source.engine.export_kv(action.request_id))
+        if imported_tokens:
+            engine.import_kv(action.request_id, imported_tokens)
         sequence = Sequence(
             attempt_id=action.attempt_id,
             request_id=action.request_id,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/routing.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/routing.py
@@ -12,6 +12,7 @@
 WARM_UP_S = 5.0
 DURATION_S = 40.0
 DRAIN_S = 90.0
+PLAIN = frozenset({"ejection", "move", "hedge"})
 
 
 def _p99_s(deployment: Deployment, seed: int, disabled: frozenset[str]) -> tuple[float, int]:
@@ -34,8 +35,8 @@
     worst: Report | None = None
     for name, make in DEPLOYMENTS.items():
         ours, broken = _p99_s(make(), seed, disabled)
-        plain, _ = _p99_s(make(), seed, disabled | {"routing"})
-        sorted_, _ = _p99_s(make(), seed, disabled | {"sampling"})
+        plain, _ = _p99_s(make(), seed, disabled | PLAIN | {"routing"})
+        sorted_, _ = _p99_s(make(), seed, disabled | PLAIN | {"sampling"})
         report = Report(
             NAME,
             seed,
