--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.reasons import Counter
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
@@ -15,12 +18,23 @@
     return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
 
 
+PriorityOf = Callable[[Work, ReplicaState, float], int]
+
+
 class Attempts:
-    """Every live attempt by id."""
+    """Every live attempt by id.
+
+    :param limits: told of each attempt that starts and ends.
+    :param priority_of: returns the engine's scheduling class of a work at a replica.
+    """
 
-    def __init__(self, context: Context, replicas: ReplicaTable) -> None:
+    def __init__(
+        self, context: Context, replicas: ReplicaTable, limits: Limits, priority_of: PriorityOf
+    ) -> None:
         self._context = context
         self._replicas = replicas
+        self._limits = limits
+        self._priority_of = priority_of
         self._sequence = 0
         self.live: dict[str, Attempt] = {}
 
@@ -41,6 +55,9 @@
         replica = state.replica
         attempt = Attempt(self._next_id(), work, replica.replica_id, now_s, purpose=purpose)
         self.live[attempt.attempt_id] = attempt
+        priority = self._priority_of(work, state, now_s)
+        if kind_of(work) is ServiceKind.MODEL:
+            self._limits.on_started(attempt, state)
         state.in_flight.add(attempt.attempt_id)
         state.waiting[attempt.attempt_id] = now_s
         work.live_attempts.append(attempt.attempt_id)
@@ -58,8 +75,8 @@
                 path=work.request.path,
                 body=work.request.body,
                 deadline_s=work.request.deadline_s,
-                priority=work.priority,
-                resume_payloads=tuple(work.payloads),
+                priority=priority,
+                resume_payloads=tuple(work.payloads) if self._context.enabled("resume") else (),
                 fresh_connection=purpose is AttemptPurpose.RECONNECT,
                 kv_source=kv_source,
             )
@@ -78,6 +95,7 @@
     def forget(self, attempt: Attempt) -> None:
         """Drop an attempt that ended."""
         del self.live[attempt.attempt_id]
+        self._limits.on_ended(attempt)
         attempt.work.live_attempts.remove(attempt.attempt_id)
         state = self._replicas.get(attempt.replica_id)
         if state is not None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -8,7 +8,7 @@
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
 from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import is_repeatable, make_work
+from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import (
@@ -16,6 +16,8 @@
     AppendFailed,
     AttemptFailed,
     AttemptOpened,
+    AttemptPaused,
+    AttemptResumed,
     CallerGone,
     Event,
     JobRead,
@@ -37,13 +39,7 @@
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import (
-    Heartbeat,
-    JobQuery,
-    JobReply,
-    Message,
-    ReplicaVerdict,
-)
+from coriandershelf_core.internal.messages import Heartbeat, Message, ReplicaVerdict
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
@@ -54,10 +50,13 @@
     Entry,
     JobAccepted,
     JobFinished,
+    JobMoved,
+    JobSnapshot,
 )
-from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
 from coriandershelf_core.internal.work import Work, WorkOwner
 
 
@@ -85,7 +84,14 @@
         self.configuration = Configuration(parse)
         self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
-        self.jobs = Jobs(self.context, self.ledger, self.serving.enqueue, self._ask_peer)
+        self.jobs = Jobs(
+            self.context,
+            self.ledger,
+            self.membership,
+            self.serving.enqueue,
+            self.serving.cancel,
+            self._tell,
+        )
         self._heartbeat_at_s = 0.0
         self._stopped = False
 
@@ -119,6 +125,10 @@
                 self.serving.on_opened(event, now_s)
             case StreamEnded():
                 self.serving.on_stream_ended(event, now_s)
+            case AttemptPaused(attempt_id):
+                self.serving.on_paused(attempt_id, True, now_s)
+            case AttemptResumed(attempt_id):
+                self.serving.on_paused(attempt_id, False, now_s)
             case PlainAnswered():
                 self.serving.on_plain_answered(event, now_s)
             case AttemptFailed():
@@ -135,15 +145,14 @@
                 self._on_peer_message(sender, message, now_s)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
+                self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
-            case ReclaimNotice(vm_id):
-                self.membership.on_notice(vm_id)
-                self._mark_replicas()
+            case ReclaimNotice(vm_id, at_s):
+                self._on_notice(vm_id, at_s, now_s)
             case LoadReported():
                 self.serving.on_load(event)
-            case StopAsked(deadline_s):
-                self.context.stopping = True
-                self.context.stop_deadline_s = deadline_s
+            case StopAsked(deadline_s, urgent):
+                begin_stop(self.context, deadline_s, urgent, now_s)
 
     def _on_request(self, request: Request, now_s: float) -> None:
         self.context.count(Counter.REQUESTS)
@@ -154,28 +163,25 @@
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
-        refusal = admit(
-            request,
-            inventory,
-            self.serving.queue,
-            self.context.settings,
-            self.context.stopping,
-            now_s,
-        )
+        stopping = refuses(self.context, request, inventory.rules, now_s)
+        refusal = admit(request, inventory, stopping, now_s)
         if refusal is not None:
             self.context.finish(request.request_id, refusal, now_s)
             return
-        if request.kind is RequestKind.JOB:
-            work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
-            self.jobs.request(work, now_s)
-        elif is_repeatable(request, inventory):
-            work = make_work(request, customer, inventory, WorkOwner.CALLER, now_s)
-            self.serving.enqueue(work, now_s)
-        elif request.idempotency_key is None:
+        owner = owner_of(request, inventory)
+        if owner is WorkOwner.CLAIM and request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
+            return
+        work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
+        refusal = self.serving.refusal_of(work, now_s)
+        if refusal is not None:
+            self.context.finish(request.request_id, refusal, now_s)
+        elif owner is WorkOwner.JOB:
+            self.jobs.request(work, now_s)
+        elif owner is WorkOwner.CALLER:
+            self.serving.enqueue(work, now_s)
         else:
-            work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
             self.claims.request(work, now_s)
 
     def _on_caller_gone(self, request_id: str) -> None:
@@ -207,8 +213,12 @@
                 self.claims.on_finished(entry)
             case JobAccepted():
                 self.jobs.on_accepted(entry, now_s)
+            case JobMoved():
+                self.jobs.on_moved(entry, now_s)
             case JobFinished():
                 self.jobs.on_finished(entry)
+            case JobSnapshot():
+                self.jobs.on_snapshot(entry, now_s)
             case ConfigurationProposed():
                 self._on_proposal(entry, now_s)
 
@@ -230,25 +240,33 @@
             state.leaving = vm_state is VmState.LEAVING
             state.gone = vm_state is VmState.GONE
 
+    def _on_notice(self, vm_id: str, at_s: float, now_s: float) -> None:
+        identity = self.context.identity
+        if vm_id != identity.vm_id:
+            self.membership.on_notice(vm_id)
+            self._mark_replicas()
+            state = self.serving.replicas.get(vm_id)
+            if state is not None and at_s > now_s:
+                state.announce_leave(at_s, now_s)
+        elif at_s > now_s:
+            # A notice that has run out was meant for an earlier VM of the same name.
+            begin_stop(self.context, at_s, False, now_s)
+
+    def _entry_vm_ids(self) -> tuple[str, ...]:
+        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
+        return tuple(sorted([*peers, self.context.identity.vm_id]))
+
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
-        match message:
-            case JobQuery():
-                self._tell(sender, self.jobs.answer_query(message))
-            case JobReply():
-                self.jobs.on_reply(message, now_s)
-            case ReplicaVerdict(replica_id, in_order):
-                self.serving.stalls.on_verdict(replica_id, in_order, now_s)
-            case Heartbeat():
-                pass
+        if isinstance(message, ReplicaVerdict):
+            self.serving.stalls.on_verdict(message.replica_id, message.in_order, now_s)
+        else:
+            self.jobs.on_message(sender, message, now_s)
 
     def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
         """Tell every entry VM of a replica that stalls or is in order again."""
         for peer in self.membership.peers(self.context.identity):
             self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
 
-    def _ask_peer(self, vm_id: str, query: JobQuery) -> bool:
-        return self._tell(vm_id, query)
-
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
         if address is None:
@@ -281,11 +299,22 @@
                 self._tell(peer.vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
+        if must_cut(self.context, now_s):
+            self._cut_rest(now_s)
         idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
-        if not self._stopped and (idle or now_s >= self.context.stop_deadline_s):
+        drained = idle and now_s >= self.context.refuse_at_s
+        if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
             self.context.emit(Stopped())
 
+    def _cut_rest(self, now_s: float) -> None:
+        """Tell the callers whose answers the notice cuts off, while there is time to."""
+        for work in list(self.serving.works.values()):
+            if work.owner is not WorkOwner.JOB:
+                self.serving.cancel(work.work_id)
+                self.context.count(Counter.STOP_CUT)
+                self._finish(work, cut_outcome(work), now_s)
+
     def _deliver(self, work: Work, payloads: tuple[bytes, ...], now_s: float) -> None:
         if work.owner is WorkOwner.JOB:
             self.jobs.deliver(work, payloads)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
@@ -33,7 +33,7 @@
     load = state.load(now_s)
     uncached = max(0, work.request.prompt_tokens + work.position - cached_tokens)
     first_s = state.health.expected_first_token_s(uncached)
-    rest_s = work.expected_tokens * state.health.expected_gap_s
+    rest_s = max(1.0, work.expected_tokens - work.position) * state.health.expected_gap_s
     busy = 1.0 + BUSY_PENALTY * max(0.0, load - BUSY_LOAD)
     full_s = FULL_PENALTY_S * max(0.0, load - 1.0)
     wait_s = max(0.0, state.oldest_wait_s(now_s) - WAIT_NORMAL_S)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Callable
 
+from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
+from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.eject import Ejector
+from coriandershelf_core.internal.ending import is_whole
 from coriandershelf_core.internal.events import (
     AttemptFailed,
     AttemptOpened,
@@ -16,15 +19,19 @@
     StreamEnded,
     TokensArrived,
 )
+from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.lengths import LengthEstimator
+from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
+from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.stalls import Stalls, TellVerdict
 from coriandershelf_core.internal.watch import overdue
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
 
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
@@ -45,10 +52,18 @@
         self._deliver = deliver
         self._finish = finish
         self.replicas = ReplicaTable()
+        self.lengths = LengthEstimator()
+        self.limits = Limits(
+            context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
+        )
+        self.queue = WorkQueue(
+            context.settings.usage_memory_s,
+            context.enabled("fair-queue"),
+            context.enabled("length-classes"),
+        )
         self.router = Router(context)
-        self.queue = WorkQueue()
         self.works: dict[str, Work] = {}
-        self.attempts = Attempts(context, self.replicas)
+        self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -56,22 +71,36 @@
             self.router,
             self.attempts,
             self._ejector,
+            self.limits,
             tell,
             lambda: len(self.queue) > 0,
         )
 
+    def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
+        """Return why a work is refused under the present load, or ``None``."""
+        context = self._context
+        inventory = context.inventory
+        assert inventory is not None, f"{work.work_id} was classified without a configuration"
+        if context.enabled("admission"):
+            return admit_work(
+                work, inventory.rules, self.queue, context.settings, context.rng, now_s
+            )
+        if len(self.queue) >= context.settings.queue_max_count:
+            return NotRun(RefusalReason.OVERLOADED, retry_after_s=2.0)
+        return None
+
     def enqueue(self, work: Work, now_s: float) -> None:
         """Accept a work and dispatch what can be dispatched."""
         assert work.work_id not in self.works, f"{work.work_id} runs twice in one entry VM"
         self.works[work.work_id] = work
-        self.queue.push(work)
+        self.queue.push(work, now_s)
         self._context.trace(work.work_id, now_s, "queued", work.work_class.value)
         self.pump(now_s)
 
     def pump(self, now_s: float) -> None:
         """Dispatch waiting works while replicas have room."""
         while len(self.queue):
-            taken = self.queue.take_first(lambda work: self._choose(work, now_s))
+            taken = self.queue.take_first(lambda work: self._choose(work, now_s), now_s)
             if taken is None:
                 return
             work, state = taken
@@ -99,6 +128,9 @@
             self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
             return
         work = attempt.work
+        if is_whole(work.payloads):
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            return
         repeated = work.position - event.first_position
         if repeated < 0:
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
@@ -113,8 +145,17 @@
         if not fresh:
             return
         work.payloads.extend(fresh)
+        if work.position > LONG_TOKENS_COUNT and work.work_class is WorkClass.SHORT:
+            self._count_as_long(work, now_s)
         self._deliver(work, fresh, now_s)
 
+    def on_paused(self, attempt_id: str, paused: bool, now_s: float) -> None:
+        """Note whether an attempt's reading waits for its caller."""
+        attempt = self.attempts.live.get(attempt_id)
+        if attempt is not None:
+            attempt.paused = paused
+            attempt.last_token_at_s = now_s
+
     def on_stream_ended(self, event: StreamEnded, now_s: float) -> None:
         """Finish a work whose answer is whole; a cut answer is a failed attempt."""
         attempt = self.attempts.live.get(event.attempt_id)
@@ -143,9 +184,12 @@
         state = self.replicas.get(event.replica_id)
         if state is not None:
             state.on_report(event.running_count, event.waiting_count, event.reported_at_s)
+            self.limits.on_report(state)
 
     def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
         """Take tokens as evidence on their replica."""
+        if attempt.last_token_at_s is None:
+            self.limits.on_first_token(attempt, now_s)
         state = self.replicas.get(attempt.replica_id)
         last_s = attempt.last_token_at_s
         attempt.last_token_at_s = now_s
@@ -174,8 +218,28 @@
             if cause is not None and attempt.attempt_id in self.attempts.live:
                 self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
+        self._move_from_leaving(now_s)
         self.pump(now_s)
 
+    def _move_from_leaving(self, now_s: float) -> None:
+        """Move streams off replicas whose VM is taken before they end, with their KV cache."""
+        if not self._context.enabled("move-on-notice"):
+            return
+        leaving = [state for state in self.replicas if state.must_move(now_s)]
+        for state in leaving:
+            for attempt_id in sorted(state.in_flight):
+                attempt = self.attempts.live.get(attempt_id)
+                if attempt is not None and attempt.work.repeatable:
+                    self._move(attempt, now_s)
+
+    def _move(self, attempt: Attempt, now_s: float) -> None:
+        work = attempt.work
+        work.kv_replica_id = attempt.replica_id
+        # The replica did not fail, so the move does not use up one of the request's attempts.
+        work.failure_count -= 1
+        self.attempts.announce_cancel(attempt)
+        self._fail(attempt, FailureCause.LEAVING, True, now_s)
+
     def _late_outcome(self, work: Work) -> Outcome:
         if work.attempt_count:
             return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
@@ -183,23 +247,48 @@
 
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         pool = self.replicas.of_service(work.request.service)
+        zone = self._context.identity.zone
+        degraded = any(state.health.ejected and state.replica.zone == zone for state in pool)
         probed = self._ejector.probe_for(work, pool, now_s)
         if probed is not None:
             return probed
+        if kind_of(work) is ServiceKind.MODEL:
+            pool = [state for state in pool if self.limits.has_room(work.work_class, state)]
         healthy = [state for state in pool if not state.health.ejected]
-        zone = self._context.identity.zone
-        degraded = any(state.health.ejected and state.replica.zone == zone for state in pool)
         return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
         if state.health.ejected:
             purpose = AttemptPurpose.PROBE
-        attempt = self.attempts.start(work, state, purpose, now_s)
+        kv_source = self._kv_source(work, state.replica.replica_id)
+        attempt = self.attempts.start(work, state, purpose, now_s, kv_source)
         self.router.note(work, state.replica.replica_id)
         if state.health.ejected:
             self._ejector.on_probe_started(state, attempt)
 
+    def _engine_priority(self, work: Work, state: ReplicaState, now_s: float) -> int:
+        if not self._context.enabled("engine-priority"):
+            return 0
+        owned = work.work_class is WorkClass.LONG and self.limits.is_owned(state)
+        return engine_priority(work, self.queue.beyond_share(work, now_s), owned)
+
+    def _count_as_long(self, work: Work, now_s: float) -> None:
+        """Let a work that turned out long hold a slot of long work."""
+        work.work_class = WorkClass.LONG
+        for attempt_id in work.live_attempts:
+            self.limits.on_class_changed(self.attempts.live[attempt_id])
+        self._context.count(Counter.LENGTH_MISJUDGED)
+        self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
+
+    def _kv_source(self, work: Work, target_id: str) -> str:
+        """Return the address of another replica that still holds the KV cache, or empty."""
+        source = self.replicas.get(work.kv_replica_id)
+        usable = source is not None and not source.gone and work.kv_replica_id != target_id
+        if source is None or not usable or not self._context.enabled("kv-move"):
+            return ""
+        return source.replica.address
+
     def _forget(self, attempt: Attempt, now_s: float) -> None:
         self.attempts.forget(attempt)
         self._ejector.on_probe_ended(attempt, now_s)
@@ -214,6 +303,10 @@
 
     def _settle(self, work: Work, outcome: Outcome, now_s: float) -> None:
         del self.works[work.work_id]
+        if work.attempt_count:
+            self.queue.correct(work, cost_tokens(work.request, work.position), now_s)
+        if isinstance(outcome, Done) and work.payloads:
+            self.lengths.learn(work.customer, work.request, work.position)
         self._finish(work, outcome, now_s)
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
@@ -223,8 +316,14 @@
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
+        if is_whole(work.payloads):
+            self._settle(work, Done(), now_s)
+            self.pump(now_s)
+            return
         if not sent and not work.payloads and not work.repeatable:
             work.attempt_count -= 1
+        if cause is FailureCause.REFUSED:
+            self.limits.on_refused(attempt, now_s)
         verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
         if not isinstance(verdict, Retry):
             self._settle(work, verdict, now_s)
@@ -238,5 +337,5 @@
             customer=work.customer,
             reason=verdict.reason.code,
         )
-        self.queue.push(work)
+        self.queue.push(work, now_s)
         self.pump(now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -35,11 +35,32 @@
     hedge_share: float = documented(0.025, "Hedged work as a share of work done.", 0.0)
     hedge_reserve_tokens: int = documented(2000, "Hedged work held in reserve at most.", 0)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
+    wait_limit_s: float = documented(
+        3.0, "Estimated wait for a replica above which short work is refused.", 0.01
+    )
+    engine_wait_target_s: float = documented(
+        0.1, "Wait inside an engine above which less short work is sent there.", 0.001
+    )
+    long_floor_share: float = documented(0.3, "Share of slots that long work always may hold.", 0.0)
+    long_reserve_share: float = documented(0.2, "Share of slots kept free of long work.", 0.0)
+    usage_memory_s: float = documented(10.0, "How long use counts against a customer's share.", 0.1)
     queue_max_count: int = documented(2000, "Requests that wait at the most.", 1)
     claim_wait_s: float = documented(2.0, "Longest wait for a claim to be read back.", 0.01)
     append_resend_s: float = documented(1.0, "Wait before an uncertain append is repeated.", 0.01)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
     job_output_keep_s: float = documented(3600.0, "How long a finished job's output is kept.", 1.0)
+    job_copy_resend_s: float = documented(
+        0.5, "Wait before output that was not acknowledged is copied again.", 0.01
+    )
+    job_copy_limit_s: float = documented(
+        2.0, "Wait for an acknowledgement before another VM is chosen for the copy.", 0.01
+    )
+    job_retry_s: float = documented(1.0, "Wait before a job without a replica is tried again.", 0.0)
+    job_snapshot_s: float = documented(
+        21600.0,
+        "Age at which a job's record is written forward; well below the log's retention.",
+        1.0,
+    )
     heartbeat_s: float = documented(1.0, "Period of heartbeats between entry VMs.", 0.01)
     peer_lost_s: float = documented(5.0, "Silence after which a peer counts as lost.", 0.01)
     readiness_lag_s: float = documented(3.0, "Wait for the balancer after readiness is lost.", 0.0)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -9,6 +9,7 @@
 from coriandershelf_core.internal.eject import Ejector
 from coriandershelf_core.internal.hedge import HedgeBudget
 from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.reasons import Counter, RetryReason
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
@@ -40,6 +41,7 @@
         router: Router,
         attempts: Attempts,
         ejector: Ejector,
+        limits: Limits,
         tell: TellVerdict,
         overloaded: Callable[[], bool],
     ) -> None:
@@ -48,6 +50,7 @@
         self._router = router
         self._attempts = attempts
         self._ejector = ejector
+        self._limits = limits
         self._tell = tell
         self._overloaded = overloaded
         self._checked_at_s: float | None = None
@@ -213,7 +216,8 @@
             for state in self._replicas.of_service(work.request.service)
             if state.replica.replica_id not in busy and not state.health.ejected
         ]
-        return self._router.choose(work, pool, now_s, any_zone=True)
+        roomy = [state for state in pool if self._limits.has_room(work.work_class, state)]
+        return self._router.choose(work, roomy or pool, now_s, any_zone=True)
 
     def _start(
         self,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -40,9 +40,11 @@
 
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
-    :param expected_tokens: guess of the tokens still to come.
     :param failure_count: attempts that failed; moves and hedges do not count.
     :param move_count: times that a stream was moved off a stalled replica.
+    :param expected_tokens: guess of the answer's length.
+    :param cost_tokens: what the customer's share was charged, by that guess.
+    :param kv_replica_id: replica that holds the KV cache of what was generated, or empty.
     """
 
     request: Request
@@ -54,12 +56,14 @@
     repeatable: bool
     queued_at_s: float
     expected_tokens: float = 0.0
+    cost_tokens: float = 1.0
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
     failure_count: int = 0
     move_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
+    kv_replica_id: str = ""
 
     @property
     def work_id(self) -> str:
@@ -77,6 +81,7 @@
     """One try of a work at one replica.
 
     :param watched_from_s: silence before this time is not held against the replica.
+    :param paused: whether reading waits for a slow caller; silence is then no failure.
     """
 
     attempt_id: str
@@ -89,8 +94,11 @@
     purpose: AttemptPurpose = AttemptPurpose.FIRST
     watched_from_s: float = 0.0
     hedge_refused: bool = False
+    paused: bool = False
 
     def silent_s(self, now_s: float) -> float:
-        """Return for how long nothing was heard of the attempt."""
+        """Return for how long nothing was heard of the attempt, 0 while its reading waits."""
+        if self.paused:
+            return 0.0
         heard_at_s = self.started_at_s if self.last_token_at_s is None else self.last_token_at_s
         return now_s - max(heard_at_s, self.watched_from_s)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -29,6 +29,7 @@
     SendFinal,
     SendTokens,
     StartAttempt,
+    Stopped,
     TellPeer,
 )
 from coriandershelf_core.internal.events import (
@@ -75,6 +76,7 @@
 LOAD_REPORT_PERIOD_S = 1.0
 LOAD_REPORT_LAG_S = 1.0
 PLAIN_DURATION_S = 0.02
+LAST_PAYLOAD = b'{"choices":[{"delta":{},"finish_reason":"stop"}]}'
 APPEND_LIMIT_S = 2.0
 
 
@@ -108,6 +110,7 @@
     zone: str
     alive: bool = True
     paused: bool = False
+    stopped_at_s: float | None = None
     held: list[Event] = field(default_factory=list)
     offsets: dict[str, int] = field(default_factory=dict)
 
@@ -164,6 +167,7 @@
         self.on_final: Callable[[Call], None] = lambda call: None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
+        self._replica_at: dict[str, str] = {}
         self._incarnation = 0
         for shape in deployment.replicas:
             engine = EngineModel(shape.engine) if shape.engine else None
@@ -368,6 +372,9 @@
                 self.at(LOG_LATENCY_S, lambda: self._append(vm_id, action))
             case TellPeer():
                 self._tell(vm_id, action)
+            case Stopped():
+                self.entries[vm_id].stopped_at_s = self.now_s
+                self.at(0.0, lambda: self.kill_entry(vm_id))
             case Count(name, amount):
                 self.counters[name] = self.counters.get(name, 0) + amount
             case _:
@@ -422,6 +429,7 @@
 
     def _start_attempt(self, vm_id: str, action: StartAttempt) -> None:
         upstream = self.upstreams[action.replica_id]
+        self._replica_at[action.address] = action.replica_id
         if self.cut(vm_id, action.replica_id):
             return
         if not upstream.alive:
@@ -438,10 +446,8 @@
 
     def _import_then_run(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
         """Run a sequence once its KV cache has come; a slowed end slows the transfer as well."""
-        inventory = self.entries[vm_id].core.context.inventory
-        assert inventory is not None and upstream.engine is not None
-        addresses = {item.address: item.replica_id for item in inventory.replicas}
-        source = self.upstreams[addresses[action.kv_source]]
+        assert upstream.engine is not None, f"{action.replica_id} runs no model"
+        source = self.upstreams[self._replica_at[action.kv_source]]
         tokens = 0
         if source.alive and source.engine is not None:
             tokens = source.engine.export_kv(action.request_id)
@@ -455,7 +461,7 @@
         self.at(delay_s, begin)
 
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
-        identity = hashlib.sha256(action.path.encode() + action.body).hexdigest()
+        identity = _identity(action.path, action.body)
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
 
         def answer() -> None:
@@ -523,7 +529,7 @@
         vm_id = upstream.attempts.get(token.attempt_id)
         if vm_id is None or token.attempt_id in upstream.silent:
             return
-        payload = b"%d" % token.position
+        payload = LAST_PAYLOAD if token.finished else b"%d" % token.position
         attempt_id = token.attempt_id
         event = TokensArrived(attempt_id, attempt_id, token.position, (payload,))
         self._send_back(vm_id, replica_id, event)
@@ -573,8 +579,17 @@
     return totals
 
 
+def was_run(bench: Bench, request: Request) -> bool:
+    """Return whether any plain service ran a call's body."""
+    return executions_by_body(bench).get(_identity(request.path, request.body), 0) > 0
+
+
+def _identity(path: str, body: bytes) -> str:
+    return hashlib.sha256(path.encode() + body).hexdigest()
+
+
 def is_whole(call: Call, shape: Shape) -> bool:
     """Return whether a finished call holds each payload once, in order."""
     if not isinstance(call.outcome, Done):
         return False
-    return call.payloads == [b"%d" % position for position in range(shape.length + 1)]
+    return call.payloads == [*(b"%d" % place for place in range(shape.length)), LAST_PAYLOAD]
