--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
@@ -7,12 +7,13 @@
 
 RECENT_WEIGHT = 0.1
 FIRST_TOKEN_WEIGHT = 0.2
-PEAK_DECAY_S = 30.0
-PEAK_GROWTH_MAX = 1.1
+PEAK_DECAY_S = 60.0
+PEAK_TYPICAL_MAX = 6.0
+TYPICAL_WEIGHT = 0.005
+TYPICAL_GROWTH_MAX = 2.0
 PREFILL_SAMPLE_TOKENS = 64
 PREFILL_GROWTH_MAX = 1.5
 DEFAULT_GAP_S = 0.02
-DEFAULT_PEAK_GAP_S = 0.08
 DEFAULT_PREFILL_S_PER_TOKEN = 0.0001
 
 
@@ -21,7 +22,9 @@
     """How a replica has behaved towards this VM.
 
     :param gap_s: moving mean of the time between two tokens of a stream; 0 without evidence.
-    :param peak_gap_s: decaying maximum of that time while the replica was in order.
+    :param typical_gap_s: the same over a long time, while the replica was in order.
+    :param gap_count: token gaps seen while the replica was in order.
+    :param peak_gap_s: decaying maximum of such gaps: steps that also compute prompts.
     :param progress_at_s: when any stream from there last moved.
     :param prefill_s_per_token: moving mean of first-token time for each uncached prompt token.
     :param ejected: whether new work is kept away.
@@ -32,6 +35,8 @@
     """
 
     gap_s: float = 0.0
+    typical_gap_s: float = 0.0
+    gap_count: int = 0
     peak_gap_s: float = 0.0
     peak_at_s: float = 0.0
     progress_at_s: float = 0.0
@@ -46,18 +51,19 @@
     def on_gap(self, gap_s: float, now_s: float) -> None:
         """Learn from the time between two tokens.
 
-        Nothing is learnt while ejected, and a single gap raises the peak by a tenth at most: a
-        stall must not become the norm, a lasting change must.
+        Nothing is learnt while ejected, and a gap far beyond the typical one counts as a bounded
+        multiple of it: a stall must not become the norm, a lasting change must.
         """
         self.progress_at_s = now_s
         if self.ejected:
             return
         self.gap_s = gap_s if not self.gap_s else _mix(self.gap_s, gap_s, RECENT_WEIGHT)
-        if not self.peak_gap_s:
-            self.peak_gap_s = max(gap_s, DEFAULT_PEAK_GAP_S)
-        elapsed_s = now_s - self.peak_at_s
-        decayed_s = self.peak_gap_s * math.exp(-elapsed_s / PEAK_DECAY_S)
-        self.peak_gap_s = max(decayed_s, min(gap_s, self.peak_gap_s * PEAK_GROWTH_MAX))
+        known_s = self.typical_gap_s or DEFAULT_GAP_S
+        self.gap_count += 1
+        weight = max(TYPICAL_WEIGHT, 1.0 / (1.0 + self.gap_count))
+        self.typical_gap_s = _mix(known_s, min(gap_s, known_s * TYPICAL_GROWTH_MAX), weight)
+        decayed_s = self.peak_gap_s * math.exp((self.peak_at_s - now_s) / PEAK_DECAY_S)
+        self.peak_gap_s = max(decayed_s, min(gap_s, self.typical_gap_s * PEAK_TYPICAL_MAX))
         self.peak_at_s = now_s
 
     def on_first_token(self, waited_s: float, prompt_tokens: int, now_s: float) -> None:
@@ -75,18 +81,20 @@
         """Return the expected time between two tokens."""
         return self.gap_s or DEFAULT_GAP_S
 
-    def expected_first_token_s(self, uncached_tokens: float) -> float:
-        """Return the expected wait for a first token without waiting for a slot."""
-        per_token_s = self.prefill_s_per_token or DEFAULT_PREFILL_S_PER_TOKEN
-        return 2 * self.expected_gap_s + uncached_tokens * per_token_s
-
-    def stall_limit_s(self, factor: float, floor_s: float) -> float:
+    def stall_limit_s(self, typical_factor: float, peak_factor: float, floor_s: float) -> float:
         """Return the silence after which the replica counts as stalled.
 
-        :param factor: allowed multiple of the peak gap.
+        :param typical_factor: allowed multiple of the typical gap.
+        :param peak_factor: allowed multiple of the longest normal gap.
         :param floor_s: least limit.
         """
-        return max(floor_s, factor * (self.peak_gap_s or DEFAULT_PEAK_GAP_S))
+        typical_s = self.typical_gap_s or DEFAULT_GAP_S
+        return max(floor_s, typical_factor * typical_s, peak_factor * self.peak_gap_s)
+
+    def expected_first_token_s(self, uncached_tokens: float) -> float:
+        """Return the expected wait for a first token without waiting for a slot."""
+        per_token_s = self.prefill_s_per_token or DEFAULT_PREFILL_S_PER_TOKEN
+        return 2 * self.expected_gap_s + uncached_tokens * per_token_s
 
 
 def _mix(old: float, new: float, weight: float) -> float:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -19,8 +19,11 @@
     first_token_limit_s: float = documented(10.0, "Longest wait for a first token.", 0.01)
     token_gap_limit_s: float = documented(2.0, "Longest silence between two tokens.", 0.01)
     plain_answer_limit_s: float = documented(10.0, "Longest wait for a plain service.", 0.01)
-    stall_factor: float = documented(
-        1.5, "Multiple of a replica's longest normal token gap after which it is stalled.", 1.0
+    stall_typical_factor: float = documented(
+        5.0, "Multiple of a replica's typical token gap after which it may be stalled.", 1.0
+    )
+    stall_peak_factor: float = documented(
+        1.25, "Multiple of a replica's longest normal token gap after which it is stalled.", 1.0
     )
     stall_floor_s: float = documented(0.06, "Least silence that counts as a stall.", 0.001)
     first_token_factor: float = documented(
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -105,7 +105,9 @@
 
     def _stall_limit_s(self, state: ReplicaState) -> float:
         settings = self._context.settings
-        return state.health.stall_limit_s(settings.stall_factor, settings.stall_floor_s)
+        return state.health.stall_limit_s(
+            settings.stall_typical_factor, settings.stall_peak_factor, settings.stall_floor_s
+        )
 
     def _check_replica(self, state: ReplicaState, now_s: float) -> None:
         attempts = [item for item in self._attempts.at(state) if _is_model(item.work)]
