--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -13,12 +13,10 @@
 from coriandershelf_core.internal.reasons import Counter, RetryReason
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
 
 CHECK_PERIOD_S = 0.01
 MOVES_MAX_COUNT = 8
-LONG_MOVE_LOAD_MAX = 0.6
-LONG_STAY_S = 4.0
 LIVE_ATTEMPTS_MAX_COUNT = 2
 PROBE_SILENCE_MAX_S = 2.0
 
@@ -120,7 +118,7 @@
         if stalled and not state.health.ejected:
             self._on_stall(state, now_s)
         if stalled or state.health.ejected:
-            for attempt in sorted(late, key=_remaining_tokens):
+            for attempt in late:
                 self._move(attempt, state, now_s)
             self._leave_probe(state, late)
         for attempt in waiting:
@@ -208,10 +206,6 @@
         target = self._elsewhere(work, now_s)
         if target is None:
             return
-        scarce = target.load(now_s) > LONG_MOVE_LOAD_MAX
-        patient = now_s - state.health.ejected_at_s < LONG_STAY_S
-        if work.work_class is WorkClass.LONG and scarce and patient:
-            return
         work.move_count += 1
         source = state.replica
         kv_source = source.address
@@ -251,7 +245,3 @@
 
 def _is_model(work: Work) -> bool:
     return kind_of(work) is ServiceKind.MODEL
-
-
-def _remaining_tokens(attempt: Attempt) -> float:
-    return attempt.work.expected_tokens - attempt.work.position
