--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -44,6 +44,7 @@
     ConfigurationReply,
     Heartbeat,
     Message,
+    ReplicaVerdict,
     TicketCall,
     TicketResult,
 )
@@ -94,7 +95,7 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
-        self.serving = Serving(self.context, self._deliver, self._finish)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
         self.claims = Claims(
             self.context, self.ledger, self.serving.enqueue, self.membership.is_gone
         )
@@ -338,9 +339,16 @@
                 self.configuration.on_reply(message, now_s)
             case Heartbeat():
                 self.configuration.on_peer_version(sender, message.version, now_s)
+            case ReplicaVerdict(replica_id, in_order):
+                self.serving.stalls.on_verdict(replica_id, in_order, now_s)
             case _:
                 pass
 
+    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
+        """Tell every entry VM of a replica that stalls or is in order again."""
+        for peer in self.membership.peers(self.context.identity):
+            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
         if address is None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -148,6 +148,14 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaVerdict:
+    """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
+
+    replica_id: str
+    in_order: bool
+
+
 Message = (
     Heartbeat
     | ConfigurationQuery
@@ -161,4 +169,5 @@
     | TicketResult
     | JobSought
     | JobFound
+    | ReplicaVerdict
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -24,12 +24,25 @@
     LONG = "long"
 
 
+class AttemptPurpose(Enum):
+    """Why an attempt was started."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    RECONNECT = "reconnect"
+    MOVE = "move"
+    HEDGE = "hedge"
+    PROBE = "probe"
+
+
 @dataclass(slots=True)
 class Work:
     """One request on its way through queue, attempts and answer.
 
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
+    :param failure_count: attempts that failed; moves and hedges do not count.
+    :param move_count: times that a stream was moved off a stalled replica.
     :param expected_tokens: guess of the answer's length.
     :param cost_tokens: what the customer's share was charged, by that guess.
     :param kv_replica_id: replica that holds the KV cache of what was generated, or empty.
@@ -47,6 +60,8 @@
     cost_tokens: float = 1.0
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
+    failure_count: int = 0
+    move_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
     kv_replica_id: str = ""
@@ -66,6 +81,7 @@
 class Attempt:
     """One try of a work at one replica.
 
+    :param watched_from_s: silence before this time is not held against the replica.
     :param paused: whether reading waits for a slow caller; silence is then no failure.
     """
 
@@ -76,4 +92,14 @@
     opened_at_s: float | None = None
     last_token_at_s: float | None = None
     token_count: int = 0
+    purpose: AttemptPurpose = AttemptPurpose.FIRST
+    watched_from_s: float = 0.0
+    hedge_refused: bool = False
     paused: bool = False
+
+    def silent_s(self, now_s: float) -> float:
+        """Return for how long nothing was heard of the attempt, 0 while its reading waits."""
+        if self.paused:
+            return 0.0
+        heard_at_s = self.started_at_s if self.last_token_at_s is None else self.last_token_at_s
+        return now_s - max(heard_at_s, self.watched_from_s)
