--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/lengths.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/lengths.py
@@ -11,12 +11,16 @@
 GROUPS_MAX_COUNT = 4096
 SAMPLE_WEIGHT = 0.1
 TRUSTED_SAMPLES_COUNT = 3
-PRIOR_SHARE_OF_BOUND = 0.25
+PRIOR_TOKENS = 256.0
+ANY_BOUND = -1
 
 
 @dataclass(frozen=True, slots=True)
 class LengthGroup:
-    """Requests that are alike: prompt and bound are compared by their powers of two."""
+    """Requests that are alike: prompt and bound are compared by their powers of two.
+
+    :param bound_power: ``ANY_BOUND`` for the group of all bounds together.
+    """
 
     customer: str
     service: str
@@ -30,10 +34,14 @@
     sample_count: int = 0
 
 
-def group_of(customer: str, request: Request) -> LengthGroup:
-    """Return the group whose lengths a request is guessed from."""
+def groups_of(customer: str, request: Request) -> tuple[LengthGroup, LengthGroup]:
+    """Return the groups whose lengths a request is guessed from, the narrow one first."""
     prompt_power = request.prompt_tokens.bit_length()
-    return LengthGroup(customer, request.service, prompt_power, request.max_tokens.bit_length())
+    bound_power = request.max_tokens.bit_length()
+    return (
+        LengthGroup(customer, request.service, prompt_power, bound_power),
+        LengthGroup(customer, request.service, prompt_power, ANY_BOUND),
+    )
 
 
 class LengthEstimator:
@@ -47,16 +55,26 @@
         self._estimates: OrderedDict[LengthGroup, _Estimate] = OrderedDict()
 
     def expect_tokens(self, customer: str, request: Request) -> float:
-        """Return the expected length of a request's answer, at least 1 and at most its bound."""
-        estimate = self._estimates.get(group_of(customer, request))
-        if estimate is None or estimate.sample_count < TRUSTED_SAMPLES_COUNT:
-            return max(1.0, request.max_tokens * PRIOR_SHARE_OF_BOUND)
-        return min(max(1.0, math.exp(estimate.log_tokens)), max(1.0, float(request.max_tokens)))
+        """Return the expected length of a request's answer, at least 1 and at most its bound.
+
+        A request unlike any seen counts as short. If that is wrong, it holds a short work's slot
+        until it is seen to be long; if a question counted as long by mistake, it would wait for
+        seconds behind plans.
+        """
+        bound_tokens = max(1.0, float(request.max_tokens))
+        for group in groups_of(customer, request):
+            estimate = self._estimates.get(group)
+            if estimate is not None and estimate.sample_count >= TRUSTED_SAMPLES_COUNT:
+                return min(max(1.0, math.exp(estimate.log_tokens)), bound_tokens)
+        return min(PRIOR_TOKENS, bound_tokens)
 
     def learn(self, customer: str, request: Request, length_tokens: int) -> None:
         """Take the length of a whole answer as evidence."""
-        group = group_of(customer, request)
         sample = math.log(max(1, length_tokens))
+        for group in groups_of(customer, request):
+            self._learn(group, sample)
+
+    def _learn(self, group: LengthGroup, sample: float) -> None:
         estimate = self._estimates.get(group)
         if estimate is None:
             estimate = self._estimates[group] = _Estimate(sample)
