Entry VMs tell each other their works in flight

Cause: bursts met at one engine because each entry VM saw the others' works only in load reports one to two seconds old; limits per entry VM summed to twice the slots. Ruled out: trusting reports more (a question is answered before they come); smaller fixed parts per entry VM (idle slots where the balancer is uneven). Change: InFlightDigest to every peer at most each 50 ms, period growing above ten peers; occupancy bounds short work and gives long work its credit; routing reads it in place of reports; the limits' first guess follows the number of entry VMs. Cost grows with the square of the entry VMs up to ten peers, linearly above.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
@@ -27,6 +27,8 @@
 DECREASE_PAUSE_S = 0.25
 LEAST_WAIT_MEMORY_S = 30.0
 LONG_CREDIT_SHARE = 0.5
+LONG_CREDIT_PERIOD_S = 0.2
+ENGINE_QUEUE_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -44,9 +46,26 @@
     long_credit_count: float = 0.0
     short_count: int = 0
     long_count: int = 0
+    others_count: int = 0
+    others_known: bool = False
     least_wait_s: float = float("inf")
     least_wait_at_s: float = 0.0
     decreased_at_s: float = float("-inf")
+    credited_at_s: float = float("-inf")
+
+    @property
+    def taken_count(self) -> int:
+        """Return the works of all entry VMs there, as far as they are known."""
+        return self.short_count + self.long_count + self.others_count
+
+    @property
+    def has_slot(self) -> bool:
+        """Return whether a slot is free, or the engine's own queue is short enough.
+
+        The short queue keeps the engine busy until the entry VMs learn that a slot is free.
+        """
+        queue_count = max(1, round(ENGINE_QUEUE_SHARE * self.slots_count))
+        return not self.others_known or self.taken_count < self.slots_count + queue_count
 
 
 @dataclass(slots=True)
@@ -80,6 +99,13 @@
             self.entry_vms = vm_ids
             for replica_id, limit in self._limits.items():
                 limit.long_owned_count = self._owned_count(replica_id, limit.slots_count)
+                first = self._first_limit_count(limit.slots_count)
+                limit.limit_count = min(limit.limit_count, first)
+
+    @property
+    def peer_count(self) -> int:
+        """Return the number of other entry VMs."""
+        return max(0, len(self.entry_vms) - 1)
 
     def has_room(self, work_class: WorkClass, state: ReplicaState) -> bool:
         """Return whether one more work of a class may go to a model's replica."""
@@ -87,7 +113,7 @@
             return len(state.in_flight) < state.replica.slots
         limit = self._limit_of(state)
         if work_class is WorkClass.SHORT:
-            return limit.short_count + 1 <= limit.limit_count
+            return limit.short_count + 1 <= limit.limit_count and limit.has_slot
         if limit.long_count < limit.long_owned_count:
             return True
         return limit.long_credit_count >= 1.0
@@ -144,13 +170,31 @@
         if limit is not None:
             self._decrease(limit, now_s)
 
-    def on_report(self, state: ReplicaState) -> None:
-        """Grant credit for long work from the spare slots that a report shows."""
+    def on_report(self, state: ReplicaState, now_s: float) -> None:
+        """Grant credit for long work from a report, where digests are missing."""
+        limit = self._limit_of(state)
+        if not limit.others_known:
+            taken = state.reported_running_count + state.reported_waiting_count
+            self._grant_credit(limit, taken, now_s)
+
+    def on_digests(self, state: ReplicaState, others_count: int, now_s: float) -> None:
+        """Take the count of other entry VMs' works at a replica and grant credit by it."""
         limit = self._limit_of(state)
-        slots = state.replica.slots
-        reserve = self.settings.long_reserve_share * slots
-        taken = state.reported_running_count + state.reported_waiting_count
-        spare = max(0.0, slots - reserve - taken) * LONG_CREDIT_SHARE
+        limit.others_count = others_count
+        limit.others_known = True
+        if now_s - limit.credited_at_s >= LONG_CREDIT_PERIOD_S:
+            self._grant_credit(limit, limit.taken_count, now_s)
+
+    def on_digests_missing(self) -> None:
+        """Go without the other entry VMs' counts, as some were not heard from lately."""
+        for limit in self._limits.values():
+            limit.others_known = False
+            limit.others_count = 0
+
+    def _grant_credit(self, limit: ReplicaLimit, taken_count: int, now_s: float) -> None:
+        limit.credited_at_s = now_s
+        open_count = limit.slots_count * (1.0 - self.settings.long_reserve_share)
+        spare = max(0.0, open_count - taken_count) * LONG_CREDIT_SHARE
         credit = spare / max(1, len(self.entry_vms))
         # Rounded at random: nine entry VMs with a ninth of a slot each grant one slot in all.
         whole = int(credit)
@@ -174,13 +218,15 @@
         replica = state.replica
         limit = self._limits.get(replica.replica_id)
         if limit is None:
-            # A first guess: this VM's part of the slots and half as much again.
-            part = 1.5 * replica.slots / max(1, len(self.entry_vms))
-            limit = ReplicaLimit(replica.slots, max(LIMIT_MIN_COUNT, part))
+            limit = ReplicaLimit(replica.slots, self._first_limit_count(replica.slots))
             limit.long_owned_count = self._owned_count(replica.replica_id, replica.slots)
             self._limits[replica.replica_id] = limit
         return limit
 
+    def _first_limit_count(self, slots: int) -> float:
+        """Return a first guess: this VM's part of the slots and half as much again."""
+        return max(LIMIT_MIN_COUNT, 1.5 * slots / max(1, len(self.entry_vms)))
+
     def _owned_count(self, replica_id: str, slots: int) -> int:
         """Return how many slots of a replica's floor for long work are this entry VM's.
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -37,7 +37,13 @@
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, JobQuery, JobReply, Message
+from coriandershelf_core.internal.messages import (
+    Heartbeat,
+    InFlightDigest,
+    JobQuery,
+    JobReply,
+    Message,
+)
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
@@ -231,6 +237,8 @@
                 self._tell(sender, self.jobs.answer_query(message))
             case JobReply():
                 self.jobs.on_reply(message, now_s)
+            case InFlightDigest():
+                self.serving.on_digest(message, now_s)
             case Heartbeat():
                 pass
 
@@ -250,6 +258,10 @@
         self.claims.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        digest = self.serving.due_digest(now_s)
+        if digest is not None:
+            for peer in self.membership.peers(self.context.identity):
+                self._tell(peer.vm_id, digest)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -18,6 +18,20 @@
     stopping: bool
 
 
+@dataclass(frozen=True, slots=True)
+class InFlightDigest:
+    """Tells peers how many works the sender has in flight at each replica it uses.
+
+    :param sequence: grows with each digest of an incarnation.
+    """
+
+    vm_id: str
+    incarnation: int
+    sequence: int
+    replica_ids: tuple[str, ...]
+    counts: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder for its status and output from a position on."""
@@ -51,4 +65,4 @@
     payloads: tuple[bytes, ...]
 
 
-Message = Heartbeat | JobQuery | JobReply | JobHandover
+Message = Heartbeat | InFlightDigest | JobQuery | JobReply | JobHandover
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -54,6 +54,11 @@
         self.reported_at_s = reported_at_s
         self.others_count = max(0.0, running_count + waiting_count - self._own_at(reported_at_s))
 
+    def on_digests(self, others_count: int, now_s: float) -> None:
+        """Take the count of other entry VMs' works, which is fresher than any report."""
+        self.others_count = float(others_count)
+        self.reported_at_s = now_s
+
     def load(self, now_s: float) -> float:
         """Return the expected requests per slot: own ones, and others' corrected for age.
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -20,6 +20,8 @@
 from coriandershelf_core.internal.inventory import ServiceKind
 from coriandershelf_core.internal.lengths import LengthEstimator
 from coriandershelf_core.internal.limits import Limits
+from coriandershelf_core.internal.messages import InFlightDigest
+from coriandershelf_core.internal.occupancy import Occupancy
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
@@ -48,6 +50,7 @@
         self._attempt_sequence = 0
         self.replicas = ReplicaTable()
         self.lengths = LengthEstimator()
+        self.occupancy = Occupancy(context.settings.digest_period_s)
         self.limits = Limits(
             context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
         )
@@ -150,12 +153,44 @@
         if attempt is not None:
             self._fail(attempt, event.cause, event.sent, now_s)
 
+    def on_digest(self, digest: InFlightDigest, now_s: float) -> None:
+        """Note what another entry VM has in flight."""
+        if self._context.enabled("digests"):
+            self.occupancy.on_digest(digest, now_s)
+            self._apply_digests(now_s)
+            self.pump(now_s)
+
+    def due_digest(self, now_s: float) -> InFlightDigest | None:
+        """Return what the other entry VMs are to be told now, or ``None``."""
+        if not self._context.enabled("digests"):
+            return None
+        identity = self._context.identity
+        counts = {
+            state.replica.replica_id: len(state.in_flight)
+            for state in self.replicas
+            if state.in_flight
+        }
+        return self.occupancy.due_digest(
+            identity.vm_id, identity.incarnation, counts, self.limits.peer_count, now_s
+        )
+
+    def _apply_digests(self, now_s: float) -> None:
+        """Let fresh digests of all entry VMs stand above the replicas' late reports."""
+        self.occupancy.expire(now_s)
+        if not self.occupancy.is_complete(self.limits.peer_count):
+            self.limits.on_digests_missing()
+            return
+        for state in self.replicas:
+            others_count = self.occupancy.others_count(state.replica.replica_id)
+            state.on_digests(others_count, now_s)
+            self.limits.on_digests(state, others_count, now_s)
+
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
         state = self.replicas.get(event.replica_id)
         if state is not None:
             state.on_report(event.running_count, event.waiting_count, event.reported_at_s)
-            self.limits.on_report(state)
+            self.limits.on_report(state, event.reported_at_s)
 
     def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
         """Take tokens as evidence on their replica."""
@@ -174,6 +209,7 @@
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
         for state in self.replicas:
             state.sample(now_s)
+        self._apply_digests(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
         for attempt in list(self.attempts.values()):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -26,6 +26,9 @@
     engine_wait_target_s: float = documented(
         0.1, "Wait inside an engine above which less short work is sent there.", 0.001
     )
+    digest_period_s: float = documented(
+        0.05, "Shortest time between two digests of works in flight to other entry VMs.", 0.01
+    )
     long_floor_share: float = documented(0.3, "Share of slots that long work always may hold.", 0.0)
     long_reserve_share: float = documented(0.2, "Share of slots kept free of long work.", 0.0)
     usage_memory_s: float = documented(10.0, "How long use counts against a customer's share.", 0.1)
