Long work goes to the slowest replicas; entry VMs share what they learn of lengths

Cause: long batches on the fast replicas made their steps longer for questions, and 65 of 66 plans counted as short because each entry VM learnt alone from three whole answers. Change: speed by the least gap between tokens; long work first tries the slower tiers, any after 1 s; lengths are learnt when a work runs past 512 tokens, for each customer and for all, and wrong guesses are told to peers (LengthObserved).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/lengths.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/lengths.py
@@ -6,19 +6,22 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from coriandershelf_core.internal.messages import LengthObserved
 from coriandershelf_core.internal.request import Request
 
 GROUPS_MAX_COUNT = 4096
 SAMPLE_WEIGHT = 0.1
-TRUSTED_SAMPLES_COUNT = 3
+TRUSTED_SAMPLES_COUNT = 2
 PRIOR_TOKENS = 256.0
 ANY_BOUND = -1
+EVERYBODY = ""
 
 
 @dataclass(frozen=True, slots=True)
 class LengthGroup:
     """Requests that are alike: prompt and bound are compared by their powers of two.
 
+    :param customer: ``EVERYBODY`` for the group of all customers together.
     :param bound_power: ``ANY_BOUND`` for the group of all bounds together.
     """
 
@@ -34,13 +37,24 @@
     sample_count: int = 0
 
 
-def groups_of(customer: str, request: Request) -> tuple[LengthGroup, LengthGroup]:
-    """Return the groups whose lengths a request is guessed from, the narrow one first."""
-    prompt_power = request.prompt_tokens.bit_length()
-    bound_power = request.max_tokens.bit_length()
+def observe(customer: str, request: Request, length_tokens: int) -> LengthObserved:
+    """Return the length of an answer as evidence."""
+    return LengthObserved(
+        customer, request.service, request.prompt_tokens, request.max_tokens, length_tokens
+    )
+
+
+def groups_of(
+    customer: str, service: str, prompt_tokens: int, max_tokens: int
+) -> tuple[LengthGroup, ...]:
+    """Return the groups whose lengths a request is guessed from, the narrowest first."""
+    prompt_power = prompt_tokens.bit_length()
+    bound_power = max_tokens.bit_length()
     return (
-        LengthGroup(customer, request.service, prompt_power, bound_power),
-        LengthGroup(customer, request.service, prompt_power, ANY_BOUND),
+        LengthGroup(customer, service, prompt_power, bound_power),
+        LengthGroup(customer, service, prompt_power, ANY_BOUND),
+        LengthGroup(EVERYBODY, service, prompt_power, bound_power),
+        LengthGroup(EVERYBODY, service, prompt_power, ANY_BOUND),
     )
 
 
@@ -62,16 +76,20 @@
         seconds behind plans.
         """
         bound_tokens = max(1.0, float(request.max_tokens))
-        for group in groups_of(customer, request):
+        groups = groups_of(customer, request.service, request.prompt_tokens, request.max_tokens)
+        for group in groups:
             estimate = self._estimates.get(group)
             if estimate is not None and estimate.sample_count >= TRUSTED_SAMPLES_COUNT:
                 return min(max(1.0, math.exp(estimate.log_tokens)), bound_tokens)
         return min(PRIOR_TOKENS, bound_tokens)
 
-    def learn(self, customer: str, request: Request, length_tokens: int) -> None:
-        """Take the length of a whole answer as evidence."""
-        sample = math.log(max(1, length_tokens))
-        for group in groups_of(customer, request):
+    def learn(self, observed: LengthObserved) -> None:
+        """Take the length of an answer as evidence."""
+        sample = math.log(max(1, observed.length_tokens))
+        groups = groups_of(
+            observed.customer, observed.service, observed.prompt_tokens, observed.max_tokens
+        )
+        for group in groups:
             self._learn(group, sample)
 
     def _learn(self, group: LengthGroup, sample: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
@@ -13,20 +13,24 @@
 
 from __future__ import annotations
 
+import math
 import random
 import zlib
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from coriandershelf_core.internal.replicas import ReplicaState
 from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.work import Attempt, WorkClass
+from coriandershelf_core.internal.work import Attempt, Work, WorkClass
 
 LIMIT_MIN_COUNT = 1.0
 INCREASE_COUNT = 0.5
 DECREASE_FACTOR = 0.8
 DECREASE_PAUSE_S = 0.25
 LEAST_WAIT_MEMORY_S = 30.0
-LONG_CREDIT_SHARE = 0.5
+LONG_CREDIT_SHARE = 2.0
+LONG_PATIENCE_S = 1.0
+SPEED_TIER_FACTOR = 1.2
 LONG_CREDIT_PERIOD_S = 0.2
 ENGINE_QUEUE_SHARE = 0.1
 
@@ -48,10 +52,11 @@
     long_count: int = 0
     others_count: int = 0
     others_known: bool = False
-    least_wait_s: float = float("inf")
+    least_gap_s: float = math.inf
+    least_wait_s: float = math.inf
     least_wait_at_s: float = 0.0
-    decreased_at_s: float = float("-inf")
-    credited_at_s: float = float("-inf")
+    decreased_at_s: float = -math.inf
+    credited_at_s: float = -math.inf
 
     @property
     def taken_count(self) -> int:
@@ -107,16 +112,53 @@
         """Return the number of other entry VMs."""
         return max(0, len(self.entry_vms) - 1)
 
-    def has_room(self, work_class: WorkClass, state: ReplicaState) -> bool:
-        """Return whether one more work of a class may go to a model's replica."""
+    def with_room(
+        self, work: Work, states: Sequence[ReplicaState], now_s: float
+    ) -> Sequence[ReplicaState]:
+        """Return the replicas of a model to which one more work may go."""
         if not self.enabled:
-            return len(state.in_flight) < state.replica.slots
+            return [state for state in states if len(state.in_flight) < state.replica.slots]
+        if work.work_class is WorkClass.SHORT:
+            return [state for state in states if self._has_short_room(state)]
+        patient = now_s - work.queued_at_s < LONG_PATIENCE_S
+        allowed = self._slower(states) if patient else states
+        return self._slowest([state for state in allowed if self._has_long_room(state, patient)])
+
+    def on_gap(self, replica_id: str, gap_s: float) -> None:
+        """Learn a replica's speed from the time between two tokens of a stream."""
+        limit = self._limits.get(replica_id)
+        if limit is not None and gap_s < limit.least_gap_s:
+            limit.least_gap_s = gap_s
+
+    def _has_short_room(self, state: ReplicaState) -> bool:
         limit = self._limit_of(state)
-        if work_class is WorkClass.SHORT:
-            return limit.short_count + 1 <= limit.limit_count and limit.has_slot
-        if limit.long_count < limit.long_owned_count:
-            return True
-        return limit.long_credit_count >= 1.0
+        return limit.short_count + 1 <= limit.limit_count and limit.has_slot
+
+    def _has_long_room(self, state: ReplicaState, patient: bool) -> bool:
+        limit = self._limit_of(state)
+        owned = not patient and limit.long_count < limit.long_owned_count
+        return owned or limit.long_credit_count >= 1.0
+
+    def _slower(self, states: Sequence[ReplicaState]) -> Sequence[ReplicaState]:
+        """Return the replicas that are not among the fastest; all where none is slower."""
+        gaps = [self._limit_of(state).least_gap_s for state in states]
+        fastest_s = min(gaps, default=0.0)
+        slower = [
+            state
+            for state, gap_s in zip(states, gaps, strict=True)
+            if gap_s > fastest_s * SPEED_TIER_FACTOR
+        ]
+        return slower or states
+
+    def _slowest(self, states: Sequence[ReplicaState]) -> Sequence[ReplicaState]:
+        """Return the slowest replicas: season plans need slots, questions need speed."""
+        known = [self._limit_of(state).least_gap_s for state in states]
+        slowest_s = max((gap_s for gap_s in known if gap_s < math.inf), default=0.0)
+        return [
+            state
+            for state, gap_s in zip(states, known, strict=True)
+            if gap_s * SPEED_TIER_FACTOR > slowest_s
+        ]
 
     def is_owned(self, state: ReplicaState) -> bool:
         """Return whether one more long work stays within this VM's floor at a replica."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -42,6 +42,7 @@
     InFlightDigest,
     JobQuery,
     JobReply,
+    LengthObserved,
     Message,
 )
 from coriandershelf_core.internal.outcome import NotRun, Outcome
@@ -239,6 +240,8 @@
                 self.jobs.on_reply(message, now_s)
             case InFlightDigest():
                 self.serving.on_digest(message, now_s)
+            case LengthObserved():
+                self.serving.lengths.learn(message)
             case Heartbeat():
                 pass
 
@@ -258,10 +261,9 @@
         self.claims.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
-        digest = self.serving.due_digest(now_s)
-        if digest is not None:
+        for message in self.serving.due_messages(now_s):
             for peer in self.membership.peers(self.context.identity):
-                self._tell(peer.vm_id, digest)
+                self._tell(peer.vm_id, message)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -32,6 +32,17 @@
     counts: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LengthObserved:
+    """Tells peers the length of an answer that was guessed wrong."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    length_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder for its status and output from a position on."""
@@ -65,4 +76,4 @@
     payloads: tuple[bytes, ...]
 
 
-Message = Heartbeat | InFlightDigest | JobQuery | JobReply | JobHandover
+Message = Heartbeat | InFlightDigest | LengthObserved | JobQuery | JobReply | JobHandover
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
 from coriandershelf_core.internal.admit import admit_work
@@ -18,9 +18,9 @@
     TokensArrived,
 )
 from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.lengths import LengthEstimator
+from coriandershelf_core.internal.lengths import LengthEstimator, observe
 from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.messages import InFlightDigest
+from coriandershelf_core.internal.messages import InFlightDigest, Message
 from coriandershelf_core.internal.occupancy import Occupancy
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
@@ -50,6 +50,7 @@
         self._attempt_sequence = 0
         self.replicas = ReplicaTable()
         self.lengths = LengthEstimator()
+        self._observed: list[Message] = []
         self.occupancy = Occupancy(context.settings.digest_period_s)
         self.limits = Limits(
             context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
@@ -160,8 +161,13 @@
             self._apply_digests(now_s)
             self.pump(now_s)
 
-    def due_digest(self, now_s: float) -> InFlightDigest | None:
-        """Return what the other entry VMs are to be told now, or ``None``."""
+    def due_messages(self, now_s: float) -> list[Message]:
+        """Return what the other entry VMs are to be told now."""
+        messages, self._observed = self._observed, []
+        digest = self._due_digest(now_s)
+        return messages if digest is None else [*messages, digest]
+
+    def _due_digest(self, now_s: float) -> InFlightDigest | None:
         if not self._context.enabled("digests"):
             return None
         identity = self._context.identity
@@ -201,7 +207,9 @@
             waited_s = now_s - attempt.started_at_s
             state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
         elif state is not None and attempt.last_token_at_s is not None:
-            state.health.on_gap((now_s - attempt.last_token_at_s) / count, now_s)
+            gap_s = (now_s - attempt.last_token_at_s) / count
+            state.health.on_gap(gap_s, now_s)
+            self.limits.on_gap(attempt.replica_id, gap_s)
         attempt.last_token_at_s = now_s
         attempt.token_count += count
 
@@ -229,11 +237,9 @@
         return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
 
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
-        candidates = self.replicas.of_service(work.request.service)
+        candidates: Sequence[ReplicaState] = self.replicas.of_service(work.request.service)
         if self._kind_of(work) is ServiceKind.MODEL:
-            candidates = [
-                state for state in candidates if self.limits.has_room(work.work_class, state)
-            ]
+            candidates = self.limits.with_room(work, candidates, now_s)
         return self.router.choose(work, candidates, now_s)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
@@ -278,11 +284,21 @@
     def _count_as_long(self, work: Work, now_s: float) -> None:
         """Let a work that turned out long hold a slot of long work."""
         work.work_class = WorkClass.LONG
+        # It is not over yet; twice what it has is the likeliest length by Lindy's rule.
+        self._learn_length(work, 2 * work.position)
         for attempt_id in work.live_attempts:
             self.limits.on_class_changed(self.attempts[attempt_id])
         self._context.count(Counter.LENGTH_MISJUDGED)
         self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
 
+    def _learn_length(self, work: Work, length_tokens: int) -> None:
+        """Learn an answer's length, and tell the others where the guess was of the wrong class."""
+        observed = observe(work.customer, work.request, length_tokens)
+        self.lengths.learn(observed)
+        was_long = work.expected_tokens > LONG_TOKENS_COUNT
+        if was_long != (length_tokens > LONG_TOKENS_COUNT):
+            self._observed.append(observed)
+
     def _forget(self, attempt: Attempt) -> None:
         del self.attempts[attempt.attempt_id]
         self.limits.on_ended(attempt)
@@ -307,7 +323,7 @@
         if work.attempt_count:
             self.queue.correct(work, cost_tokens(work.request, work.position), now_s)
         if isinstance(outcome, Done) and work.payloads:
-            self.lengths.learn(work.customer, work.request, work.position)
+            self._learn_length(work, work.position)
         self._finish(work, outcome, now_s)
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
