--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -43,6 +43,8 @@
     ConfigurationQuery,
     ConfigurationReply,
     Heartbeat,
+    InFlightDigest,
+    LengthObserved,
     Message,
     ReplicaVerdict,
     TicketCall,
@@ -337,6 +339,10 @@
                 self._answer_configuration(sender, message)
             case ConfigurationReply():
                 self.configuration.on_reply(message, now_s)
+            case InFlightDigest():
+                self.serving.on_digest(message, now_s)
+            case LengthObserved():
+                self.serving.lengths.learn(message)
             case Heartbeat():
                 self.configuration.on_peer_version(sender, message.version, now_s)
             case ReplicaVerdict(replica_id, in_order):
@@ -364,6 +370,9 @@
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
         self.configuration.on_tick(now_s)
+        for message in self.serving.due_messages(now_s):
+            for peer in self.membership.peers(self.context.identity):
+                self._tell(peer.vm_id, message)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -78,6 +78,11 @@
             ratio = self.others_count / own_count
             self.others_ratio += RATIO_WEIGHT * (ratio - self.others_ratio)
 
+    def on_digests(self, others_count: int, now_s: float) -> None:
+        """Take the count of other entry VMs' works, which is fresher than any report."""
+        self.others_count = float(others_count)
+        self.reported_at_s = now_s
+
     def load(self, now_s: float) -> float:
         """Return the expected requests per slot: own ones, and others' corrected for age.
 
