--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -7,8 +7,8 @@
 from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
-from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import is_repeatable, make_work
+from coriandershelf_core.internal.calls import Calls
+from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import (
@@ -33,38 +33,33 @@
     TicketsAsked,
     TokensArrived,
     VmListRead,
-    VmRole,
     VmState,
 )
-from coriandershelf_core.internal.inventory import Customer, Inventory
+from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
 from coriandershelf_core.internal.messages import (
+    ConfigurationQuery,
+    ConfigurationReply,
     Heartbeat,
     Message,
-    TicketCall,
-    TicketResult,
 )
-from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
-    LEDGER_STREAM,
-    ClaimEntry,
-    ConfigurationProposed,
+    CONFIGURATION_STREAM,
+    ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
     JobMoved,
     JobSnapshot,
-    TicketEntry,
 )
-from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
 from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
-from coriandershelf_core.internal.ticket_table import parse_ticket
-from coriandershelf_core.internal.tickets import Tickets
 from coriandershelf_core.internal.work import Work, WorkOwner
 
 
@@ -89,10 +84,12 @@
         self.context = Context(identity, settings, rng, disabled)
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
-        self.configuration = Configuration(parse)
+        self.configuration = Configuration(
+            self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
+        )
         self.serving = Serving(self.context, self._deliver, self._finish)
-        self.claims = Claims(
-            self.context, self.ledger, self.serving.enqueue, self.membership.is_gone
+        self.calls = Calls(
+            self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
         )
         self.jobs = Jobs(
             self.context,
@@ -102,14 +99,6 @@
             self.serving.cancel,
             self._tell,
         )
-        self.tickets = Tickets(
-            self.context,
-            self.ledger,
-            self.serving.enqueue,
-            self._tell,
-            self.claims.request,
-            self.membership.is_gone,
-        )
         self._heartbeat_at_s = 0.0
         self._stopped = False
 
@@ -154,7 +143,7 @@
             case JobRead():
                 self._on_job_read(event, now_s)
             case TicketsAsked():
-                self.tickets.on_asked(event, now_s)
+                self.calls.ask_tickets(event, now_s)
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
@@ -165,6 +154,7 @@
                 self._on_peer_message(sender, message, now_s)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
+                self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id, at_s):
                 self._on_notice(vm_id, at_s, now_s)
@@ -178,63 +168,32 @@
         self.context.trace(request.request_id, now_s, "arrived", request.kind.value)
         customer = authenticate(self.context.inventory, request.credential_hash)
         if isinstance(customer, NotRun):
-            self._refuse(request, customer, now_s)
+            self.calls.refuse(request, customer, now_s)
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
-        if self._answer_known_key(request, customer, inventory, now_s):
+        if self.calls.answer_known(request, customer, inventory, now_s):
             return
-        refusal = admit(
-            request,
-            inventory,
-            self.serving.queue,
-            self.context.settings,
-            refuses(self.context, request, inventory.rules, now_s),
-            now_s,
-        )
+        stopping = refuses(self.context, request, inventory.rules, now_s)
+        refusal = admit(request, inventory, stopping, now_s)
         if refusal is not None:
-            self._refuse(request, refusal, now_s)
+            self.calls.refuse(request, refusal, now_s)
             return
-        if request.kind is RequestKind.JOB:
-            work = make_work(request, customer, inventory, WorkOwner.JOB, now_s)
-            self.jobs.request(work, now_s)
-        elif is_repeatable(request, inventory):
-            work = make_work(request, customer, inventory, WorkOwner.CALLER, now_s)
-            self.serving.enqueue(work, now_s)
-        elif request.idempotency_key is None:
+        owner = owner_of(request, inventory)
+        if owner is WorkOwner.CLAIM and request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
-        elif parse_ticket(request.idempotency_key) is not None:
-            work = make_work(request, customer, inventory, WorkOwner.TICKET, now_s)
-            self.tickets.request(work, now_s)
+            return
+        work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
+        refusal = self.serving.refusal_of(work, now_s)
+        if refusal is not None:
+            self.calls.refuse(request, refusal, now_s)
+        elif owner is WorkOwner.JOB:
+            self.jobs.request(work, now_s)
+        elif owner is WorkOwner.CALLER:
+            self.serving.enqueue(work, now_s)
         else:
-            work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
-            self.claims.request(work, now_s)
-
-    def _refuse(self, request: Request, refusal: NotRun, now_s: float) -> None:
-        """Refuse a request before its idempotency key was looked at."""
-        outcome: Outcome = refusal
-        if request.kind is RequestKind.SERVICE and request.idempotency_key is not None:
-            outcome = self.claims.early_refusal(refusal, now_s)
-            if parse_ticket(request.idempotency_key) is not None:
-                # Only the ticket's owner knows whether it ran.
-                outcome = Unknown(refusal.reason, refusal.retry_after_s, refusal.detail)
-        self.context.finish(request.request_id, outcome, now_s)
-
-    def _answer_known_key(
-        self, request: Request, customer: Customer, inventory: Inventory, now_s: float
-    ) -> bool:
-        """Answer a repeat from its claim, which no reason to refuse may stand before."""
-        service = inventory.service(request.service)
-        if service is None or request.idempotency_key is None:
-            return False
-        if is_repeatable(request, inventory):
-            return False
-        work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s)
-        known = self.claims.knows(work)
-        if known:
-            self.claims.request(work, now_s)
-        return known
+            self.calls.request(work, now_s)
 
     def _on_caller_gone(self, request_id: str) -> None:
         work = self.serving.works.get(request_id)
@@ -251,20 +210,18 @@
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
         gap = self.ledger.on_read(event)
-        if event.stream == LEDGER_STREAM:
-            self.claims.on_read(event.first_offset, gap)
-            self.tickets.on_read(gap)
+        if event.stream == CONFIGURATION_STREAM:
+            for record in event.records:
+                self.ledger.on_record(event.stream, record)
+            self.configuration.on_log_read(event, now_s)
+            return
+        self.calls.on_read(event, gap)
         for record in event.records:
             first = self.ledger.on_record(event.stream, record)
-            if event.stream == LEDGER_STREAM:
-                self.claims.retention.on_record(record)
+            self.calls.on_record(record)
             for entry in record.entries:
-                if isinstance(entry, ClaimEntry):
-                    # Claims are folded without regard to copies; see claim_table.
-                    self.claims.on_entry(entry, record, now_s)
-                elif isinstance(entry, TicketEntry):
-                    self.tickets.on_entry(entry, self.claims.retention.log_time_s, now_s)
-                elif first:
+                # Claims and tickets are folded without regard to copies; see claim_table.
+                if not self.calls.on_entry(entry, record, now_s) and first:
                     self._on_entry(entry, now_s)
         self.ledger.on_read_applied(event, now_s)
 
@@ -278,13 +235,9 @@
                 self.jobs.on_finished(entry)
             case JobSnapshot():
                 self.jobs.on_snapshot(entry, now_s)
-            case ConfigurationProposed():
-                self._on_proposal(entry, now_s)
 
-    def _on_proposal(self, proposal: ConfigurationProposed, now_s: float) -> None:
-        inventory = self.configuration.apply(proposal)
-        if inventory is not None:
-            self._adopt(inventory, now_s)
+    def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
+        self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
         self.context.inventory = inventory
@@ -311,11 +264,31 @@
             # A notice that has run out was meant for an earlier VM of the same name.
             begin_stop(self.context, at_s, False, now_s)
 
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
+
+    def _entry_vm_ids(self) -> tuple[str, ...]:
+        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
+        return tuple(sorted([*peers, self.context.identity.vm_id]))
+
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
-        if isinstance(message, TicketCall | TicketResult):
-            self.tickets.on_message(sender, message, now_s)
-        else:
-            self.jobs.on_message(sender, message, now_s)
+        self.jobs.on_message(sender, message, now_s)
+        self.calls.on_message(sender, message, now_s)
+        match message:
+            case ConfigurationQuery():
+                self._answer_configuration(sender, message)
+            case ConfigurationReply():
+                self.configuration.on_reply(message, now_s)
+            case Heartbeat():
+                self.configuration.on_peer_version(sender, message.version, now_s)
+            case _:
+                pass
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
@@ -327,10 +300,10 @@
 
     def _on_tick(self, now_s: float) -> None:
         self.ledger.on_tick(now_s)
-        self.claims.on_tick(now_s)
-        self.tickets.on_tick(now_s)
+        self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.configuration.on_tick(now_s)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
@@ -346,13 +319,16 @@
             self.context.stopping,
         )
         for peer in self.membership.peers(identity):
-            if peer.role is VmRole.ENTRY and peer.zone == identity.zone:
+            if peer.zone == identity.zone:
                 self._tell(peer.vm_id, heartbeat)
+        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
+        if far:
+            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
-        parts = (self.claims, self.tickets, self.jobs, self.ledger)
+        parts = (self.calls, self.jobs, self.ledger)
         idle = all(part.idle for part in parts) and not self.serving.works
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
@@ -361,7 +337,7 @@
 
     def _cut_rest(self, now_s: float) -> None:
         """Tell the callers whose answers the notice cuts off, while there is time to."""
-        self.claims.cut_rest(now_s)
+        self.calls.cut_rest(now_s)
         for work in list(self.serving.works.values()):
             if work.owner is not WorkOwner.JOB:
                 self.serving.cancel(work.work_id)
@@ -378,9 +354,7 @@
     def _finish(self, work: Work, outcome: Outcome, now_s: float) -> None:
         if work.owner is WorkOwner.JOB:
             self.jobs.finish(work, outcome, now_s)
-        elif work.owner is WorkOwner.CLAIM:
-            self.claims.finish(work, outcome, now_s)
-        elif work.owner is WorkOwner.TICKET:
-            self.tickets.finish(work, outcome, now_s)
+        elif work.owner in (WorkOwner.CLAIM, WorkOwner.TICKET):
+            self.calls.finish(work, outcome, now_s)
         else:
             self.context.finish(work.work_id, outcome, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -94,6 +94,29 @@
     JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
     JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
     JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
+    LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
+    CONFIGURATIONS_ADOPTED = ("configuration.adopted", "Configurations that came into force here.")
+    CONFIGURATIONS_FROM_PEER = (
+        "configuration.from-peer",
+        "Configurations learnt from a peer before the log.",
+    )
+    CONFIGURATION_ASKS = ("configuration.asks", "Peers asked for a newer configuration.")
+    CONFIGURATION_SNAPSHOTS = (
+        "configuration.snapshots",
+        "Configurations appended again before the log's retention passes.",
+    )
+    CONFIGURATION_GAPS = (
+        "configuration.gaps",
+        "Times that configuration records expired before they were read.",
+    )
+    CONFIGURATION_NOT_UNDERSTOOD = (
+        "configuration.not-understood",
+        "Accepted configurations that this software could not read.",
+    )
+    CONFIGURATION_MISMATCHES = (
+        "configuration.mismatches",
+        "Peers or snapshots that named another change under a known version.",
+    )
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/tickets.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/tickets.py
@@ -242,6 +242,12 @@
         if self._context.stopping and self._owned and now_s >= self._context.refuse_at_s:
             self._give_back(now_s)
 
+    def cut_rest(self, now_s: float) -> None:
+        """Answer every waiting call at once, since this VM is about to end."""
+        for forwarded in list(self._forwarded.values()):
+            del self._forwarded[forwarded.work.work_id]
+            self._give_up(forwarded.work, now_s)
+
     def _on_own_grant(self, granted: TicketsGranted, now_s: float) -> None:
         """Own a grant that this process asked for, and hand its tickets to the caller."""
         for request_id, (asked, _) in list(self._asked.items()):
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
@@ -429,7 +429,8 @@
         return {
             "vm_id": core.context.identity.vm_id,
             "zone": core.context.identity.zone,
-            "version": core.configuration.version,
+            "version": core.configuration.version_in_force,
+            "accepted_version": core.configuration.version,
             "ready": core.ready,
             "stopping": core.context.stopping,
             "jobs_held": len(core.jobs.replication.held),
