--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/context.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/context.py
@@ -48,6 +48,7 @@
     stopping: bool = False
     stop_deadline_s: float = 0.0
     hold_dispatch: bool = False
+    refuse_at_s: float = 0.0
     traces: OrderedDict[str, list[TraceStep]] = field(default_factory=OrderedDict)
 
     def enabled(self, mechanism: str) -> bool:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -104,6 +104,20 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptPaused:
+    """Reading a stream stopped because its caller does not take what came."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResumed:
+    """Reading a stream goes on after a pause."""
+
+    attempt_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlainAnswered:
     """A plain service answered whole."""
@@ -197,9 +211,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """This VM must stop gracefully before ``deadline_s``."""
+    """This VM must stop gracefully before ``deadline_s``.
+
+    :param urgent: new work is refused at once, without waiting for the balancer.
+    """
 
     deadline_s: float
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +232,8 @@
     | AttemptOpened
     | TokensArrived
     | StreamEnded
+    | AttemptPaused
+    | AttemptResumed
     | PlainAnswered
     | AttemptFailed
     | LogRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -82,6 +82,14 @@
         "membership.wake-holds-unanswered",
         "Holds that ended without an answer from the platform or a peer.",
     )
+    STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
+    JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
+    JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
+    JOBS_RESTARTED = ("jobs.restarted", "Jobs whose output was lost, started from the beginning.")
+    JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
+    JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
+    JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
+    LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
     CONFIGURATIONS_ADOPTED = ("configuration.adopted", "Configurations that came into force here.")
     CONFIGURATIONS_FROM_PEER = (
         "configuration.from-peer",
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -5,7 +5,10 @@
 from collections.abc import Callable
 
 from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
+from coriandershelf_core.internal.admit import admit_work
+from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.ending import is_whole
 from coriandershelf_core.internal.events import (
     AttemptFailed,
     AttemptOpened,
@@ -16,14 +19,17 @@
     TokensArrived,
 )
 from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.lengths import LengthEstimator
+from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
+from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.route import choose_replica
+from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.watch import overdue
-from coriandershelf_core.internal.work import Attempt, Work
+from coriandershelf_core.internal.work import Attempt, Work, WorkClass
 
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
@@ -42,22 +48,44 @@
         self._finish = finish
         self._attempt_sequence = 0
         self.replicas = ReplicaTable()
-        self.queue = WorkQueue()
+        self.lengths = LengthEstimator()
+        self.limits = Limits(
+            context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
+        )
+        self.queue = WorkQueue(
+            context.settings.usage_memory_s,
+            context.enabled("fair-queue"),
+            context.enabled("length-classes"),
+        )
+        self.router = Router(context)
         self.works: dict[str, Work] = {}
         self.attempts: dict[str, Attempt] = {}
 
+    def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
+        """Return why a work is refused under the present load, or ``None``."""
+        context = self._context
+        inventory = context.inventory
+        assert inventory is not None, f"{work.work_id} was classified without a configuration"
+        if context.enabled("admission"):
+            return admit_work(
+                work, inventory.rules, self.queue, context.settings, context.rng, now_s
+            )
+        if len(self.queue) >= context.settings.queue_max_count:
+            return NotRun(RefusalReason.OVERLOADED, retry_after_s=2.0)
+        return None
+
     def enqueue(self, work: Work, now_s: float) -> None:
         """Accept a work and dispatch what can be dispatched."""
         assert work.work_id not in self.works, f"{work.work_id} runs twice in one entry VM"
         self.works[work.work_id] = work
-        self.queue.push(work)
+        self.queue.push(work, now_s)
         self._context.trace(work.work_id, now_s, "queued", work.work_class.value)
         self.pump(now_s)
 
     def pump(self, now_s: float) -> None:
         """Dispatch waiting works while replicas have room."""
         while len(self.queue) and not self._context.hold_dispatch:
-            taken = self.queue.take_first(self._choose)
+            taken = self.queue.take_first(lambda work: self._choose(work, now_s), now_s)
             if taken is None:
                 return
             work, state = taken
@@ -85,20 +113,31 @@
             self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
             return
         work = attempt.work
+        if is_whole(work.payloads):
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            return
         repeated = work.position - event.first_position
         if repeated < 0:
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
-        attempt.last_token_at_s = now_s
-        attempt.token_count += len(event.payloads)
+        self._learn(attempt, len(event.payloads), now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
             self._context.count(Counter.TOKENS_DROPPED, min(repeated, len(event.payloads)))
         if not fresh:
             return
         work.payloads.extend(fresh)
+        if work.position > LONG_TOKENS_COUNT and work.work_class is WorkClass.SHORT:
+            self._count_as_long(work, now_s)
         self._deliver(work, fresh, now_s)
 
+    def on_paused(self, attempt_id: str, paused: bool, now_s: float) -> None:
+        """Note whether an attempt's reading waits for its caller."""
+        attempt = self.attempts.get(attempt_id)
+        if attempt is not None:
+            attempt.paused = paused
+            attempt.last_token_at_s = now_s
+
     def on_stream_ended(self, event: StreamEnded, now_s: float) -> None:
         """Finish a work whose answer is whole; a cut answer is a failed attempt."""
         attempt = self.attempts.get(event.attempt_id)
@@ -125,13 +164,27 @@
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
         state = self.replicas.get(event.replica_id)
-        if state is not None and event.reported_at_s >= state.reported_at_s:
-            state.reported_running_count = event.running_count
-            state.reported_waiting_count = event.waiting_count
-            state.reported_at_s = event.reported_at_s
+        if state is not None:
+            state.on_report(event.running_count, event.waiting_count, event.reported_at_s)
+            self.limits.on_report(state)
+
+    def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
+        """Take tokens as evidence on their replica."""
+        if attempt.last_token_at_s is None:
+            self.limits.on_first_token(attempt, now_s)
+        state = self.replicas.get(attempt.replica_id)
+        if state is not None and attempt.last_token_at_s is None:
+            waited_s = now_s - attempt.started_at_s
+            state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+        elif state is not None and attempt.last_token_at_s is not None:
+            state.health.on_gap((now_s - attempt.last_token_at_s) / count, now_s)
+        attempt.last_token_at_s = now_s
+        attempt.token_count += count
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
+        for state in self.replicas:
+            state.sample(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
         for attempt in list(self.attempts.values()):
@@ -140,8 +193,28 @@
             if cause is not None and attempt.attempt_id in self.attempts:
                 self._context.emit(CancelAttempt(attempt.attempt_id))
                 self._fail(attempt, cause, True, now_s)
+        self._move_from_leaving(now_s)
         self.pump(now_s)
 
+    def _move_from_leaving(self, now_s: float) -> None:
+        """Move streams off replicas whose VM is taken before they end, with their KV cache."""
+        if not self._context.enabled("move-on-notice"):
+            return
+        leaving = [state for state in self.replicas if state.must_move(now_s)]
+        for state in leaving:
+            for attempt_id in sorted(state.in_flight):
+                attempt = self.attempts.get(attempt_id)
+                if attempt is not None and attempt.work.repeatable:
+                    self._move(attempt, now_s)
+
+    def _move(self, attempt: Attempt, now_s: float) -> None:
+        work = attempt.work
+        work.kv_replica_id = attempt.replica_id
+        # The replica did not fail, so the move does not use up one of the request's attempts.
+        work.attempt_count -= 1
+        self._context.emit(CancelAttempt(attempt.attempt_id))
+        self._fail(attempt, FailureCause.LEAVING, True, now_s)
+
     def _late_outcome(self, work: Work) -> Outcome:
         if work.attempt_count:
             return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
@@ -150,9 +223,13 @@
     def _kind_of(self, work: Work) -> ServiceKind:
         return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
 
-    def _choose(self, work: Work) -> ReplicaState | None:
+    def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         candidates = self.replicas.of_service(work.request.service)
-        return choose_replica(work, candidates, self._context.identity.zone, self._context.rng)
+        if self._kind_of(work) is ServiceKind.MODEL:
+            candidates = [
+                state for state in candidates if self.limits.has_room(work.work_class, state)
+            ]
+        return self.router.choose(work, candidates, now_s)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         assert state.usable, f"new work for {state.replica.replica_id}, which is leaving"
@@ -163,10 +240,14 @@
         replica = state.replica
         attempt = Attempt(attempt_id, work, replica.replica_id, now_s)
         self.attempts[attempt_id] = attempt
+        priority = self._engine_priority(work, state, now_s)
+        if self._kind_of(work) is ServiceKind.MODEL:
+            self.limits.on_started(attempt, state)
         state.in_flight.add(attempt_id)
         work.live_attempts.append(attempt_id)
         work.tried_replicas.append(replica.replica_id)
         work.attempt_count += 1
+        self.router.note(work, replica.replica_id)
         self._context.trace(work.work_id, now_s, "dispatched", replica.replica_id)
         self._context.emit(
             StartAttempt(
@@ -178,13 +259,37 @@
                 path=work.request.path,
                 body=work.request.body,
                 deadline_s=work.request.deadline_s,
-                priority=work.priority,
-                resume_payloads=tuple(work.payloads),
+                priority=priority,
+                resume_payloads=tuple(work.payloads) if self._context.enabled("resume") else (),
+                kv_source=self._kv_source(work, replica.replica_id),
             )
         )
 
+    def _engine_priority(self, work: Work, state: ReplicaState, now_s: float) -> int:
+        if not self._context.enabled("engine-priority"):
+            return 0
+        owned = work.work_class is WorkClass.LONG and self.limits.is_owned(state)
+        return engine_priority(work, self.queue.beyond_share(work, now_s), owned)
+
+    def _count_as_long(self, work: Work, now_s: float) -> None:
+        """Let a work that turned out long hold a slot of long work."""
+        work.work_class = WorkClass.LONG
+        for attempt_id in work.live_attempts:
+            self.limits.on_class_changed(self.attempts[attempt_id])
+        self._context.count(Counter.LENGTH_MISJUDGED)
+        self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
+
+    def _kv_source(self, work: Work, target_id: str) -> str:
+        """Return the address of another replica that still holds the KV cache, or empty."""
+        source = self.replicas.get(work.kv_replica_id)
+        usable = source is not None and not source.gone and work.kv_replica_id != target_id
+        if source is None or not usable or not self._context.enabled("kv-move"):
+            return ""
+        return source.replica.address
+
     def _forget(self, attempt: Attempt) -> None:
         del self.attempts[attempt.attempt_id]
+        self.limits.on_ended(attempt)
         attempt.work.live_attempts.remove(attempt.attempt_id)
         state = self.replicas.get(attempt.replica_id)
         if state is not None:
@@ -203,6 +308,10 @@
 
     def _settle(self, work: Work, outcome: Outcome, now_s: float) -> None:
         del self.works[work.work_id]
+        if work.attempt_count:
+            self.queue.correct(work, cost_tokens(work.request, work.position), now_s)
+        if isinstance(outcome, Done) and work.payloads:
+            self.lengths.learn(work.customer, work.request, work.position)
         self._finish(work, outcome, now_s)
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
@@ -211,8 +320,14 @@
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
+        if is_whole(work.payloads):
+            self._settle(work, Done(), now_s)
+            self.pump(now_s)
+            return
         if not sent and not work.payloads and not work.repeatable:
             work.attempt_count -= 1
+        if cause is FailureCause.REFUSED:
+            self.limits.on_refused(attempt, now_s)
         verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
         if not isinstance(verdict, Retry):
             self._settle(work, verdict, now_s)
@@ -226,5 +341,5 @@
             customer=work.customer,
             reason=verdict.reason.code,
         )
-        self.queue.push(work)
+        self.queue.push(work, now_s)
         self.pump(now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -29,7 +29,9 @@
 
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
-    :param expected_tokens: guess of the tokens still to come.
+    :param expected_tokens: guess of the answer's length.
+    :param cost_tokens: what the customer's share was charged, by that guess.
+    :param kv_replica_id: replica that holds the KV cache of what was generated, or empty.
     """
 
     request: Request
@@ -41,10 +43,12 @@
     repeatable: bool
     queued_at_s: float
     expected_tokens: float = 0.0
+    cost_tokens: float = 1.0
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
+    kv_replica_id: str = ""
 
     @property
     def work_id(self) -> str:
@@ -59,7 +63,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One try of a work at one replica."""
+    """One try of a work at one replica.
+
+    :param paused: whether reading waits for a slow caller; silence is then no failure.
+    """
 
     attempt_id: str
     work: Work
@@ -68,3 +75,4 @@
     opened_at_s: float | None = None
     last_token_at_s: float | None = None
     token_count: int = 0
+    paused: bool = False
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
@@ -44,6 +44,7 @@
             name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
         }
         self.entry_flags: list[str] = []
+        self._incarnations: dict[str, int] = {}
         self.inventory_text = inventory_yaml(deployment, self.addresses)
         self.rules_text = rules_yaml(deployment)
 
@@ -89,13 +90,15 @@
         return f"http://{self.addresses['platform']}/{path}"
 
     async def start_entry(self, vm_id: str, zone: str) -> None:
-        """Start an entry VM's process and list it."""
+        """Start an entry VM's process, or start it again with nothing kept, and list it."""
+        self._incarnations[vm_id] = self._incarnations.get(vm_id, 0) + 1
         platform = self.addresses["platform"]
         self.processes.start(
             vm_id,
             "coriandershelf_entry",
             *("--vm-id", vm_id),
             *("--zone", zone),
+            *("--incarnation", str(self._incarnations[vm_id])),
             *("--listen", self.addresses[vm_id]),
             *("--peer-listen", self.addresses[f"{vm_id}/peer"]),
             *("--log-address", platform),
@@ -150,7 +153,7 @@
     async def _list_vm(self, vm_id: str, role: str, zone: str, address: str) -> None:
         document = {
             "id": vm_id,
-            "incarnation": 1,
+            "incarnation": self._incarnations.get(vm_id, 1),
             "role": role,
             "zone": zone,
             "state": "live",
