--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -23,10 +23,12 @@
     JobRead,
     LoadReported,
     LogRead,
+    NoticesRefreshed,
     PeerMessageArrived,
     PlainAnswered,
     ReclaimNotice,
     RequestArrived,
+    SeedsGiven,
     StopAsked,
     StreamEnded,
     Tick,
@@ -35,18 +37,24 @@
     VmListRead,
     VmState,
 )
+from coriandershelf_core.internal.evidence import Evidence
+from coriandershelf_core.internal.gossip import Gossip
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
+from coriandershelf_core.internal.loads import LoadDigest, Loads
 from coriandershelf_core.internal.membership import Membership
 from coriandershelf_core.internal.messages import (
     ConfigurationQuery,
     ConfigurationReply,
     Heartbeat,
     InFlightDigest,
+    LeavingNotices,
+    LeavingQuery,
     LengthObserved,
     Message,
     ReplicaVerdict,
+    ZoneSum,
 )
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
@@ -90,6 +98,9 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
+        self.evidence = Evidence(self.context)
+        self.loads = Loads(self.context, self.membership)
+        self.gossip = Gossip(self.context, self.membership, self.loads, self._tell)
         self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
         self.calls = Calls(
             self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
@@ -102,7 +113,6 @@
             self.serving.cancel,
             self._tell,
         )
-        self._heartbeat_at_s = 0.0
         self._stopped = False
 
     def step(self, event: Event, now_s: float) -> list[Action]:
@@ -111,6 +121,8 @@
         :param now_s: the present time in seconds; it never goes back.
         :raises AssertionError: an invariant is broken; the process must stop.
         """
+        if self.evidence.on_step(now_s):
+            self.gossip.ask_notices(now_s)
         self._handle(event, now_s)
         actions = self.context.outbox
         self.context.outbox = []
@@ -155,14 +167,19 @@
                 self.ledger.on_failed(append_id, uncertain, now_s)
             case PeerMessageArrived(sender, message):
                 self._on_peer_message(sender, message, now_s)
+            case SeedsGiven(addresses):
+                self.gossip.on_seeds(addresses)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
                 self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id, at_s):
-                self._on_notice(vm_id, at_s, now_s)
+                self._on_notices([(vm_id, at_s)], now_s)
+            case NoticesRefreshed(asked_at_s):
+                if self.evidence.on_refreshed(asked_at_s):
+                    self.serving.pump(now_s)
             case LoadReported():
-                self.serving.on_load(event)
+                self._on_load(event)
             case StopAsked(deadline_s, urgent):
                 begin_stop(self.context, deadline_s, urgent, now_s)
 
@@ -256,10 +273,8 @@
             state.gone = vm_state is VmState.GONE
 
     def _on_notice(self, vm_id: str, at_s: float, now_s: float) -> None:
-        identity = self.context.identity
-        if vm_id != identity.vm_id:
-            self.membership.on_notice(vm_id)
-            self._mark_replicas()
+        if vm_id != self.context.identity.vm_id:
+            self.membership.on_notice(vm_id, at_s, now_s)
             state = self.serving.replicas.get(vm_id)
             if state is not None and at_s > now_s:
                 state.announce_leave(at_s, now_s)
@@ -267,18 +282,44 @@
             # A notice that has run out was meant for an earlier VM of the same name.
             begin_stop(self.context, at_s, False, now_s)
 
-    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
-        return self._tell(vm_id, query)
-
-    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
-        reply = self.configuration.answer_query(query)
-        if reply is not None:
-            self.context.count(Counter.PEER_MESSAGES)
-            self.context.emit(TellPeer(sender, query.reply_address, reply))
+    def _on_notices(self, notices: list[tuple[str, float]], now_s: float) -> int:
+        """Take reclaim notices, pass news on, return how many were news."""
+        news = [item for item in notices if self.gossip.learn_notice(*item, now_s)]
+        for vm_id, at_s in news:
+            self._on_notice(vm_id, at_s, now_s)
+        if news:
+            self.context.count(Counter.NOTICES, len(news))
+            self._mark_replicas()
+            self.gossip.pass_on(news)
+        return len(news)
+
+    def _on_load(self, event: LoadReported) -> None:
+        self.membership.on_heard(event.replica_id, event.reported_at_s)
+        if self.loads.on_report(event):
+            self.serving.on_load(event)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat, now_s: float) -> None:
+        generation = self.membership.generation
+        self.gossip.on_heartbeat(heartbeat, now_s)
+        self.configuration.on_peer_version(sender, heartbeat.version, now_s)
+        digest = LoadDigest(
+            heartbeat.inventory_version,
+            heartbeat.load_indexes,
+            heartbeat.load_running_counts,
+            heartbeat.load_waiting_counts,
+            heartbeat.load_age_steps,
+        )
+        for report in self.loads.reports_of(digest, now_s):
+            self._on_load(report)
+        if self.membership.generation != generation:
+            self._mark_replicas()
 
-    def _entry_vm_ids(self) -> tuple[str, ...]:
-        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
-        return tuple(sorted([*peers, self.context.identity.vm_id]))
+    def _on_leaving_notices(self, message: LeavingNotices, now_s: float) -> None:
+        news = self._on_notices(list(zip(message.vm_ids, message.at_s, strict=True)), now_s)
+        if news:
+            self.context.count(Counter.NOTICES_FROM_PEER, news)
+        if message.asked_at_s and self.evidence.on_refreshed(message.asked_at_s):
+            self.serving.pump(now_s)
 
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
         self.jobs.on_message(sender, message, now_s)
@@ -288,17 +329,36 @@
                 self._answer_configuration(sender, message)
             case ConfigurationReply():
                 self.configuration.on_reply(message, now_s)
+            case Heartbeat():
+                self._on_heartbeat(sender, message, now_s)
+            case ZoneSum():
+                self.gossip.on_sum(message)
+            case LeavingNotices():
+                self._on_leaving_notices(message, now_s)
             case InFlightDigest():
                 self.serving.on_digest(message, now_s)
             case LengthObserved():
                 self.serving.lengths.learn(message)
-            case Heartbeat():
-                self.configuration.on_peer_version(sender, message.version, now_s)
             case ReplicaVerdict(replica_id, in_order):
                 self.serving.stalls.on_verdict(replica_id, in_order, now_s)
+            case LeavingQuery():
+                self._tell(sender, self.gossip.answer_notices(message))
             case _:
                 pass
 
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
+
+    def _entry_vm_ids(self) -> tuple[str, ...]:
+        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
+        return tuple(sorted([*peers, self.context.identity.vm_id]))
+
     def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
         """Tell every entry VM of a replica that stalls or is in order again."""
         for peer in self.membership.peers(self.context.identity):
@@ -313,6 +373,8 @@
         return True
 
     def _on_tick(self, now_s: float) -> None:
+        if self.evidence.on_tick(now_s):
+            self.serving.pump(now_s)
         self.ledger.on_tick(now_s)
         self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
@@ -321,27 +383,15 @@
         for message in self.serving.due_messages(now_s):
             for peer in self.membership.peers(self.context.identity):
                 self._tell(peer.vm_id, message)
-        if now_s >= self._heartbeat_at_s:
-            self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
-            self._send_heartbeats()
+        generation = self.membership.generation
+        self.membership.on_tick(now_s)
+        if self.membership.generation != generation:
+            self._mark_replicas()
+        self.loads.on_tick(now_s)
+        self.gossip.on_tick(self.configuration.version, now_s)
         if self.context.stopping:
             self._try_to_stop(now_s)
 
-    def _send_heartbeats(self) -> None:
-        identity = self.context.identity
-        heartbeat = Heartbeat(
-            identity.vm_id,
-            identity.incarnation,
-            self.configuration.version,
-            self.context.stopping,
-        )
-        for peer in self.membership.peers(identity):
-            if peer.zone == identity.zone:
-                self._tell(peer.vm_id, heartbeat)
-        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
-        if far:
-            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
-
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
