--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -11,6 +11,7 @@
 from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
+from coriandershelf_core.internal.control import Control
 from coriandershelf_core.internal.events import (
     AppendAnswered,
     AppendFailed,
@@ -24,11 +25,16 @@
     LoadReported,
     LogRead,
     NoticesRefreshed,
+    OffersRead,
+    OrderAnswered,
+    OrderFailed,
     PeerMessageArrived,
     PlainAnswered,
     ReclaimNotice,
     RequestArrived,
     SeedsGiven,
+    StartAnswered,
+    StopAnswered,
     StopAsked,
     StreamEnded,
     Tick,
@@ -38,6 +44,7 @@
     VmState,
 )
 from coriandershelf_core.internal.evidence import Evidence
+from coriandershelf_core.internal.fleet import Fleet
 from coriandershelf_core.internal.gossip import Gossip
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
@@ -60,6 +67,7 @@
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     CONFIGURATION_STREAM,
+    CONTROL_STREAM,
     ConfigurationSnapshot,
     Entry,
     JobAccepted,
@@ -113,6 +121,8 @@
             self.serving.cancel,
             self._tell,
         )
+        self.fleet = Fleet(self.context, self.membership, self.serving)
+        self.control = Control(self.context, self.ledger, self.fleet.needs, self.fleet.vm_serves)
         self._stopped = False
 
     def step(self, event: Event, now_s: float) -> list[Action]:
@@ -171,6 +181,7 @@
                 self.gossip.on_seeds(addresses)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
+                self._adopt_fleet(now_s)
                 self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id, at_s):
@@ -180,6 +191,8 @@
                     self.serving.pump(now_s)
             case LoadReported():
                 self._on_load(event)
+            case OrderAnswered() | OrderFailed() | StartAnswered() | StopAnswered() | OffersRead():
+                self.control.handle(event, now_s)
             case StopAsked(deadline_s, urgent):
                 begin_stop(self.context, deadline_s, urgent, now_s)
 
@@ -235,6 +248,9 @@
                 self.ledger.on_record(event.stream, record)
             self.configuration.on_log_read(event, now_s)
             return
+        if event.stream == CONTROL_STREAM:
+            self.control.on_log_read(event, now_s)
+            return
         self.calls.on_read(event, gap)
         for record in event.records:
             first = self.ledger.on_record(event.stream, record)
@@ -259,7 +275,15 @@
     def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
         self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
+    def _adopt_fleet(self, now_s: float) -> None:
+        """Route to bought VMs as the platform's list shows them."""
+        inventory = self.fleet.changed_inventory()
+        if inventory is not None:
+            self.context.inventory = inventory
+            self.serving.replicas.adopt(inventory)
+
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
+        inventory = self.fleet.with_bought(inventory)
         self.context.inventory = inventory
         self.serving.replicas.adopt(inventory)
         self._mark_replicas()
@@ -379,6 +403,7 @@
         self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.control.on_tick(now_s)
         self.configuration.on_tick(now_s)
         for message in self.serving.due_messages(now_s):
             for peer in self.membership.peers(self.context.identity):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
@@ -221,6 +221,14 @@
             and member.status.vm_id != identity.vm_id
         ]
 
+    def bought(self) -> list[VmStatus]:
+        """Return the upstreams that are not gone and whose service the list names."""
+        return [
+            member.status
+            for member in self._members.values()
+            if member.status.service and member.state is not VmState.GONE
+        ]
+
     def leaving(self) -> list[VmStatus]:
         """Return the VMs that are leaving."""
         return [item.status for item in self._members.values() if item.state is VmState.LEAVING]
