Keep bought VMs out of the digests that name replicas by place

Cause: the places count in the published inventory; a bought VM's place differs between VMs whose lists differ, and an unknown place raised IndexError. Change: replicas know whether they were bought; digests skip them and ignore unknown places.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/fleet.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/fleet.py
@@ -12,8 +12,6 @@
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.spending import FleetVm, Need
 
-BOUGHT_CLASS = "bought"
-
 
 class Fleet:
     """Joins the inventory's replicas with the VMs that the system bought."""
@@ -25,7 +23,7 @@
 
     def with_bought(self, inventory: Inventory) -> Inventory:
         """Return the inventory with the bought VMs that are listed and not gone."""
-        own = tuple(item for item in inventory.replicas if item.machine_class != BOUGHT_CLASS)
+        own = tuple(item for item in inventory.replicas if not item.bought)
         known = {replica.replica_id for replica in own}
         bought = tuple(
             Replica(
@@ -34,8 +32,8 @@
                 zone=status.zone,
                 address=status.address,
                 slots=status.slots,
-                machine_class=BOUGHT_CLASS,
                 checks_fencing=False,
+                bought=True,
             )
             for status in self._membership.bought()
             if status.vm_id not in known and inventory.service(status.service) is not None
@@ -87,6 +85,6 @@
                 True,
             )
             for state in states
-            if state.replica.machine_class != BOUGHT_CLASS
+            if not state.replica.bought
         )
         return ServiceNeed(service, Need(demand_slots, demand_slots * share), fleet)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/inventory.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/inventory.py
@@ -52,6 +52,7 @@
     :param slots: requests it runs at once at full batch.
     :param price_per_hour: in the budget's currency.
     :param checks_fencing: whether it refuses orders with an old fencing number.
+    :param bought: whether the system bought its VM, so that no published inventory lists it.
     """
 
     replica_id: str
@@ -63,6 +64,7 @@
     purchase: Purchase = Purchase.RECLAIMABLE
     price_per_hour: float = 0.0
     checks_fencing: bool = True
+    bought: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/loads.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/loads.py
@@ -52,7 +52,7 @@
         self._poll_at_s: dict[str, float] = {}
         self._watched: list[Replica] = []
         self._voters: tuple[str, ...] = ()
-        self._version = 0
+        self._replicas: tuple[Replica, ...] | None = None
         self._look_at_s = 0.0
 
     @property
@@ -93,6 +93,9 @@
         zone = self._context.identity.zone
         rows = []
         for index, replica in enumerate(inventory.replicas):
+            if replica.bought:
+                # Its place is this VM's own; the lists of two VMs may differ for a while.
+                continue
             load = self._loads.get(replica.replica_id) if replica.zone == zone else None
             if load is None:
                 continue
@@ -117,6 +120,8 @@
             digest.age_steps,
             strict=True,
         ):
+            if index >= len(inventory.replicas) or inventory.replicas[index].bought:
+                continue
             replica_id = inventory.replicas[index].replica_id
             reported_at_s = now_s - step * AGE_STEP_S
             reports.append(LoadReported(replica_id, running, waiting, reported_at_s))
@@ -128,10 +133,10 @@
         if inventory is None:
             return
         voters = self._zone_voters(now_s)
-        if voters == self._voters and inventory.version == self._version:
+        if voters == self._voters and inventory.replicas is self._replicas:
             return
         self._voters = voters
-        self._version = inventory.version
+        self._replicas = inventory.replicas
         near = [
             replica
             for replica in inventory.replicas
