--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ledger.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/ledger.py
@@ -39,6 +39,7 @@
     """Writing and reading of one stream.
 
     :param next_offset: where the next read starts; ``None`` before the first.
+    :param next_send_s: when the next record may be sent.
     :param end_reads: reads so far that reached the end of the log, and were applied.
     :param end_read_since_s: time after which the last of them began.
     :param applied_at_s: when the last read was applied.
@@ -49,6 +50,7 @@
     outstanding: _Outstanding | None = None
     next_offset: int | None = None
     end_reads: int = 0
+    next_send_s: float = 0.0
     end_read_since_s: float = 0.0
     applied_at_s: float = 0.0
 
@@ -84,7 +86,7 @@
     def add(self, stream: str, entry: Entry, now_s: float) -> None:
         """Append an entry with the next record."""
         self._stream(stream).waiting.append(entry)
-        self._flush(stream)
+        self._flush(stream, now_s)
 
     def discard(self, stream: str, entry: Entry) -> bool:
         """Take back an entry that was never sent; false if it may stand in the log."""
@@ -94,12 +96,12 @@
         waiting.remove(entry)
         return True
 
-    def on_answered(self, append_id: int) -> None:
+    def on_answered(self, append_id: int, now_s: float) -> None:
         """Send the next group after the log took one."""
         for name, stream in self._streams.items():
             if stream.outstanding is not None and append_id in stream.outstanding.append_ids:
                 stream.outstanding = None
-                self._flush(name)
+                self._flush(name, now_s)
 
     def on_failed(self, append_id: int, uncertain: bool, now_s: float) -> None:
         """Keep a failed record for sending it again."""
@@ -116,8 +118,9 @@
             outstanding.resend_at_s = now_s + delay_s * self._context.rng.uniform(0.75, 1.25)
 
     def on_tick(self, now_s: float) -> None:
-        """Send failed records again when their time has come."""
+        """Send failed records again, and waiting entries, when their time has come."""
         for name, stream in self._streams.items():
+            self._flush(name, now_s)
             outstanding = stream.outstanding
             if outstanding is None or outstanding.resend_at_s is None:
                 continue
@@ -143,10 +146,11 @@
             stream.end_reads += 1
             stream.end_read_since_s = stream.applied_at_s
         stream.applied_at_s = now_s
+        self._flush(event.stream, now_s)
 
-    def on_record(self, name: str, record: Record) -> bool:
+    def on_record(self, name: str, record: Record, now_s: float) -> bool:
         """Take a record read back; true if it is not a repeat of an earlier one."""
-        self._settle_own(name, record)
+        self._settle_own(name, record, now_s)
         key = (name, record.writer, record.incarnation)
         if record.sequence <= self._seen.get(key, 0):
             return False
@@ -178,7 +182,7 @@
             stream.outstanding is None and not stream.waiting for stream in self._streams.values()
         )
 
-    def _settle_own(self, name: str, record: Record) -> None:
+    def _settle_own(self, name: str, record: Record, now_s: float) -> None:
         """Stop resending a record that is read back.
 
         The entries are compared as well, since a process that was started with an incarnation
@@ -192,15 +196,21 @@
             return
         if record.entries == outstanding.entries:
             self._streams[name].outstanding = None
-            self._flush(name)
+            self._flush(name, now_s)
 
     def _stream(self, name: str) -> _Stream:
         return self._streams.setdefault(name, _Stream())
 
-    def _flush(self, name: str) -> None:
+    def _flush(self, name: str, now_s: float) -> None:
+        """Send what waits, unless a record is on its way or was sent a moment ago.
+
+        The pause between records bounds what all entry VMs together ask of the log, whatever the
+        rate of calls; after an idle moment an entry is sent at once.
+        """
         stream = self._stream(name)
-        if stream.outstanding is not None or not stream.waiting:
+        if stream.outstanding is not None or not stream.waiting or now_s < stream.next_send_s:
             return
+        stream.next_send_s = now_s + self._context.settings.append_spacing_s
         stream.sequence += 1
         entries = self._take_group(stream)
         stream.outstanding = _Outstanding(stream.sequence, entries)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -147,7 +147,7 @@
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
-                self.ledger.on_answered(append_id)
+                self.ledger.on_answered(append_id, now_s)
             case AppendFailed(append_id, uncertain):
                 self.ledger.on_failed(append_id, uncertain, now_s)
             case PeerMessageArrived(sender, message):
@@ -212,12 +212,12 @@
         gap = self.ledger.on_read(event)
         if event.stream == CONFIGURATION_STREAM:
             for record in event.records:
-                self.ledger.on_record(event.stream, record)
+                self.ledger.on_record(event.stream, record, now_s)
             self.configuration.on_log_read(event, now_s)
             return
         self.calls.on_read(event, gap)
         for record in event.records:
-            first = self.ledger.on_record(event.stream, record)
+            first = self.ledger.on_record(event.stream, record, now_s)
             self.calls.on_record(record)
             for entry in record.entries:
                 # Claims and tickets are folded without regard to copies; see claim_table.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -35,6 +35,9 @@
     append_refused_resend_s: float = documented(
         0.2, "Wait before an append refused by the log's rate limit is repeated.", 0.01
     )
+    append_spacing_s: float = documented(
+        0.03, "Least time between two records that one entry VM appends to a stream.", 0.0
+    )
     append_max_bytes: int = documented(262_144, "Entries of one record by size, about.", 1024)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
     key_refuse_s: float = documented(
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/at_most_once.py
@@ -0,0 +1,88 @@
+"""Bookings under random faults: how many ran twice, or were told what was not so."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+import click
+
+from coriandershelf_rig.internal.report import Report
+from coriandershelf_rig.internal.soak import SoakResult, describe, run_episode
+from coriandershelf_rig.internal.soak_bench import SoakBench
+from coriandershelf_rig.internal.soak_plan import VM_COUNT, Book
+
+NAME = "at-most-once"
+TARGET = 0.0
+EPISODES = 12
+STEADY_S = 4.0
+STEADY_RATES_PER_S = (10.0, 100.0, 400.0)
+# The plain way: every entry VM runs what it is sent.
+PLAIN_WAY = frozenset({"claims-first-wins", "tickets-one-owner"})
+
+
+def run_episodes(seed: int, disabled: frozenset[str]) -> SoakResult:
+    """Run the experiment's episodes."""
+    result = SoakResult(seed)
+    for number in range(EPISODES):
+        result.add(run_episode(seed, number, disabled))
+    return result
+
+
+def broken_count(result: SoakResult) -> int:
+    """Return how many promises were broken, as judged by the stand-ins."""
+    return sum(len(episode.broken) for episode in result.broken)
+
+
+def appends_per_claim(seed: int, bookings_per_s: float) -> float:
+    """Return the appends for each booking, its claim and result, at a steady rate."""
+    bench = SoakBench(seed)
+    bench.run(2.0)
+    before = bench.log.appends_taken
+    count = int(bookings_per_s * STEADY_S)
+    rng = random.Random(seed)
+    for number in range(count):
+        book = Book(0.0, rng.randrange(VM_COUNT), f"key-{number}", 0, 30.0)
+        bench.at(rng.uniform(0.0, STEADY_S), partial(bench.apply, book))
+    bench.run(STEADY_S + 2.0)
+    assert len(bench.executions) == count, "every booking runs once without a fault"
+    return (bench.log.appends_taken - before) / count
+
+
+def run(
+    seed: int,
+    disabled: frozenset[str] = frozenset(),
+    verbose: bool = False,
+    plot: str | None = None,
+) -> Report:
+    """Measure broken promises per booking.
+
+    :param plot: not used; there is nothing to plot.
+    """
+    result = run_episodes(seed, disabled)
+    plain = run_episodes(seed, PLAIN_WAY | disabled)
+    if verbose:
+        for line in describe(result):
+            click.echo(line)
+        for episode in result.broken:
+            click.echo(f"episode {episode.number}: {'; '.join(episode.broken)}")
+    return Report(
+        experiment=NAME,
+        seed=seed,
+        measure="broken promises per booking sent",
+        baseline=broken_count(plain) / plain.bookings,
+        candidate=broken_count(result) / result.bookings,
+        target=TARGET,
+        violations=broken_count(result),
+        note=_note(seed, result),
+    )
+
+
+def _note(seed: int, result: SoakResult) -> str:
+    appends = ", ".join(
+        f"{appends_per_claim(seed, rate):.2f} at {rate:.0f}/s" for rate in STEADY_RATES_PER_S
+    )
+    return (
+        f"{result.bookings} bookings, {result.executions} executions; "
+        f"appends per booking without faults: {appends}"
+    )
