--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -43,7 +43,10 @@
     ConfigurationQuery,
     ConfigurationReply,
     Heartbeat,
+    InFlightDigest,
+    LengthObserved,
     Message,
+    ReplicaVerdict,
 )
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
@@ -87,7 +90,7 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
-        self.serving = Serving(self.context, self._deliver, self._finish)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
         self.calls = Calls(
             self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
         )
@@ -285,11 +288,22 @@
                 self._answer_configuration(sender, message)
             case ConfigurationReply():
                 self.configuration.on_reply(message, now_s)
+            case InFlightDigest():
+                self.serving.on_digest(message, now_s)
+            case LengthObserved():
+                self.serving.lengths.learn(message)
             case Heartbeat():
                 self.configuration.on_peer_version(sender, message.version, now_s)
+            case ReplicaVerdict(replica_id, in_order):
+                self.serving.stalls.on_verdict(replica_id, in_order, now_s)
             case _:
                 pass
 
+    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
+        """Tell every entry VM of a replica that stalls or is in order again."""
+        for peer in self.membership.peers(self.context.identity):
+            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
         if address is None:
@@ -304,6 +318,9 @@
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
         self.configuration.on_tick(now_s)
+        for message in self.serving.due_messages(now_s):
+            for peer in self.membership.peers(self.context.identity):
+                self._tell(peer.vm_id, message)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
@@ -330,6 +347,7 @@
             self._cut_rest(now_s)
         parts = (self.calls, self.jobs, self.ledger)
         idle = all(part.idle for part in parts) and not self.serving.works
+        idle = idle or not self.context.enabled("finish-in-flight")
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -42,6 +42,31 @@
     snapshot: ConfigurationSnapshot
 
 
+@dataclass(frozen=True, slots=True)
+class InFlightDigest:
+    """Tells peers how many works the sender has in flight at each replica it uses.
+
+    :param sequence: grows with each digest of an incarnation.
+    """
+
+    vm_id: str
+    incarnation: int
+    sequence: int
+    replica_ids: tuple[str, ...]
+    counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LengthObserved:
+    """Tells peers the length of an answer that was guessed wrong."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    length_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
@@ -132,10 +157,32 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class JobSought:
+    """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobFound:
+    """Answers a :class:`JobSought`: the sender has the whole output and goes on with it."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaVerdict:
+    """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
+
+    replica_id: str
+    in_order: bool
+
+
 Message = (
-    TicketCall
-    | TicketResult
-    | Heartbeat
+    Heartbeat
     | ConfigurationQuery
     | ConfigurationReply
     | JobQuery
@@ -143,4 +190,11 @@
     | JobCopy
     | JobCopied
     | JobHandover
+    | TicketCall
+    | TicketResult
+    | JobSought
+    | JobFound
+    | ReplicaVerdict
+    | InFlightDigest
+    | LengthObserved
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -56,6 +56,7 @@
     UPSTREAM_ERROR = ("upstream-error", "The upstream answered with a server error.")
     UPSTREAM_LEAVING = ("upstream-leaving", "The upstream is being reclaimed or drained.")
     HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
+    MOVED = ("moved", "A stream was moved off a stalled replica with its KV cache.")
 
     def __init__(self, code: str, meaning: str) -> None:
         self.code = code
@@ -87,6 +88,13 @@
     TICKETS_USED = ("tickets.used", "Calls run under a ticket by this VM, its owner.")
     TICKETS_FORWARDED = ("tickets.forwarded", "Calls passed to the owner of their ticket.")
     LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
+    HEDGES_OVER_BUDGET = ("hedges.over-budget", "Hedges not started for want of budget.")
+    ATTEMPTS_LOST = ("attempts.lost", "Slower attempts cancelled because another one answered.")
+    EJECTIONS = ("ejections", "Replicas kept from new work because they stalled.")
+    EJECTIONS_FLOOR = ("ejections.floor", "Ejections not done: too few replicas would be left.")
+    EJECTION_HINTS = ("ejections.hints", "Ejections on the word of another entry VM.")
+    PROBES = ("ejections.probes", "Requests sent to an ejected replica to try it.")
+    READMISSIONS = ("ejections.readmitted", "Ejected replicas that take new work again.")
     STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
     JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
     JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/load.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/load.py
@@ -204,7 +204,7 @@
                 raise
             document = json.loads(answer.body)
             position += len(document["output"])
-            tokens += _contents(document["output"])
+            tokens += contents(document["output"])
             if document["status"] != "running":
                 break
         self._judge(tokens, expected_tokens(body))
@@ -216,7 +216,8 @@
             self.result.wrong += 1
 
 
-def _contents(chunks: list[dict[str, Any]]) -> list[str]:
+def contents(chunks: list[dict[str, Any]]) -> list[str]:
+    """Return the tokens of a stream's chunks."""
     deltas = [chunk["choices"][0]["delta"] for chunk in chunks]
     return [delta["content"] for delta in deltas if "content" in delta]
 
@@ -231,7 +232,7 @@
         for event in events
         if event.startswith(b"data: ") and event != b"data: [DONE]"
     ]
-    return _contents(chunks)
+    return contents(chunks)
 
 
 async def run_load(
