--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -75,6 +75,15 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class TicketsAsked:
+    """A caller asks for tickets, keys that their owner can run without the log."""
+
+    request_id: str
+    credential_hash: str
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptOpened:
     """The upstream answered with a response head."""
@@ -145,12 +154,14 @@
 
     :param first_offset: oldest offset the log still keeps.
     :param next_offset: offset from which the next read starts.
+    :param at_end: whether the log held nothing beyond these records when it answered.
     """
 
     stream: str
     records: tuple[Record, ...]
     first_offset: int
     next_offset: int
+    at_end: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,6 +233,7 @@
     RequestArrived
     | CallerGone
     | JobRead
+    | TicketsAsked
     | AttemptOpened
     | TokensArrived
     | StreamEnded
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -8,7 +8,7 @@
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
 from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import make_work, owner_of
+from coriandershelf_core.internal.classify import is_repeatable, make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import (
@@ -30,11 +30,12 @@
     StopAsked,
     StreamEnded,
     Tick,
+    TicketsAsked,
     TokensArrived,
     VmListRead,
     VmState,
 )
-from coriandershelf_core.internal.inventory import Inventory
+from coriandershelf_core.internal.inventory import Customer, Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
@@ -43,25 +44,30 @@
     ConfigurationReply,
     Heartbeat,
     Message,
+    ReplicaVerdict,
+    TicketCall,
+    TicketResult,
 )
-from coriandershelf_core.internal.outcome import NotRun, Outcome
+from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     CONFIGURATION_STREAM,
-    Claim,
-    ClaimFinished,
-    ClaimReleased,
+    LEDGER_STREAM,
+    ClaimEntry,
     ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
     JobMoved,
     JobSnapshot,
+    TicketEntry,
 )
-from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.request import Request, RequestKind
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
 from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
+from coriandershelf_core.internal.ticket_table import parse_ticket
+from coriandershelf_core.internal.tickets import Tickets
 from coriandershelf_core.internal.work import Work, WorkOwner
 
 
@@ -89,8 +95,10 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
-        self.serving = Serving(self.context, self._deliver, self._finish)
-        self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
+        self.claims = Claims(
+            self.context, self.ledger, self.serving.enqueue, self.membership.is_gone
+        )
         self.jobs = Jobs(
             self.context,
             self.ledger,
@@ -99,6 +107,14 @@
             self.serving.cancel,
             self._tell,
         )
+        self.tickets = Tickets(
+            self.context,
+            self.ledger,
+            self.serving.enqueue,
+            self._tell,
+            self.claims.request,
+            self.membership.is_gone,
+        )
         self._heartbeat_at_s = 0.0
         self._stopped = False
 
@@ -142,6 +158,8 @@
                 self.serving.on_failed(event, now_s)
             case JobRead():
                 self._on_job_read(event, now_s)
+            case TicketsAsked():
+                self.tickets.on_asked(event, now_s)
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
@@ -166,31 +184,62 @@
         self.context.trace(request.request_id, now_s, "arrived", request.kind.value)
         customer = authenticate(self.context.inventory, request.credential_hash)
         if isinstance(customer, NotRun):
-            self.context.finish(request.request_id, customer, now_s)
+            self._refuse(request, customer, now_s)
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
+        if self._answer_known_key(request, customer, inventory, now_s):
+            return
         stopping = refuses(self.context, request, inventory.rules, now_s)
         refusal = admit(request, inventory, stopping, now_s)
         if refusal is not None:
-            self.context.finish(request.request_id, refusal, now_s)
+            self._refuse(request, refusal, now_s)
             return
         owner = owner_of(request, inventory)
         if owner is WorkOwner.CLAIM and request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
             return
+        if owner is WorkOwner.CLAIM and parse_ticket(request.idempotency_key) is not None:
+            owner = WorkOwner.TICKET
         work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
         refusal = self.serving.refusal_of(work, now_s)
         if refusal is not None:
-            self.context.finish(request.request_id, refusal, now_s)
+            self._refuse(request, refusal, now_s)
         elif owner is WorkOwner.JOB:
             self.jobs.request(work, now_s)
         elif owner is WorkOwner.CALLER:
             self.serving.enqueue(work, now_s)
+        elif owner is WorkOwner.TICKET:
+            self.tickets.request(work, now_s)
         else:
             self.claims.request(work, now_s)
 
+    def _refuse(self, request: Request, refusal: NotRun, now_s: float) -> None:
+        """Refuse a request before its idempotency key was looked at."""
+        outcome: Outcome = refusal
+        if request.kind is RequestKind.SERVICE and request.idempotency_key is not None:
+            outcome = self.claims.early_refusal(refusal, now_s)
+            if parse_ticket(request.idempotency_key) is not None:
+                # Only the ticket's owner knows whether it ran.
+                outcome = Unknown(refusal.reason, refusal.retry_after_s, refusal.detail)
+        self.context.finish(request.request_id, outcome, now_s)
+
+    def _answer_known_key(
+        self, request: Request, customer: Customer, inventory: Inventory, now_s: float
+    ) -> bool:
+        """Answer a repeat from its claim, which no reason to refuse may stand before."""
+        service = inventory.service(request.service)
+        if service is None or request.idempotency_key is None:
+            return False
+        if is_repeatable(request, inventory):
+            return False
+        work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s, self.serving.lengths)
+        known = self.claims.knows(work)
+        if known:
+            self.claims.request(work, now_s)
+        return known
+
     def _on_caller_gone(self, request_id: str) -> None:
         work = self.serving.works.get(request_id)
         if work is not None and work.owner is WorkOwner.CALLER:
@@ -208,19 +257,26 @@
         if event.stream == CONFIGURATION_STREAM:
             self.configuration.on_log_read(event, now_s)
             return
+        gap = self.ledger.on_read(event)
+        if event.stream == LEDGER_STREAM:
+            self.claims.on_read(event.first_offset, gap)
+            self.tickets.on_read(gap)
         for record in event.records:
-            if self.ledger.is_first(event.stream, record):
-                for entry in record.entries:
+            first = self.ledger.on_record(event.stream, record)
+            if event.stream == LEDGER_STREAM:
+                self.claims.retention.on_record(record)
+            for entry in record.entries:
+                if isinstance(entry, ClaimEntry):
+                    # Claims are folded without regard to copies; see claim_table.
+                    self.claims.on_entry(entry, record, now_s)
+                elif isinstance(entry, TicketEntry):
+                    self.tickets.on_entry(entry, self.claims.retention.log_time_s, now_s)
+                elif first:
                     self._on_entry(entry, now_s)
+        self.ledger.on_read_applied(event, now_s)
 
     def _on_entry(self, entry: Entry, now_s: float) -> None:
         match entry:
-            case Claim():
-                self.claims.on_claim(entry, now_s)
-            case ClaimReleased():
-                self.claims.on_released(entry)
-            case ClaimFinished():
-                self.claims.on_finished(entry)
             case JobAccepted():
                 self.jobs.on_accepted(entry, now_s)
             case JobMoved():
@@ -272,6 +328,9 @@
         return tuple(sorted([*peers, self.context.identity.vm_id]))
 
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
+        if isinstance(message, TicketCall | TicketResult):
+            self.tickets.on_message(sender, message, now_s)
+            return
         self.jobs.on_message(sender, message, now_s)
         match message:
             case ConfigurationQuery():
@@ -280,9 +339,16 @@
                 self.configuration.on_reply(message, now_s)
             case Heartbeat():
                 self.configuration.on_peer_version(sender, message.version, now_s)
+            case ReplicaVerdict(replica_id, in_order):
+                self.serving.stalls.on_verdict(replica_id, in_order, now_s)
             case _:
                 pass
 
+    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
+        """Tell every entry VM of a replica that stalls or is in order again."""
+        for peer in self.membership.peers(self.context.identity):
+            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
         if address is None:
@@ -294,6 +360,7 @@
     def _on_tick(self, now_s: float) -> None:
         self.ledger.on_tick(now_s)
         self.claims.on_tick(now_s)
+        self.tickets.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
         self.configuration.on_tick(now_s)
@@ -321,7 +388,8 @@
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
-        idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
+        parts = (self.claims, self.tickets, self.jobs, self.ledger)
+        idle = all(part.idle for part in parts) and not self.serving.works
         idle = idle or not self.context.enabled("finish-in-flight")
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
@@ -330,6 +398,7 @@
 
     def _cut_rest(self, now_s: float) -> None:
         """Tell the callers whose answers the notice cuts off, while there is time to."""
+        self.claims.cut_rest(now_s)
         for work in list(self.serving.works.values()):
             if work.owner is not WorkOwner.JOB:
                 self.serving.cancel(work.work_id)
@@ -348,5 +417,7 @@
             self.jobs.finish(work, outcome, now_s)
         elif work.owner is WorkOwner.CLAIM:
             self.claims.finish(work, outcome, now_s)
+        elif work.owner is WorkOwner.TICKET:
+            self.tickets.finish(work, outcome, now_s)
         else:
             self.context.finish(work.work_id, outcome, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -106,6 +106,32 @@
     replica_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TicketCall:
+    """Asks a ticket's owner to run a call, or for the result if it ran before."""
+
+    request_id: str
+    customer: str
+    service: str
+    path: str
+    body: bytes
+    key: str
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TicketResult:
+    """Answers a :class:`TicketCall`; ``outcome`` is ``done``, ``not-run`` or ``unknown``."""
+
+    request_id: str
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
+    detail: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
 @dataclass(frozen=True, slots=True)
 class JobSought:
     """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
@@ -122,6 +148,14 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaVerdict:
+    """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
+
+    replica_id: str
+    in_order: bool
+
+
 Message = (
     Heartbeat
     | ConfigurationQuery
@@ -131,6 +165,9 @@
     | JobCopy
     | JobCopied
     | JobHandover
+    | TicketCall
+    | TicketResult
     | JobSought
     | JobFound
+    | ReplicaVerdict
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -20,6 +20,11 @@
     KEY_REUSED = ("key-reused", 422, "Use a new Idempotency-Key for another body.")
     KEY_EXPIRED = ("key-expired", 422, "Use a new Idempotency-Key; this one is past its window.")
     IN_PROGRESS = ("in-progress", 409, "Ask again with the same key after the stated time.")
+    RESULT_NOT_KEPT = (
+        "result-not-kept",
+        409,
+        "Do not send it again; it ran once and its answer was too large to keep.",
+    )
     OVERLOADED = ("overloaded", 429, "Come back after the stated time.")
     OVER_SHARE = ("over-share", 429, "Come back after the stated time or send less at once.")
     DEADLINE = ("deadline", 504, "Send a later deadline or come back after the stated time.")
@@ -51,6 +56,7 @@
     UPSTREAM_ERROR = ("upstream-error", "The upstream answered with a server error.")
     UPSTREAM_LEAVING = ("upstream-leaving", "The upstream is being reclaimed or drained.")
     HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
+    MOVED = ("moved", "A stream was moved off a stalled replica with its KV cache.")
 
     def __init__(self, code: str, meaning: str) -> None:
         self.code = code
@@ -72,6 +78,23 @@
     APPENDS = ("log.appends", "Records appended to the log.")
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    CLAIMS_WON = ("claims.won", "Claims of this VM that won their key.")
+    CLAIMS_LOST = ("claims.lost", "Claims of this VM whose key was taken before.")
+    CLAIMS_VOID = ("claims.void", "Claims that the log took too late to count.")
+    CLAIMS_RELEASED = ("claims.released", "Claims given up before anything was sent.")
+    CLAIMS_KEPT = ("claims.kept", "Keys written forward before their records expire.")
+    REPEATS_ATTACHED = ("claims.repeats-attached", "Repeats that waited for the running call.")
+    TICKETS_GRANTED = ("tickets.granted", "Tickets granted to callers by this VM.")
+    TICKETS_USED = ("tickets.used", "Calls run under a ticket by this VM, its owner.")
+    TICKETS_FORWARDED = ("tickets.forwarded", "Calls passed to the owner of their ticket.")
+    LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
+    HEDGES_OVER_BUDGET = ("hedges.over-budget", "Hedges not started for want of budget.")
+    ATTEMPTS_LOST = ("attempts.lost", "Slower attempts cancelled because another one answered.")
+    EJECTIONS = ("ejections", "Replicas kept from new work because they stalled.")
+    EJECTIONS_FLOOR = ("ejections.floor", "Ejections not done: too few replicas would be left.")
+    EJECTION_HINTS = ("ejections.hints", "Ejections on the word of another entry VM.")
+    PROBES = ("ejections.probes", "Requests sent to an ejected replica to try it.")
+    READMISSIONS = ("ejections.readmitted", "Ejected replicas that take new work again.")
     STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
     JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
     JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -14,13 +14,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A right to run one non-idempotent call; the first in log order wins."""
+    """A right to run one non-idempotent call; the first in log order wins.
+
+    :param incarnation: the holder's; a restarted VM of the same name is not the holder.
+    """
 
     key_hash: str
     body_hash: str
     request_id: str
     holder: str
     at_s: float
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +37,64 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimFinished:
-    """The result of a claimed call; ``known`` is false where it may have run."""
+    """The result of a claimed call; ``known`` is false where it may have run.
+
+    :param whole: whether ``body`` was small enough to be kept.
+    """
 
     key_hash: str
     request_id: str
     known: bool
     status: int = 0
     body: bytes = b""
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKept:
+    """The state of a key, written again before the records it came from expire."""
+
+    claim: Claim
+    claimed_offset: int
+    claimed_at_s: float
+    finished: ClaimFinished | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerKept:
+    """States alive at ``start_offset`` stand in records from there on to this one.
+
+    A reader that began at or before ``start_offset`` has read them all.
+    """
+
+    start_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsGranted:
+    """Tickets of a customer that only ``holder`` in this incarnation may run."""
+
+    grant_id: str
+    customer: str
+    holder: str
+    incarnation: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketUsed:
+    """The result of a call that its ticket's owner ran."""
+
+    key_hash: str
+    body_hash: str
+    result: ClaimFinished
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsReleased:
+    """The owner gives back a grant; what it used of it stands earlier in the log."""
+
+    grant_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,10 +226,17 @@
         return self.history[-1].version
 
 
+ClaimEntry = Claim | ClaimReleased | ClaimFinished | ClaimKept | LedgerKept
+TicketEntry = TicketsGranted | TicketUsed | TicketsReleased
 Entry = (
-    Claim
+    TicketsGranted
+    | TicketUsed
+    | TicketsReleased
+    | Claim
     | ClaimReleased
     | ClaimFinished
+    | ClaimKept
+    | LedgerKept
     | JobAccepted
     | JobMoved
     | JobFinished
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -73,6 +73,8 @@
 TICK_S = 0.05
 LOG_LATENCY_S = 0.004
 LOG_READ_PERIOD_S = 0.01
+LOG_READ_IDLE_S = 0.25
+LOG_READ_MAX_COUNT = 500
 LOAD_REPORT_PERIOD_S = 1.0
 LOAD_REPORT_LAG_S = 1.0
 PLAIN_DURATION_S = 0.02
@@ -113,6 +115,7 @@
     stopped_at_s: float | None = None
     held: list[Event] = field(default_factory=list)
     offsets: dict[str, int] = field(default_factory=dict)
+    read_at_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -344,15 +347,18 @@
         if not entry.paused and not self.cut(vm_id, "log"):
             for stream in (CONFIGURATION_STREAM, LEDGER_STREAM):
                 start = entry.offsets.get(stream, 0)
-                answer = self.log.read(stream, start, 500, self.now_s)
+                answer = self.log.read(stream, start, LOG_READ_MAX_COUNT, self.now_s)
                 if answer is None:
                     continue
                 stored, first, upcoming = answer
                 entry.offsets[stream] = upcoming
-                if not stored and upcoming == start:
+                idle_s = self.now_s - entry.read_at_s.get(stream, 0.0)
+                if not stored and upcoming == start and idle_s < LOG_READ_IDLE_S:
                     continue
+                entry.read_at_s[stream] = self.now_s
                 records = tuple(Record(item.offset, item.time_s, *item.data) for item in stored)
-                self.feed(vm_id, LogRead(stream, records, first, upcoming))
+                at_end = len(stored) < LOG_READ_MAX_COUNT
+                self.feed(vm_id, LogRead(stream, records, first, upcoming, at_end))
         self.at(LOG_READ_PERIOD_S, lambda: self._read_log(entry, vm_id))
 
     def _perform(self, vm_id: str, action: Action) -> None:
@@ -440,9 +446,27 @@
         upstream.attempts[action.attempt_id] = vm_id
         if action.kind is ServiceKind.PLAIN:
             self._run_plain(vm_id, upstream, action)
+        elif action.kv_source:
+            self._import_then_run(vm_id, upstream, action)
         else:
             self._run_sequence(vm_id, upstream, action)
 
+    def _import_then_run(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+        """Run a sequence once its KV cache has come; a slowed end slows the transfer as well."""
+        assert upstream.engine is not None, f"{action.replica_id} runs no model"
+        source = self.upstreams[self._replica_at[action.kv_source]]
+        tokens = 0
+        if source.alive and source.engine is not None:
+            tokens = source.engine.export_kv(action.request_id)
+        factor = max(source.engine.slow_factor if source.engine else 1.0, 1.0)
+        delay_s = tokens / upstream.engine.shape.kv_tokens_per_s * factor
+
+        def begin() -> None:
+            if upstream.alive and action.attempt_id in upstream.attempts:
+                self._run_sequence(vm_id, upstream, action, tokens)
+
+        self.at(delay_s, begin)
+
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
         identity = _identity(action.path, action.body)
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
@@ -454,17 +478,20 @@
 
         self.at(PLAIN_DURATION_S, answer)
 
-    def _run_sequence(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+    def _run_sequence(
+        self,
+        vm_id: str,
+        upstream: BenchUpstream,
+        action: StartAttempt,
+        imported_tokens: int = 0,
+    ) -> None:
         engine = upstream.engine
         assert engine is not None, f"{action.replica_id} runs no model"
         request = self.calls[action.request_id].request
         shape = self.shapes[action.request_id]
         position = len(action.resume_payloads)
-        source_id = self._replica_at.get(action.kv_source)
-        if source_id is not None:
-            source = self.upstreams[source_id]
-            if source.alive and source.engine is not None:
-                engine.import_kv(action.request_id, source.engine.export_kv(action.request_id))
+        if imported_tokens:
+            engine.import_kv(action.request_id, imported_tokens)
         sequence = Sequence(
             attempt_id=action.attempt_id,
             request_id=action.request_id,
