--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -135,7 +135,7 @@
         if repeated < 0:
             # Tokens are missing in between; the stream is of no use beyond this place.
             self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
-            self._context.emit(CancelAttempt(attempt.attempt_id))
+            self.attempts.announce_cancel(attempt)
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._learn(attempt, len(event.payloads), now_s)
@@ -166,7 +166,7 @@
             return
         crossed = event.stream_attempt_id != event.attempt_id
         if crossed or event.position != attempt.work.position:
-            self._context.emit(CancelAttempt(attempt.attempt_id))
+            self.attempts.announce_cancel(attempt)
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._complete(attempt, Done(), now_s)
--- a/tests/cover/test_whole_answer.py
+++ b/tests/cover/test_whole_answer.py
@@ -31,7 +31,7 @@
 
     @property
     def attempt_id(self) -> str:
-        return next(iter(self.bench.entries[ENTRY].core.serving.attempts))
+        return next(iter(self.bench.entries[ENTRY].core.serving.attempts.live))
 
     def tokens(self, position: int, *payloads: bytes, written_by: str | None = None) -> None:
         name = self.attempt_id
