--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -42,6 +42,31 @@
     snapshot: ConfigurationSnapshot
 
 
+@dataclass(frozen=True, slots=True)
+class InFlightDigest:
+    """Tells peers how many works the sender has in flight at each replica it uses.
+
+    :param sequence: grows with each digest of an incarnation.
+    """
+
+    vm_id: str
+    incarnation: int
+    sequence: int
+    replica_ids: tuple[str, ...]
+    counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LengthObserved:
+    """Tells peers the length of an answer that was guessed wrong."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    length_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
@@ -170,4 +195,6 @@
     | JobSought
     | JobFound
     | ReplicaVerdict
+    | InFlightDigest
+    | LengthObserved
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
@@ -20,8 +20,10 @@
     TokensArrived,
 )
 from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.lengths import LengthEstimator
+from coriandershelf_core.internal.lengths import LengthEstimator, observe
 from coriandershelf_core.internal.limits import Limits
+from coriandershelf_core.internal.messages import InFlightDigest, Message
+from coriandershelf_core.internal.occupancy import Occupancy
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
@@ -53,6 +55,8 @@
         self._finish = finish
         self.replicas = ReplicaTable()
         self.lengths = LengthEstimator()
+        self._observed: list[Message] = []
+        self.occupancy = Occupancy(context.settings.digest_period_s)
         self.limits = Limits(
             context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
         )
@@ -183,12 +187,49 @@
         if attempt is not None:
             self._fail(attempt, event.cause, event.sent, now_s)
 
+    def on_digest(self, digest: InFlightDigest, now_s: float) -> None:
+        """Note what another entry VM has in flight."""
+        if self._context.enabled("digests"):
+            self.occupancy.on_digest(digest, now_s)
+            self._apply_digests(now_s)
+            self.pump(now_s)
+
+    def due_messages(self, now_s: float) -> list[Message]:
+        """Return what the other entry VMs are to be told now."""
+        messages, self._observed = self._observed, []
+        digest = self._due_digest(now_s)
+        return messages if digest is None else [*messages, digest]
+
+    def _due_digest(self, now_s: float) -> InFlightDigest | None:
+        if not self._context.enabled("digests"):
+            return None
+        identity = self._context.identity
+        counts = {
+            state.replica.replica_id: len(state.in_flight)
+            for state in self.replicas
+            if state.in_flight
+        }
+        return self.occupancy.due_digest(
+            identity.vm_id, identity.incarnation, counts, self.limits.peer_count, now_s
+        )
+
+    def _apply_digests(self, now_s: float) -> None:
+        """Let fresh digests of all entry VMs stand above the replicas' late reports."""
+        self.occupancy.expire(now_s)
+        if not self.occupancy.is_complete(self.limits.peer_count):
+            self.limits.on_digests_missing()
+            return
+        for state in self.replicas:
+            others_count = self.occupancy.others_count(state.replica.replica_id)
+            state.on_digests(others_count, now_s)
+            self.limits.on_digests(state, others_count, now_s)
+
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
         state = self.replicas.get(event.replica_id)
         if state is not None:
             state.on_report(event.running_count, event.waiting_count, event.reported_at_s)
-            self.limits.on_report(state)
+            self.limits.on_report(state, event.reported_at_s)
 
     def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
         """Take tokens as evidence on their replica."""
@@ -207,12 +248,14 @@
         elif state is not None:
             gap_s = (now_s - last_s) / count
             state.health.on_gap(gap_s, now_s)
+            self.limits.on_gap(attempt.replica_id, gap_s)
             self.stalls.on_token(state, attempt, gap_s, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
         for state in self.replicas:
             state.sample(now_s)
+        self._apply_digests(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
         self.stalls.check(now_s)
@@ -256,10 +299,16 @@
         probed = self._ejector.probe_for(work, pool, now_s)
         if probed is not None:
             return probed
-        if kind_of(work) is ServiceKind.MODEL:
-            pool = [state for state in pool if self.limits.has_room(work.work_class, state)]
         healthy = [state for state in pool if not state.health.ejected]
-        return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
+        roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
+        return self.router.choose(work, roomy, now_s, any_zone=degraded)
+
+    def _with_room(
+        self, work: Work, pool: Sequence[ReplicaState], now_s: float
+    ) -> Sequence[ReplicaState]:
+        if kind_of(work) is not ServiceKind.MODEL:
+            return pool
+        return self.limits.with_room(work, pool, now_s)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
@@ -280,6 +329,8 @@
     def _count_as_long(self, work: Work, now_s: float) -> None:
         """Let a work that turned out long hold a slot of long work."""
         work.work_class = WorkClass.LONG
+        # It is not over yet; twice what it has is the likeliest length by Lindy's rule.
+        self._learn_length(work, 2 * work.position)
         for attempt_id in work.live_attempts:
             self.limits.on_class_changed(self.attempts.live[attempt_id])
         self._context.count(Counter.LENGTH_MISJUDGED)
@@ -293,6 +344,14 @@
             return ""
         return source.replica.address
 
+    def _learn_length(self, work: Work, length_tokens: int) -> None:
+        """Learn an answer's length, and tell the others where the guess was of the wrong class."""
+        observed = observe(work.customer, work.request, length_tokens)
+        self.lengths.learn(observed)
+        was_long = work.expected_tokens > LONG_TOKENS_COUNT
+        if was_long != (length_tokens > LONG_TOKENS_COUNT):
+            self._observed.append(observed)
+
     def _forget(self, attempt: Attempt, now_s: float) -> None:
         self.attempts.forget(attempt)
         self._ejector.on_probe_ended(attempt, now_s)
@@ -310,7 +369,7 @@
         if work.attempt_count:
             self.queue.correct(work, cost_tokens(work.request, work.position), now_s)
         if isinstance(outcome, Done) and work.payloads:
-            self.lengths.learn(work.customer, work.request, work.position)
+            self._learn_length(work, work.position)
         self._finish(work, outcome, now_s)
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -218,7 +218,7 @@
             for state in self._replicas.of_service(work.request.service)
             if state.replica.replica_id not in busy and not state.health.ejected
         ]
-        roomy = [state for state in pool if self._limits.has_room(work.work_class, state)]
+        roomy = self._limits.with_room(work, pool, now_s)
         return self._router.choose(work, roomy or pool, now_s, any_zone=True)
 
     def _start(
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_judge.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_judge.py
@@ -74,13 +74,15 @@
     """Return keys on whose holder two readers of the whole ledger differ."""
     views: dict[str, dict[str, str]] = {}
     for vm_id, entry in bench.entries.items():
-        claims = entry.core.claims
+        claims = entry.core.calls.claims
         if not claims.retention.complete:
             continue
         for state in claims.table:
             if state.holds:
                 views.setdefault(state.claim.key_hash, {})[vm_id] = state.claim.request_id
-    complete_count = sum(entry.core.claims.retention.complete for entry in bench.entries.values())
+    complete_count = sum(
+        entry.core.calls.claims.retention.complete for entry in bench.entries.values()
+    )
     return [
         f"readers differ on key {key_hash[:8]}: {sorted(holders.items())}"
         for key_hash, holders in views.items()
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -84,7 +84,8 @@
 
 def test_a_repeat_of_a_long_call_is_told_in_progress_with_a_time_to_come_back():
     bench = make_bench(plain_answer_limit_s=20.0, claim_open_max_s=60.0)
-    bench.apply(BadUpstreams(0.0, 1.0, 0.2))
+    for replica_id in bench.upstreams:
+        bench.apply(Cut(0.0, replica_id, "entry-1", False, 15.0))
     book(bench, 0)
     bench.run(0.3)
     repeat = book(bench, 1)
