Resume a silent stream over a fresh connection to the same replica; budgets for retries

Cause: a connection that goes silent was found after a fixed 2 s (10 s before the first token), and its stream was started again elsewhere. Change: a stream silent for twice the replica's own stall limit (at least 0.25 s) while the replica's other streams move goes on over a fresh connection to the same replica; silent again, elsewhere with its KV cache. Before the first token the same after four times the expected wait. Retries need budget of their customer and upstream, 0.2 of successes; second and later retries wait with jitter.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
@@ -84,9 +84,9 @@
         return attempt
 
     def serving_count(self, work: Work) -> int:
-        """Return the live attempts of a work that are not only probes."""
+        """Return the live attempts of a work but for one left as probe."""
         purposes = [self.live[attempt_id].purpose for attempt_id in work.live_attempts]
-        return sum(purpose is not AttemptPurpose.PROBE for purpose in purposes)
+        return sum(purpose is not AttemptPurpose.LEFT_AS_PROBE for purpose in purposes)
 
     def at(self, state: ReplicaState) -> list[Attempt]:
         """Return the live attempts at a replica."""
@@ -117,10 +117,10 @@
             self.cancel(self.live[attempt_id])
 
     def cancel_losers(self, winner: Attempt, now_s: float) -> None:
-        """Cancel the other attempts of a work after one has won, but for probes."""
+        """Cancel the other attempts of a work after one has won, but for one left as probe."""
         for attempt_id in list(winner.work.live_attempts):
             loser = self.live[attempt_id]
-            if loser is not winner and loser.purpose is not AttemptPurpose.PROBE:
+            if loser is not winner and loser.purpose is not AttemptPurpose.LEFT_AS_PROBE:
                 self.cancel(loser)
                 self._context.count(Counter.ATTEMPTS_LOST)
                 self._context.trace(winner.work.work_id, now_s, "cancelled", loser.replica_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -51,6 +51,7 @@
     UPSTREAM_ERROR = ("upstream-error", "The upstream answered with a server error.")
     UPSTREAM_LEAVING = ("upstream-leaving", "The upstream is being reclaimed or drained.")
     HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
+    RECONNECTED = ("reconnected", "A silent stream went on over a fresh connection.")
     MOVED = ("moved", "A stream was moved off a stalled replica with its KV cache.")
 
     def __init__(self, code: str, meaning: str) -> None:
@@ -74,6 +75,7 @@
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
     HEDGES_OVER_BUDGET = ("hedges.over-budget", "Hedges not started for want of budget.")
+    RETRIES_OVER_BUDGET = ("retries.over-budget", "Retries not started for want of budget.")
     ATTEMPTS_LOST = ("attempts.lost", "Slower attempts cancelled because another one answered.")
     EJECTIONS = ("ejections", "Replicas kept from new work because they stalled.")
     EJECTIONS_FLOOR = ("ejections.floor", "Ejections not done: too few replicas would be left.")
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 
 from coriandershelf_core.internal.events import FailureCause
@@ -30,6 +31,18 @@
     reason: RetryReason
 
 
+def backoff_s(failure_count: int, settings: CoreSettings, rng: random.Random) -> float:
+    """Return the wait before a retry: none before the first, then doubling, with jitter.
+
+    Jitter takes the retries apart that one failure caused together.
+    """
+    if failure_count <= 1:
+        return 0.0
+    doubled_s = settings.retry_backoff_s * 2.0 ** (failure_count - 2)
+    delay_s = min(settings.retry_backoff_max_s, doubled_s)
+    return delay_s * (0.5 + 0.5 * rng.random())
+
+
 def decide_recovery(
     work: Work, cause: FailureCause, sent: bool, settings: CoreSettings, now_s: float
 ) -> Retry | NotRun | Unknown:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -6,6 +6,7 @@
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
+from coriandershelf_core.internal.budget import RetryBudget
 from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.eject import Ejector
@@ -26,7 +27,7 @@
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.recover import Retry, decide_recovery
+from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.stalls import Stalls, TellVerdict
@@ -64,6 +65,8 @@
         self.router = Router(context)
         self.works: dict[str, Work] = {}
         self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
+        self.retries = RetryBudget(context.settings)
+        self._delayed: list[tuple[float, Work]] = []
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -219,6 +222,7 @@
                 self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
         self._move_from_leaving(now_s)
+        self._release_delayed(now_s)
         self.pump(now_s)
 
     def _move_from_leaving(self, now_s: float) -> None:
@@ -297,6 +301,8 @@
         work = attempt.work
         self._forget(attempt, now_s)
         self.attempts.cancel_all(work)
+        overloaded = len(self.queue) > 0
+        self.retries.on_success(work.customer, attempt.replica_id, overloaded)
         self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
         self._settle(work, outcome, now_s)
         self.pump(now_s)
@@ -329,6 +335,12 @@
             self._settle(work, verdict, now_s)
             self.pump(now_s)
             return
+        leaving = cause is FailureCause.LEAVING
+        if not leaving and not self.retries.spend(work.customer, attempt.replica_id):
+            self._context.count(Counter.RETRIES_OVER_BUDGET)
+            self._settle(work, self._exhausted(sent), now_s)
+            self.pump(now_s)
+            return
         self._context.count(verdict.reason)
         self._context.log(
             "retry",
@@ -337,5 +349,20 @@
             customer=work.customer,
             reason=verdict.reason.code,
         )
-        self.queue.push(work, now_s)
+        delay_s = backoff_s(work.failure_count, self._context.settings, self._context.rng)
+        self._delayed.append((now_s + delay_s, work))
+        self._release_delayed(now_s)
         self.pump(now_s)
+
+    def _exhausted(self, sent: bool) -> Outcome:
+        if sent:
+            return Unknown(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
+        return NotRun(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
+
+    def _release_delayed(self, now_s: float) -> None:
+        """Queue works whose wait before a retry is over."""
+        waiting = [item for item in self._delayed if self.works.get(item[1].work_id) is item[1]]
+        self._delayed = [item for item in waiting if item[0] > now_s]
+        for due_s, work in waiting:
+            if due_s <= now_s:
+                self.queue.push(work, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -37,6 +37,13 @@
     probe_after_max_s: float = documented(8.0, "Longest wait between two tries.", 0.01)
     hedge_share: float = documented(0.025, "Hedged work as a share of work done.", 0.0)
     hedge_reserve_tokens: int = documented(2000, "Hedged work held in reserve at most.", 0)
+    reconnect_floor_s: float = documented(
+        0.25, "Least silence of one stream, while others move, before a fresh connection.", 0.01
+    )
+    retry_share: float = documented(0.2, "Retries as a share of successes.", 0.0)
+    retry_reserve_count: int = documented(30, "Retries held in reserve at most.", 1)
+    retry_backoff_s: float = documented(0.1, "Wait before a second retry; it doubles.", 0.0)
+    retry_backoff_max_s: float = documented(2.0, "Longest wait before a retry.", 0.0)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
     wait_limit_s: float = documented(
         3.0, "Estimated wait for a replica above which short work is refused.", 0.01
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -18,7 +18,8 @@
 CHECK_PERIOD_S = 0.01
 MOVES_MAX_COUNT = 8
 LIVE_ATTEMPTS_MAX_COUNT = 2
-PROBE_SILENCE_MAX_S = 2.0
+RECONNECT_FACTOR = 4.0
+PROBE_SILENCE_MAX_S = 0.5
 
 TellVerdict = Callable[[str, bool], None]
 
@@ -121,14 +122,37 @@
             for attempt in late:
                 self._move(attempt, state, now_s)
             self._leave_probe(state, late)
+        else:
+            for attempt in late:
+                self._reconnect(attempt, state, now_s)
         for attempt in waiting:
             if attempt.silent_s(now_s) > self._first_token_limit_s(attempt, state, stalled):
                 self._on_late_first_token(attempt, state, now_s)
         self._drop_silent_probe(state, now_s)
 
+    def _reconnect(self, attempt: Attempt, state: ReplicaState, now_s: float) -> None:
+        """Resume a stream that alone is silent, over a fresh connection to the same replica.
+
+        The replica's other streams move, so its connection is what is lost, and the KV cache is
+        still there. Silence again at the same position takes the stream elsewhere with that cache.
+        """
+        work = attempt.work
+        limit_s = max(self._context.settings.reconnect_floor_s, 2 * self._stall_limit_s(state))
+        if attempt.silent_s(now_s) <= limit_s or not self._context.enabled("reconnect"):
+            return
+        if not work.repeatable or self._attempts.serving_count(work) > 1:
+            return
+        if work.reconnect_position == work.position or not state.usable:
+            if attempt.token_count:
+                self._move(attempt, state, now_s)
+            return
+        work.reconnect_position = work.position
+        self._attempts.cancel(attempt)
+        self._start(attempt, state, AttemptPurpose.RECONNECT, RetryReason.RECONNECTED, "", now_s)
+
     def _left(self, attempt: Attempt) -> bool:
         """Return whether an attempt runs on only as a probe."""
-        probing = attempt.purpose is AttemptPurpose.PROBE
+        probing = attempt.purpose is AttemptPurpose.LEFT_AS_PROBE
         return probing and self._attempts.serving_count(attempt.work) > 0
 
     def _leave_probe(self, state: ReplicaState, late: list[Attempt]) -> None:
@@ -144,7 +168,7 @@
         if not self._context.enabled("left-probe"):
             return
         probe = max(moved, key=lambda item: item.work.expected_tokens - item.work.position)
-        probe.purpose = AttemptPurpose.PROBE
+        probe.purpose = AttemptPurpose.LEFT_AS_PROBE
         self._ejector.on_probe_started(state, probe)
 
     def _drop_probes(self, state: ReplicaState) -> None:
@@ -181,6 +205,10 @@
             self._ejector.plan_probe(state, now_s)
         if self._attempts.serving_count(attempt.work) >= LIVE_ATTEMPTS_MAX_COUNT:
             return
+        limit_s = self._first_token_limit_s(attempt, state, False)
+        if not state.health.ejected and attempt.silent_s(now_s) > RECONNECT_FACTOR * limit_s:
+            self._reconnect(attempt, state, now_s)
+            return
         if not attempt.work.repeatable or not self._context.enabled("hedge"):
             return
         target = self._elsewhere(attempt.work, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -32,6 +32,7 @@
     MOVE = "move"
     HEDGE = "hedge"
     PROBE = "probe"
+    LEFT_AS_PROBE = "left-as-probe"
 
 
 @dataclass(slots=True)
@@ -41,6 +42,7 @@
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
     :param failure_count: attempts that failed; moves and hedges do not count.
+    :param reconnect_position: position at the last fresh connection, or -1.
     :param move_count: times that a stream was moved off a stalled replica.
     :param expected_tokens: guess of the answer's length.
     :param cost_tokens: what the customer's share was charged, by that guess.
@@ -61,6 +63,7 @@
     attempt_count: int = 0
     failure_count: int = 0
     move_count: int = 0
+    reconnect_position: int = -1
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
     kv_replica_id: str = ""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/stragglers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/stragglers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass
 
+from coriandershelf_core import NotRun
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, Deployment
-from coriandershelf_rig.internal.model_load import schedule_load, whole
+from coriandershelf_rig.internal.model_load import SentCall, schedule_load, total_work_tokens, whole
 from coriandershelf_rig.internal.report import Report, percentile
 
 NAME = "stragglers"
@@ -33,6 +35,7 @@
     gap_p999_s: float
     work_tokens: int
     broken: int
+    refused: int
     counters: dict[str, int]
 
 
@@ -67,6 +70,11 @@
     engine.slow_factor = factor
 
 
+def _total_s(bench: Bench, sent: SentCall) -> float:
+    """Return a call's latency; one without its whole answer counts as endless."""
+    return sent.total_s if whole(bench, sent) else math.inf
+
+
 def measure(deployment: Deployment, seed: int, slowed: bool, disabled: frozenset[str]) -> Outcome:
     """Run one load with or without slowed upstreams."""
     bench = Bench(deployment, seed, disabled=disabled)
@@ -76,23 +84,20 @@
     if slowed:
         slow_in_turns(bench, seed, DURATION_S)
     bench.run(DURATION_S + DRAIN_S)
-    broken = sum(not whole(bench, item) for item in sent)
-    timely = [item for item in sent if item.class_name in COUNTED_CLASSES and item.call.ended_at_s]
-    counted = [item for item in timely if item.call.sent_at_s >= start_s]
-    work_tokens = 0
-    for upstream in bench.upstreams.values():
-        if upstream.engine is not None:
-            record = upstream.engine.record
-            work_tokens += record.tokens_generated + record.tokens_prefilled
+    refused = sum(isinstance(item.call.outcome, NotRun) for item in sent)
+    broken = sum(not whole(bench, item) for item in sent) - refused
+    timely = [item for item in sent if item.call.sent_at_s >= start_s]
+    counted = [item for item in timely if item.class_name in COUNTED_CLASSES]
     return Outcome(
         {
-            name: percentile([item.total_s for item in counted if item.class_name == name], 0.99)
+            name: percentile([_total_s(bench, item) for item in counted if item.class_name == name], 0.99)
             for name in COUNTED_CLASSES
         },
         percentile([item.call.first_token_s or 0.0 for item in counted], 0.99),
         percentile([gap for item in counted for gap in item.call.token_gaps_s], 0.999),
-        work_tokens,
+        total_work_tokens(bench),
         broken,
+        refused,
         bench.counters,
     )
 
@@ -120,7 +125,8 @@
         f"plain {_words(plain)}; first token p99 {quiet.first_token_p99_s:.3f} s, "
         f"{ours.first_token_p99_s:.3f} s, plain {plain.first_token_p99_s:.3f} s; gap p99.9 "
         f"{quiet.gap_p999_s:.3f} s, {ours.gap_p999_s:.3f} s, plain {plain.gap_p999_s:.3f} s; "
-        f"extra work {extra:.4f}"
+        f"extra work {extra:.4f}; refused {quiet.refused} quiet, {ours.refused} ours, "
+        f"{plain.refused} plain"
     )
     report = Report(
         NAME,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/model_load.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/model_load.py
@@ -67,6 +67,12 @@
     return is_whole(sent.call, bench.shapes[sent.call.request.request_id])
 
 
+def total_work_tokens(bench: Bench) -> int:
+    """Return the tokens that all engines computed, prompts and answers alike."""
+    records = [item.engine.record for item in bench.upstreams.values() if item.engine]
+    return sum(record.tokens_generated + record.tokens_prefilled for record in records)
+
+
 def schedule_load(bench: Bench, load: float, duration_s: float, seed: int) -> list[SentCall]:
     """Schedule arrivals on a bench; entry VMs get shares as unequal as their sizes.
 
