Try requests that were in flight at a crash alone; refuse them after a second one

Cause: a request that crashes its upstream was sent to the next one, and on each repeat again. Ruled out: counting crashes for each request in flight (innocents beside two crashes are refused); holding suspects in the queue (they block its head). Change: an identity (hash of service and body) in flight at a crash is a suspect at every entry VM, told by peer messages; it runs next with no other suspect at its replica, after a random pause so that trials of several entry VMs do not meet; eight tokens free it, a second crash has it refused. Closings by replicas that leave do not count. A refused connection keeps a replica from new work for 1 s whatever the ejection floor says, and does not use up a request's attempts.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
@@ -31,6 +31,7 @@
     :param probe_at_s: when an ejected replica is next offered a probe.
     :param eject_count: ejections and failed probes in a row, for backoff.
     :param probe_id: the attempt that probes an ejected replica, or empty.
+    :param unreachable_until_s: until when a refused connection speaks against new ones.
     :param probe_passed_count: tokens in a row that the probe got in time.
     """
 
@@ -47,6 +48,7 @@
     eject_count: int = 0
     probe_id: str = ""
     probe_passed_count: int = 0
+    unreachable_until_s: float = 0.0
 
     def on_gap(self, gap_s: float, now_s: float) -> None:
         """Learn from the time between two tokens.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -39,7 +39,14 @@
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Heartbeat, Message, ReplicaVerdict
+from coriandershelf_core.internal.messages import (
+    CrashSeen,
+    Heartbeat,
+    Message,
+    ReplicaVerdict,
+    SuspectVerdict,
+    TrialStarted,
+)
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
@@ -82,7 +89,7 @@
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
         self.configuration = Configuration(parse)
-        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._broadcast)
         self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
         self.jobs = Jobs(
             self.context,
@@ -259,13 +266,14 @@
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
         if isinstance(message, ReplicaVerdict):
             self.serving.stalls.on_verdict(message.replica_id, message.in_order, now_s)
+        elif isinstance(message, CrashSeen | TrialStarted | SuspectVerdict):
+            self.serving.quarantine.on_message(message, now_s)
         else:
             self.jobs.on_message(sender, message, now_s)
 
-    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
-        """Tell every entry VM of a replica that stalls or is in order again."""
+    def _broadcast(self, message: Message) -> None:
         for peer in self.membership.peers(self.context.identity):
-            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+            self._tell(peer.vm_id, message)
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -90,4 +90,39 @@
     in_order: bool
 
 
-Message = Heartbeat | JobQuery | JobReply | JobCopy | JobCopied | JobHandover | ReplicaVerdict
+@dataclass(frozen=True, slots=True)
+class CrashSeen:
+    """Tells that a request was in flight at a replica that crashed."""
+
+    replica_id: str
+    identity: str
+
+
+@dataclass(frozen=True, slots=True)
+class TrialStarted:
+    """Tells that a suspected request now runs at a replica, with no other suspect beside it."""
+
+    replica_id: str
+    identity: str
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectVerdict:
+    """Tells whether a suspected request crashes upstreams."""
+
+    identity: str
+    guilty: bool
+
+
+Message = (
+    Heartbeat
+    | JobQuery
+    | JobReply
+    | JobCopy
+    | JobCopied
+    | JobHandover
+    | ReplicaVerdict
+    | CrashSeen
+    | TrialStarted
+    | SuspectVerdict
+)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/quarantine.py
@@ -0,0 +1,167 @@
+"""Works that are suspected of crashing upstreams: held, tried one a replica, refused or freed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coriandershelf_core.internal.attempts import Attempts
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.messages import (
+    CrashSeen,
+    Message,
+    SuspectVerdict,
+    TrialStarted,
+)
+from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.suspects import Suspects, identity_of
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
+
+TRIAL_SPREAD_S = 0.2
+TRIAL_PASS_TOKENS_COUNT = 8
+
+Broadcast = Callable[[Message], None]
+
+
+class Quarantine:
+    """Holds suspected works apart from the queue, so that none waits behind them.
+
+    :param settle: called with a work and its final outcome.
+    :param broadcast: tells every other entry VM.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        replicas: ReplicaTable,
+        attempts: Attempts,
+        settle: Callable[[Work, Outcome, float], None],
+        broadcast: Broadcast,
+    ) -> None:
+        self._context = context
+        self._replicas = replicas
+        self._attempts = attempts
+        self._settle = settle
+        self._broadcast = broadcast
+        self._held: list[tuple[float, Work]] = []
+        self.suspects = Suspects(context.settings.suspicion_keep_s)
+
+    def takes(self, work: Work, now_s: float) -> bool:
+        """Hold or refuse a work that is suspected; false where it may run like any other."""
+        if not self._context.enabled("quarantine"):
+            return False
+        identity = identity_of(work.request)
+        if self.suspects.is_guilty(identity):
+            self._refuse(work, now_s)
+            return True
+        if not self.suspects.is_suspected(identity):
+            work.suspected = False
+            return False
+        work.suspected = True
+        # Spread at random: every entry VM sees a crash at once, and their trials must not meet.
+        due_s = now_s + TRIAL_SPREAD_S * self._context.rng.random()
+        self._held.append((due_s, work))
+        self._context.count(Counter.SUSPECTS_HELD)
+        self._context.trace(work.work_id, now_s, "held", "suspected of crashing an upstream")
+        return True
+
+    def on_closed(self, attempt: Attempt, now_s: float) -> None:
+        """Hold a crash against the request of an attempt whose connection closed early.
+
+        A replica that is leaving closes its connections without having crashed.
+        """
+        state = self._replicas.get(attempt.replica_id)
+        if state is None or not state.usable or not self._context.enabled("quarantine"):
+            return
+        identity = identity_of(attempt.work.request)
+        guilty = self.suspects.on_crash(identity, attempt.replica_id, now_s)
+        if not self.suspects.is_suspected(identity):
+            return
+        self._context.count(Counter.SUSPECTS)
+        self._context.log(
+            "request in flight at a crash",
+            request_id=attempt.work.work_id,
+            replica_id=attempt.replica_id,
+            guilty=guilty,
+        )
+        self._broadcast(CrashSeen(attempt.replica_id, identity))
+        if guilty:
+            self._broadcast(SuspectVerdict(identity, True))
+
+    def on_tokens(self, attempt: Attempt, now_s: float) -> None:
+        """Free a suspect whose trial went on past its first tokens."""
+        work = attempt.work
+        if work.suspected and attempt.token_count >= TRIAL_PASS_TOKENS_COUNT:
+            self.clear(work, now_s)
+
+    def on_unsent(self, attempt: Attempt) -> None:
+        """End a trial that never reached its replica."""
+        if attempt.work.suspected:
+            self.suspects.end_trial(identity_of(attempt.work.request))
+
+    def clear(self, work: Work, now_s: float) -> None:
+        """Free a suspect that ran without a crash."""
+        work.suspected = False
+        identity = identity_of(work.request)
+        self.suspects.on_verdict(identity, False, now_s)
+        self._context.count(Counter.SUSPECTS_CLEARED)
+        self._context.trace(work.work_id, now_s, "cleared")
+        self._broadcast(SuspectVerdict(identity, False))
+
+    def on_message(self, message: CrashSeen | TrialStarted | SuspectVerdict, now_s: float) -> None:
+        """Take another entry VM's word on crashes, trials and verdicts."""
+        match message:
+            case CrashSeen(replica_id, identity):
+                self.suspects.on_crash(identity, replica_id, now_s)
+            case TrialStarted(replica_id, identity):
+                self.suspects.on_trial(identity, replica_id, now_s)
+            case SuspectVerdict(identity, guilty):
+                self.suspects.on_verdict(identity, guilty, now_s)
+
+    def release(self, now_s: float) -> list[Work]:
+        """Start the trials that may start; return works that are suspects no more."""
+        self.suspects.on_tick(now_s)
+        held, self._held = self._held, []
+        freed = []
+        for due_s, work in held:
+            identity = identity_of(work.request)
+            if self.suspects.is_guilty(identity):
+                self._refuse(work, now_s)
+            elif work.request.deadline_s <= now_s:
+                self._settle(work, self._outcome(work, RefusalReason.DEADLINE), now_s)
+            elif not self.suspects.is_suspected(identity):
+                work.suspected = False
+                freed.append(work)
+            elif due_s > now_s or not self._try(work, identity, now_s):
+                self._held.append((due_s, work))
+        return freed
+
+    def forget(self, work: Work) -> None:
+        """Drop a work that nobody awaits."""
+        self._held = [item for item in self._held if item[1] is not work]
+
+    def _try(self, work: Work, identity: str, now_s: float) -> bool:
+        """Start a trial at the replica where a crash hurts least; false where none is free."""
+        pool: list[ReplicaState] = [
+            state
+            for state in self._replicas.in_order(work.request.service, now_s)
+            if self.suspects.may_try(identity, state.replica.replica_id, now_s)
+        ]
+        if not pool:
+            return False
+        state = min(pool, key=lambda item: item.load(now_s) * item.replica.slots)
+        replica_id = state.replica.replica_id
+        self.suspects.on_trial(identity, replica_id, now_s)
+        self._broadcast(TrialStarted(replica_id, identity))
+        self._context.count(Counter.TRIALS)
+        self._attempts.start(work, state, AttemptPurpose.TRIAL, now_s)
+        return True
+
+    def _refuse(self, work: Work, now_s: float) -> None:
+        self._settle(work, self._outcome(work, RefusalReason.POISON), now_s)
+
+    def _outcome(self, work: Work, reason: RefusalReason) -> Outcome:
+        if work.attempt_count:
+            return Unknown(reason)
+        return NotRun(reason)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -127,6 +127,14 @@
             if state.replica.service == service and state.usable
         ]
 
+    def in_order(self, service: str, now_s: float) -> list[ReplicaState]:
+        """Return the replicas that may take new work, neither ejected nor lately unreachable."""
+        return [
+            state
+            for state in self.of_service(service)
+            if not state.health.ejected and state.health.unreachable_until_s <= now_s
+        ]
+
     def adopt(self, inventory: Inventory) -> None:
         """Take over the replicas of a new inventory, keeping evidence on those that stay."""
         states: dict[str, ReplicaState] = {}
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -23,17 +23,21 @@
 from coriandershelf_core.internal.inventory import ServiceKind
 from coriandershelf_core.internal.lengths import LengthEstimator
 from coriandershelf_core.internal.limits import Limits
+from coriandershelf_core.internal.messages import ReplicaVerdict
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
-from coriandershelf_core.internal.stalls import Stalls, TellVerdict
+from coriandershelf_core.internal.stalls import Stalls
 from coriandershelf_core.internal.watch import overdue
 from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
 
+UNREACHABLE_S = 1.0
+
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
 
@@ -43,11 +47,11 @@
 
     :param deliver: called with each run of new payloads.
     :param finish: called once with a work's final outcome.
-    :param tell: tells other entry VMs of a replica that stalls or is in order again.
+    :param broadcast: tells every other entry VM.
     """
 
     def __init__(
-        self, context: Context, deliver: Deliver, finish: Finish, tell: TellVerdict
+        self, context: Context, deliver: Deliver, finish: Finish, broadcast: Broadcast
     ) -> None:
         self._context = context
         self._deliver = deliver
@@ -75,9 +79,10 @@
             self.attempts,
             self._ejector,
             self.limits,
-            tell,
+            lambda replica_id, in_order: broadcast(ReplicaVerdict(replica_id, in_order)),
             lambda: len(self.queue) > 0,
         )
+        self.quarantine = Quarantine(context, self.replicas, self.attempts, self._settle, broadcast)
 
     def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
         """Return why a work is refused under the present load, or ``None``."""
@@ -96,6 +101,8 @@
         """Accept a work and dispatch what can be dispatched."""
         assert work.work_id not in self.works, f"{work.work_id} runs twice in one entry VM"
         self.works[work.work_id] = work
+        if self.quarantine.takes(work, now_s):
+            return
         self.queue.push(work, now_s)
         self._context.trace(work.work_id, now_s, "queued", work.work_class.value)
         self.pump(now_s)
@@ -115,6 +122,7 @@
         if work is None:
             return None
         self.queue.remove(work_id)
+        self.quarantine.forget(work)
         self.attempts.cancel_all(work)
         return work
 
@@ -139,6 +147,7 @@
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._learn(attempt, len(event.payloads), now_s)
+        self.quarantine.on_tokens(attempt, now_s)
         self.stalls.check(now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
@@ -179,8 +188,16 @@
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
         """Recover from an attempt that ended early."""
         attempt = self.attempts.live.get(event.attempt_id)
-        if attempt is not None:
-            self._fail(attempt, event.cause, event.sent, now_s)
+        if attempt is None:
+            return
+        if event.cause is FailureCause.CLOSED and kind_of(attempt.work) is ServiceKind.MODEL:
+            self.quarantine.on_closed(attempt, now_s)
+        state = self.replicas.get(attempt.replica_id)
+        if event.cause is FailureCause.CONNECT and state is not None:
+            state.health.unreachable_until_s = now_s + UNREACHABLE_S
+            self._ejector.eject(state, now_s)
+            self.quarantine.on_unsent(attempt)
+        self._fail(attempt, event.cause, event.sent, now_s)
 
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
@@ -223,6 +240,8 @@
                 self._fail(attempt, cause, True, now_s)
         self._move_from_leaving(now_s)
         self._release_delayed(now_s)
+        for work in self.quarantine.release(now_s):
+            self.queue.push(work, now_s)
         self.pump(now_s)
 
     def _move_from_leaving(self, now_s: float) -> None:
@@ -258,7 +277,11 @@
             return probed
         if kind_of(work) is ServiceKind.MODEL:
             pool = [state for state in pool if self.limits.has_room(work.work_class, state)]
-        healthy = [state for state in pool if not state.health.ejected]
+        healthy = [
+            state
+            for state in pool
+            if not state.health.ejected and state.health.unreachable_until_s <= now_s
+        ]
         return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
@@ -301,6 +324,8 @@
         work = attempt.work
         self._forget(attempt, now_s)
         self.attempts.cancel_all(work)
+        if work.suspected:
+            self.quarantine.clear(work, now_s)
         overloaded = len(self.queue) > 0
         self.retries.on_success(work.customer, attempt.replica_id, overloaded)
         self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
@@ -318,7 +343,10 @@
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
         work = attempt.work
         self._forget(attempt, now_s)
-        work.failure_count += 1
+        if sent:
+            work.failure_count += 1
+        else:
+            work.unsent_count += 1
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
@@ -335,8 +363,8 @@
             self._settle(work, verdict, now_s)
             self.pump(now_s)
             return
-        leaving = cause is FailureCause.LEAVING
-        if not leaving and not self.retries.spend(work.customer, attempt.replica_id):
+        costs_nothing = cause is FailureCause.LEAVING or not sent
+        if not costs_nothing and not self.retries.spend(work.customer, attempt.replica_id):
             self._context.count(Counter.RETRIES_OVER_BUDGET)
             self._settle(work, self._exhausted(sent), now_s)
             self.pump(now_s)
@@ -349,7 +377,8 @@
             customer=work.customer,
             reason=verdict.reason.code,
         )
-        delay_s = backoff_s(work.failure_count, self._context.settings, self._context.rng)
+        failures = work.failure_count + work.unsent_count
+        delay_s = backoff_s(failures, self._context.settings, self._context.rng)
         self._delayed.append((now_s + delay_s, work))
         self._release_delayed(now_s)
         self.pump(now_s)
@@ -364,5 +393,5 @@
         waiting = [item for item in self._delayed if self.works.get(item[1].work_id) is item[1]]
         self._delayed = [item for item in waiting if item[0] > now_s]
         for due_s, work in waiting:
-            if due_s <= now_s:
+            if due_s <= now_s and not self.quarantine.takes(work, now_s):
                 self.queue.push(work, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -40,6 +40,9 @@
     reconnect_floor_s: float = documented(
         0.25, "Least silence of one stream, while others move, before a fresh connection.", 0.01
     )
+    suspicion_keep_s: float = documented(
+        600.0, "How long a request that crashed upstreams is refused.", 1.0
+    )
     retry_share: float = documented(0.2, "Retries as a share of successes.", 0.0)
     retry_reserve_count: int = documented(30, "Retries held in reserve at most.", 1)
     retry_backoff_s: float = documented(0.1, "Wait before a second retry; it doubles.", 0.0)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -209,7 +209,7 @@
         if not state.health.ejected and attempt.silent_s(now_s) > RECONNECT_FACTOR * limit_s:
             self._reconnect(attempt, state, now_s)
             return
-        if not attempt.work.repeatable or not self._context.enabled("hedge"):
+        if not self._context.enabled("hedge") or not _may_run_twice(attempt.work):
             return
         target = self._elsewhere(attempt.work, now_s)
         if target is None:
@@ -225,7 +225,7 @@
     def _move(self, attempt: Attempt, state: ReplicaState, now_s: float) -> None:
         """Take a stream elsewhere with its KV cache; the old attempt runs until the new moves."""
         work = attempt.work
-        if not self._context.enabled("move") or not work.repeatable:
+        if not self._context.enabled("move") or not _may_run_twice(work):
             return
         if self._attempts.serving_count(work) >= LIVE_ATTEMPTS_MAX_COUNT:
             return
@@ -243,8 +243,8 @@
         busy = {self._attempts.live[attempt_id].replica_id for attempt_id in work.live_attempts}
         pool = [
             state
-            for state in self._replicas.of_service(work.request.service)
-            if state.replica.replica_id not in busy and not state.health.ejected
+            for state in self._replicas.in_order(work.request.service, now_s)
+            if state.replica.replica_id not in busy
         ]
         roomy = [state for state in pool if self._limits.has_room(work.work_class, state)]
         return self._router.choose(work, roomy or pool, now_s, any_zone=True)
@@ -273,3 +273,8 @@
 
 def _is_model(work: Work) -> bool:
     return kind_of(work) is ServiceKind.MODEL
+
+
+def _may_run_twice(work: Work) -> bool:
+    """Return whether a second attempt may run beside the first; never for a suspect."""
+    return work.repeatable and not work.suspected
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/suspects.py
@@ -0,0 +1,135 @@
+"""Requests suspected of crashing the upstreams that run them.
+
+Every request in flight at a crashed replica is a suspect, and most are innocent. So each is tried
+again with no other suspect beside it at the replica: a second crash then has one suspect only. The
+entry VMs tell each other of crashes, trials and verdicts, because the caller may send the same
+request again anywhere, under another key.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.request import Request
+
+SUSPECTS_MAX_COUNT = 5000
+SAME_CRASH_S = 1.0
+TRIAL_MEMORY_S = 5.0
+GUILTY_CRASHES_COUNT = 2
+
+
+def identity_of(request: Request) -> str:
+    """Return what a request and its repeats under other keys and ids have in common."""
+    if not request.body:
+        return request.request_id
+    text = f"{request.service}\0{request.path}\0".encode()
+    return hashlib.sha256(text + request.body).hexdigest()
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """What is held against one identity.
+
+    :param crashes: replica and time of each crash that it was in flight at.
+    :param guilty: whether it is refused.
+    """
+
+    crashes: list[tuple[str, float]] = field(default_factory=list)
+    guilty: bool = False
+    changed_at_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Trial:
+    """An identity that runs at a replica with no other suspect beside it."""
+
+    identity: str
+    started_at_s: float
+
+
+class Suspects:
+    """Suspicions and trials, this VM's own and those told by others.
+
+    :param keep_s: how long a suspicion or verdict holds.
+    """
+
+    def __init__(self, keep_s: float) -> None:
+        self._keep_s = keep_s
+        self._suspicions: OrderedDict[str, Suspicion] = OrderedDict()
+        self._trials: dict[str, Trial] = {}
+
+    def is_guilty(self, identity: str) -> bool:
+        """Return whether an identity is refused."""
+        suspicion = self._suspicions.get(identity)
+        return suspicion is not None and suspicion.guilty
+
+    def is_suspected(self, identity: str) -> bool:
+        """Return whether an identity may only run as a trial."""
+        return identity in self._suspicions
+
+    def on_crash(self, identity: str, replica_id: str, now_s: float) -> bool:
+        """Hold a crash against an identity that was in flight; true if it is guilty now.
+
+        Where another suspect is on trial at the replica, that one is to blame.
+        """
+        trial = self._trial_at(replica_id, now_s)
+        if trial is not None and trial.identity != identity:
+            return self.is_guilty(identity)
+        suspicion = self._suspicions.setdefault(identity, Suspicion())
+        suspicion.changed_at_s = now_s
+        self._suspicions.move_to_end(identity)
+        known = any(
+            name == replica_id and now_s - at_s < SAME_CRASH_S for name, at_s in suspicion.crashes
+        )
+        if not known:
+            suspicion.crashes.append((replica_id, now_s))
+        if len(suspicion.crashes) >= GUILTY_CRASHES_COUNT:
+            suspicion.guilty = True
+        while len(self._suspicions) > SUSPECTS_MAX_COUNT:
+            self._suspicions.popitem(last=False)
+        return suspicion.guilty
+
+    def on_verdict(self, identity: str, guilty: bool, now_s: float) -> None:
+        """Take a verdict; innocence clears a suspicion, but not a verdict of guilt."""
+        if guilty:
+            suspicion = self._suspicions.setdefault(identity, Suspicion())
+            suspicion.guilty = True
+            suspicion.changed_at_s = now_s
+        elif not self.is_guilty(identity):
+            self._suspicions.pop(identity, None)
+        self.end_trial(identity)
+
+    def end_trial(self, identity: str) -> None:
+        """Forget the trials of an identity."""
+        for replica_id, trial in list(self._trials.items()):
+            if trial.identity == identity:
+                del self._trials[replica_id]
+
+    def on_trial(self, identity: str, replica_id: str, now_s: float) -> None:
+        """Note that an identity is on trial at a replica."""
+        self._trials[replica_id] = Trial(identity, now_s)
+
+    def may_try(self, identity: str, replica_id: str, now_s: float) -> bool:
+        """Return whether a trial may start: one a replica, and one an identity."""
+        if self._trial_at(replica_id, now_s) is not None:
+            return False
+        return not any(
+            trial.identity == identity and now_s - trial.started_at_s < TRIAL_MEMORY_S
+            for trial in self._trials.values()
+        )
+
+    def on_tick(self, now_s: float) -> None:
+        """Forget suspicions that are past their time."""
+        while self._suspicions:
+            identity, suspicion = next(iter(self._suspicions.items()))
+            if now_s - suspicion.changed_at_s < self._keep_s:
+                return
+            del self._suspicions[identity]
+
+    def _trial_at(self, replica_id: str, now_s: float) -> Trial | None:
+        trial = self._trials.get(replica_id)
+        if trial is None or now_s - trial.started_at_s >= TRIAL_MEMORY_S:
+            return None
+        return trial
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -33,6 +33,7 @@
     HEDGE = "hedge"
     PROBE = "probe"
     LEFT_AS_PROBE = "left-as-probe"
+    TRIAL = "trial"
 
 
 @dataclass(slots=True)
@@ -42,6 +43,8 @@
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
     :param failure_count: attempts that failed; moves and hedges do not count.
+    :param unsent_count: attempts that failed before anything was sent.
+    :param suspected: whether it was in flight at a crash and may only run as a trial.
     :param reconnect_position: position at the last fresh connection, or -1.
     :param move_count: times that a stream was moved off a stalled replica.
     :param expected_tokens: guess of the answer's length.
@@ -62,8 +65,10 @@
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
     failure_count: int = 0
+    unsent_count: int = 0
     move_count: int = 0
     reconnect_position: int = -1
+    suspected: bool = False
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
     kv_replica_id: str = ""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/stragglers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/stragglers.py
@@ -90,7 +90,9 @@
     counted = [item for item in timely if item.class_name in COUNTED_CLASSES]
     return Outcome(
         {
-            name: percentile([_total_s(bench, item) for item in counted if item.class_name == name], 0.99)
+            name: percentile(
+                [_total_s(bench, item) for item in counted if item.class_name == name], 0.99
+            )
             for name in COUNTED_CLASSES
         },
         percentile([item.call.first_token_s or 0.0 for item in counted], 0.99),
