--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -54,6 +54,7 @@
 from coriandershelf_core.internal.messages import (
     ConfigurationQuery,
     ConfigurationReply,
+    CrashSeen,
     Heartbeat,
     InFlightDigest,
     LeavingNotices,
@@ -61,6 +62,8 @@
     LengthObserved,
     Message,
     ReplicaVerdict,
+    SuspectVerdict,
+    TrialStarted,
     ZoneSum,
 )
 from coriandershelf_core.internal.outcome import NotRun, Outcome
@@ -109,7 +112,7 @@
         self.evidence = Evidence(self.context)
         self.loads = Loads(self.context, self.membership)
         self.gossip = Gossip(self.context, self.membership, self.loads, self._tell)
-        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._broadcast)
         self.calls = Calls(
             self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
         )
@@ -363,6 +366,8 @@
                 self.serving.on_digest(message, now_s)
             case LengthObserved():
                 self.serving.lengths.learn(message)
+            case CrashSeen() | TrialStarted() | SuspectVerdict():
+                self.serving.quarantine.on_message(message, now_s)
             case ReplicaVerdict(replica_id, in_order):
                 self.serving.stalls.on_verdict(replica_id, in_order, now_s)
             case LeavingQuery():
@@ -383,10 +388,9 @@
         peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
         return tuple(sorted([*peers, self.context.identity.vm_id]))
 
-    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
-        """Tell every entry VM of a replica that stalls or is in order again."""
+    def _broadcast(self, message: Message) -> None:
         for peer in self.membership.peers(self.context.identity):
-            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+            self._tell(peer.vm_id, message)
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -58,6 +58,7 @@
     ORDER_UNANSWERED = ("order-unanswered", "An upstream did not answer an order in time.")
     START_UNANSWERED = ("start-unanswered", "The cloud's answer to a start or stop was lost.")
     HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
+    RECONNECTED = ("reconnected", "A silent stream went on over a fresh connection.")
     MOVED = ("moved", "A stream was moved off a stalled replica with its KV cache.")
 
     def __init__(self, code: str, meaning: str) -> None:
@@ -91,6 +92,11 @@
     TICKETS_FORWARDED = ("tickets.forwarded", "Calls passed to the owner of their ticket.")
     LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
     HEDGES_OVER_BUDGET = ("hedges.over-budget", "Hedges not started for want of budget.")
+    RETRIES_OVER_BUDGET = ("retries.over-budget", "Retries not started for want of budget.")
+    SUSPECTS = ("suspects", "Requests in flight at a replica that crashed.")
+    SUSPECTS_HELD = ("suspects.held", "Suspected requests held until they may be tried alone.")
+    SUSPECTS_CLEARED = ("suspects.cleared", "Suspected requests that ran without a crash.")
+    TRIALS = ("suspects.trials", "Suspected requests tried with no other suspect beside them.")
     ATTEMPTS_LOST = ("attempts.lost", "Slower attempts cancelled because another one answered.")
     EJECTIONS = ("ejections", "Replicas kept from new work because they stalled.")
     EJECTIONS_FLOOR = ("ejections.floor", "Ejections not done: too few replicas would be left.")
