--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -75,6 +75,15 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class TicketsAsked:
+    """A caller asks for tickets, keys that their owner can run without the log."""
+
+    request_id: str
+    credential_hash: str
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptOpened:
     """The upstream answered with a response head."""
@@ -104,6 +113,20 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptPaused:
+    """Reading a stream stopped because its caller does not take what came."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResumed:
+    """Reading a stream goes on after a pause."""
+
+    attempt_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlainAnswered:
     """A plain service answered whole."""
@@ -131,12 +154,14 @@
 
     :param first_offset: oldest offset the log still keeps.
     :param next_offset: offset from which the next read starts.
+    :param at_end: whether the log held nothing beyond these records when it answered.
     """
 
     stream: str
     records: tuple[Record, ...]
     first_offset: int
     next_offset: int
+    at_end: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,9 +215,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """This VM must stop gracefully before ``deadline_s``."""
+    """This VM must stop gracefully before ``deadline_s``.
+
+    :param urgent: new work is refused at once, without waiting for the balancer.
+    """
 
     deadline_s: float
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,9 +233,12 @@
     RequestArrived
     | CallerGone
     | JobRead
+    | TicketsAsked
     | AttemptOpened
     | TokensArrived
     | StreamEnded
+    | AttemptPaused
+    | AttemptResumed
     | PlainAnswered
     | AttemptFailed
     | LogRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/fairness.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/fairness.py
@@ -172,6 +172,14 @@
             return False
         return _rank(flow, self._fair_usage_by_share(now_s), now_s).beyond_share
 
+    def usage_ratio(self, customer: str, now_s: float) -> float:
+        """Return a customer's late use ÷ its share of all use; 0 without any."""
+        flow = self._flows.get(customer)
+        fair = self._fair_usage_by_share(now_s)
+        if flow is None or not fair:
+            return 0.0
+        return flow.usage_tokens.value(now_s) / (fair * flow.share)
+
     def wait_s(self, work: Work, now_s: float) -> float:
         """Return the estimated wait of a work that would be added now.
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
@@ -21,7 +21,7 @@
 
 from coriandershelf_core.internal.replicas import ReplicaState
 from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.work import Attempt, Work, WorkClass
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
 
 LIMIT_MIN_COUNT = 1.0
 INCREASE_COUNT = 0.5
@@ -69,8 +69,17 @@
 
         The short queue keeps the engine busy until the entry VMs learn that a slot is free.
         """
-        queue_count = max(1, round(ENGINE_QUEUE_SHARE * self.slots_count))
-        return not self.others_known or self.taken_count < self.slots_count + queue_count
+        return not self.others_known or self.taken_count < self.slots_count + self.queue_count
+
+    @property
+    def queue_count(self) -> int:
+        """Return how many works may wait in the engine."""
+        return max(1, round(ENGINE_QUEUE_SHARE * self.slots_count))
+
+    @property
+    def express_count(self) -> int:
+        """Return how many works may wait in the engine when one is preempted."""
+        return 2 * self.queue_count + 1
 
 
 @dataclass(slots=True)
@@ -124,6 +133,42 @@
         allowed = self._slower(states) if patient else states
         return self._slowest([state for state in allowed if self._has_long_room(state, patient)])
 
+    def has_room(self, work_class: WorkClass, state: ReplicaState) -> bool:
+        """Return whether one more work of a class may go to a model's replica now."""
+        if not self.enabled:
+            return len(state.in_flight) < state.replica.slots
+        if work_class is WorkClass.SHORT:
+            return self._has_short_room(state)
+        return self._has_long_room(state, patient=False)
+
+    def with_free_slot(self, states: Sequence[ReplicaState]) -> list[ReplicaState]:
+        """Return the replicas that have a free slot by the counts of all entry VMs."""
+        limits = [(state, self._limit_of(state)) for state in states]
+        return [
+            state
+            for state, limit in limits
+            if limit.others_known and limit.taken_count < limit.slots_count
+        ]
+
+    def may_preempt(self, state: ReplicaState) -> bool:
+        """Return whether a full replica's engine still has a short queue of its own.
+
+        A preempted work waits there; without a bound, questions of customers who are all at their
+        share would go on preempting each other.
+        """
+        limit = self._limit_of(state)
+        return self.is_full(state) and limit.taken_count < limit.slots_count + limit.express_count
+
+    def is_full(self, state: ReplicaState) -> bool:
+        """Return whether a replica has no free slot by the counts of all entry VMs."""
+        limit = self._limit_of(state)
+        return limit.others_known and limit.taken_count >= limit.slots_count
+
+    def is_above_floor(self, state: ReplicaState) -> bool:
+        """Return whether this VM's long work at a replica holds more than its floor."""
+        limit = self._limit_of(state)
+        return limit.long_count > limit.long_owned_count
+
     def on_gap(self, replica_id: str, gap_s: float) -> None:
         """Learn a replica's speed from the time between two tokens of a stream."""
         limit = self._limits.get(replica_id)
@@ -194,7 +239,8 @@
         """Adapt a replica's limit to how long a first token waited."""
         held = self._held[attempt.attempt_id]
         limit = self._limits.get(held.replica_id)
-        if limit is None or held.work_class is not WorkClass.SHORT:
+        resumed = attempt.purpose is AttemptPurpose.PREEMPTED
+        if limit is None or resumed or held.work_class is not WorkClass.SHORT:
             return
         waited_s = now_s - attempt.started_at_s
         stale = now_s - limit.least_wait_at_s > LEAST_WAIT_MEMORY_S
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from coriandershelf_core.internal.records import ConfigurationSnapshot
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -43,9 +45,31 @@
     length_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationQuery:
+    """Asks a peer for the configuration in force if it is newer than ``version``.
+
+    :param reply_address: where to answer, also where the asker is not yet in the VM list.
+    """
+
+    version: int
+    reply_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReply:
+    """The configuration in force at the sender.
+
+    :param snapshot: its ``through_offset`` is negative where the sender has it from a peer, so
+        that it says what is in force but not at which offset.
+    """
+
+    snapshot: ConfigurationSnapshot
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
-    """Asks a job's holder for its status and output from a position on."""
+    """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
 
     query_id: str
     job_id: str
@@ -55,25 +79,122 @@
 
 @dataclass(frozen=True, slots=True)
 class JobReply:
-    """Answers a :class:`JobQuery`; ``status`` is empty where the job is not known."""
+    """Answers a :class:`JobQuery`; ``status`` is empty where the job is not held here."""
 
     query_id: str
     status: str
     position: int
     payloads: tuple[bytes, ...]
+    generation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobCopy:
+    """A bounded piece of a job's output, for the VM that keeps a copy or takes the job over.
+
+    :param term: epoch in which the sender became the holder; it names whose output this is.
+    :param position: place of the first payload in the whole output.
+    :param visible_count: payloads that callers may see.
+    :param replica_id: replica that holds the KV cache, or empty.
+    """
+
+    job_id: str
+    term: int
+    position: int
+    payloads: tuple[bytes, ...]
+    visible_count: int
+    replica_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobCopied:
+    """Acknowledges a :class:`JobCopy`.
+
+    :param held_count: payloads held without a gap from the first.
+    :param stopping: the sender is leaving and will not take the job over.
+    """
+
+    job_id: str
+    term: int
+    held_count: int
+    stopping: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class JobHandover:
-    """Hands a job and the output made so far to a new holder."""
+    """Asks the receiver, which holds the whole output made so far, to become the holder."""
 
     job_id: str
+    epoch: int
+    term: int
+    held_count: int
+    replica_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TicketCall:
+    """Asks a ticket's owner to run a call, or for the result if it ran before."""
+
+    request_id: str
     customer: str
     service: str
+    path: str
     body: bytes
-    prompt_tokens: int
-    max_tokens: int
-    payloads: tuple[bytes, ...]
+    key: str
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TicketResult:
+    """Answers a :class:`TicketCall`; ``outcome`` is ``done``, ``not-run`` or ``unknown``."""
+
+    request_id: str
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
+    detail: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class JobSought:
+    """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
+
+    job_id: str
+    term: int
 
 
-Message = Heartbeat | InFlightDigest | LengthObserved | JobQuery | JobReply | JobHandover
+@dataclass(frozen=True, slots=True)
+class JobFound:
+    """Answers a :class:`JobSought`: the sender has the whole output and goes on with it."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaVerdict:
+    """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
+
+    replica_id: str
+    in_order: bool
+
+
+Message = (
+    Heartbeat
+    | InFlightDigest
+    | LengthObserved
+    | ConfigurationQuery
+    | ConfigurationReply
+    | JobQuery
+    | JobReply
+    | JobCopy
+    | JobCopied
+    | JobHandover
+    | TicketCall
+    | TicketResult
+    | JobSought
+    | JobFound
+    | ReplicaVerdict
+)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/preempt.py
@@ -0,0 +1,90 @@
+"""Frees a slot for a question at a full replica by letting another work wait in the engine.
+
+The engine never takes a running sequence off its batch for one of a better scheduling class, so a
+question would wait until some answer ends. The attempt of a long work, or of a customer who is
+beyond its share, is cancelled and sent again at once to the same replica, behind the question: the
+engine still holds its KV cache, so it goes on where it was. Keeping slots free instead was
+rejected: it costs throughput all the time, this only when a batch is full.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coriandershelf_core.internal.attempts import Attempts
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.limits import Limits
+from coriandershelf_core.internal.reasons import Counter
+from coriandershelf_core.internal.replicas import ReplicaState
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
+
+PREEMPTIONS_MAX_COUNT = 2
+WAIT_ALLOWED_S = 5.0
+GIVING_USAGE_RATIO = 1.3
+
+UsageRatio = Callable[[Work, float], float]
+
+
+class Preemption:
+    """Chooses whose slot is freed, and sends the preempted work again.
+
+    :param usage_ratio: returns a work's customer's late use ÷ its share.
+    """
+
+    def __init__(
+        self, context: Context, attempts: Attempts, limits: Limits, usage_ratio: UsageRatio
+    ) -> None:
+        self._context = context
+        self._attempts = attempts
+        self._limits = limits
+        self._usage_ratio = usage_ratio
+
+    def victim_at(self, question: Work, state: ReplicaState, now_s: float) -> Attempt | None:
+        """Return the attempt to preempt for a question at a replica, or ``None``.
+
+        Another question gives up its slot only where its customer is well beyond its share: under
+        overload all are at their share, and preempting each other would gain nothing.
+
+        Long work above its floor goes first; of several, the one that was preempted least.
+        """
+        if not self._context.enabled("preemption"):
+            return None
+        modest = self._usage_ratio(question, now_s) < 1.0
+        found: Attempt | None = None
+        for attempt in self._attempts.at(state):
+            if not self._may_preempt(attempt, state, modest, now_s):
+                continue
+            if found is None or _order(attempt) < _order(found):
+                found = attempt
+        return found
+
+    def preempt(self, victim: Attempt, now_s: float) -> None:
+        """Take an attempt off its slot; :meth:`resume` sends its work again."""
+        victim.work.preemption_count += 1
+        self._attempts.cancel(victim)
+        self._context.count(Counter.PREEMPTED)
+
+    def resume(self, victim: Attempt, state: ReplicaState, now_s: float) -> None:
+        """Let a preempted work wait in the same engine for the next slot."""
+        work = victim.work
+        attempt = self._attempts.start(work, state, AttemptPurpose.PREEMPTED, now_s)
+        attempt.watched_from_s = now_s + WAIT_ALLOWED_S
+
+    def _may_preempt(
+        self, attempt: Attempt, state: ReplicaState, modest: bool, now_s: float
+    ) -> bool:
+        work = attempt.work
+        running = attempt.last_token_at_s is not None and not attempt.paused
+        alone = len(work.live_attempts) == 1 and attempt.purpose is not AttemptPurpose.PROBE
+        if not running or not alone or not work.repeatable:
+            return False
+        if work.preemption_count >= PREEMPTIONS_MAX_COUNT:
+            return False
+        if work.work_class is WorkClass.LONG:
+            return self._limits.is_above_floor(state)
+        return modest and self._usage_ratio(work, now_s) > GIVING_USAGE_RATIO
+
+
+def _order(attempt: Attempt) -> tuple[bool, int, str]:
+    work = attempt.work
+    return (work.work_class is WorkClass.SHORT, work.preemption_count, attempt.attempt_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
-from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
 from coriandershelf_core.internal.admit import admit_work
+from coriandershelf_core.internal.attempts import Attempts, kind_of
 from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.eject import Ejector
+from coriandershelf_core.internal.ending import is_whole
 from coriandershelf_core.internal.events import (
     AttemptFailed,
     AttemptOpened,
@@ -23,14 +25,16 @@
 from coriandershelf_core.internal.messages import InFlightDigest, Message
 from coriandershelf_core.internal.occupancy import Occupancy
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.preempt import Preemption
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import Retry, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
+from coriandershelf_core.internal.stalls import Stalls, TellVerdict
 from coriandershelf_core.internal.watch import overdue
-from coriandershelf_core.internal.work import Attempt, Work, WorkClass
+from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
 
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
@@ -41,13 +45,15 @@
 
     :param deliver: called with each run of new payloads.
     :param finish: called once with a work's final outcome.
+    :param tell: tells other entry VMs of a replica that stalls or is in order again.
     """
 
-    def __init__(self, context: Context, deliver: Deliver, finish: Finish) -> None:
+    def __init__(
+        self, context: Context, deliver: Deliver, finish: Finish, tell: TellVerdict
+    ) -> None:
         self._context = context
         self._deliver = deliver
         self._finish = finish
-        self._attempt_sequence = 0
         self.replicas = ReplicaTable()
         self.lengths = LengthEstimator()
         self._observed: list[Message] = []
@@ -62,7 +68,19 @@
         )
         self.router = Router(context)
         self.works: dict[str, Work] = {}
-        self.attempts: dict[str, Attempt] = {}
+        self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
+        self._preemption = Preemption(context, self.attempts, self.limits, self.queue.usage_ratio)
+        self._ejector = Ejector(context, self.replicas)
+        self.stalls = Stalls(
+            context,
+            self.replicas,
+            self.router,
+            self.attempts,
+            self._ejector,
+            self.limits,
+            tell,
+            lambda: len(self.queue) > 0,
+        )
 
     def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
         """Return why a work is refused under the present load, or ``None``."""
@@ -100,30 +118,39 @@
         if work is None:
             return None
         self.queue.remove(work_id)
-        self._cancel_attempts(work)
+        self.attempts.cancel_all(work)
         return work
 
     def on_opened(self, event: AttemptOpened, now_s: float) -> None:
         """Note that an upstream took an attempt."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is not None:
             attempt.opened_at_s = now_s
 
     def on_tokens(self, event: TokensArrived, now_s: float) -> None:
         """Deliver the payloads that are new; drop late, crossed and repeated ones."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is None or event.stream_attempt_id != event.attempt_id:
             self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
             return
         work = attempt.work
+        if is_whole(work.payloads):
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            return
         repeated = work.position - event.first_position
         if repeated < 0:
+            # Tokens are missing in between; the stream is of no use beyond this place.
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            self.attempts.announce_cancel(attempt)
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._learn(attempt, len(event.payloads), now_s)
+        self.stalls.check(now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
-            self._context.count(Counter.TOKENS_DROPPED, min(repeated, len(event.payloads)))
+            dropped = min(repeated, len(event.payloads))
+            self._context.count(Counter.TOKENS_DROPPED, dropped)
+            self.stalls.hedges.charge(dropped)
         if not fresh:
             return
         work.payloads.extend(fresh)
@@ -131,26 +158,34 @@
             self._count_as_long(work, now_s)
         self._deliver(work, fresh, now_s)
 
+    def on_paused(self, attempt_id: str, paused: bool, now_s: float) -> None:
+        """Note whether an attempt's reading waits for its caller."""
+        attempt = self.attempts.live.get(attempt_id)
+        if attempt is not None:
+            attempt.paused = paused
+            attempt.last_token_at_s = now_s
+
     def on_stream_ended(self, event: StreamEnded, now_s: float) -> None:
         """Finish a work whose answer is whole; a cut answer is a failed attempt."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is None:
             return
         crossed = event.stream_attempt_id != event.attempt_id
         if crossed or event.position != attempt.work.position:
+            self.attempts.announce_cancel(attempt)
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._complete(attempt, Done(), now_s)
 
     def on_plain_answered(self, event: PlainAnswered, now_s: float) -> None:
         """Finish a call with the plain service's answer."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is not None:
             self._complete(attempt, Done(event.status, event.body), now_s)
 
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
         """Recover from an attempt that ended early."""
-        attempt = self.attempts.get(event.attempt_id)
+        attempt = self.attempts.live.get(event.attempt_id)
         if attempt is not None:
             self._fail(attempt, event.cause, event.sent, now_s)
 
@@ -203,15 +238,21 @@
         if attempt.last_token_at_s is None:
             self.limits.on_first_token(attempt, now_s)
         state = self.replicas.get(attempt.replica_id)
-        if state is not None and attempt.last_token_at_s is None:
-            waited_s = now_s - attempt.started_at_s
-            state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
-        elif state is not None and attempt.last_token_at_s is not None:
-            gap_s = (now_s - attempt.last_token_at_s) / count
-            state.health.on_gap(gap_s, now_s)
-            self.limits.on_gap(attempt.replica_id, gap_s)
+        last_s = attempt.last_token_at_s
         attempt.last_token_at_s = now_s
         attempt.token_count += count
+        if last_s is None:
+            if state is not None:
+                state.waiting.pop(attempt.attempt_id, None)
+                waited_s = now_s - attempt.started_at_s
+                if attempt.purpose is not AttemptPurpose.PREEMPTED:
+                    state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+            self.stalls.on_first_token(attempt, now_s)
+        elif state is not None:
+            gap_s = (now_s - last_s) / count
+            state.health.on_gap(gap_s, now_s)
+            self.stalls.on_token(state, attempt, gap_s, now_s)
+            self.limits.on_gap(attempt.replica_id, gap_s)
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
@@ -220,60 +261,94 @@
         self._apply_digests(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
-        for attempt in list(self.attempts.values()):
-            kind = self._kind_of(attempt.work)
+        self.stalls.check(now_s)
+        for attempt in list(self.attempts.live.values()):
+            kind = kind_of(attempt.work)
             cause = overdue(attempt, kind, self._context.settings, now_s)
-            if cause is not None and attempt.attempt_id in self.attempts:
-                self._context.emit(CancelAttempt(attempt.attempt_id))
+            if cause is not None and attempt.attempt_id in self.attempts.live:
+                self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
+        self._move_from_leaving(now_s)
         self.pump(now_s)
 
+    def _move_from_leaving(self, now_s: float) -> None:
+        """Move streams off replicas whose VM is taken before they end, with their KV cache."""
+        if not self._context.enabled("move-on-notice"):
+            return
+        leaving = [state for state in self.replicas if state.must_move(now_s)]
+        for state in leaving:
+            for attempt_id in sorted(state.in_flight):
+                attempt = self.attempts.live.get(attempt_id)
+                if attempt is not None and attempt.work.repeatable:
+                    self._move(attempt, now_s)
+
+    def _move(self, attempt: Attempt, now_s: float) -> None:
+        work = attempt.work
+        work.kv_replica_id = attempt.replica_id
+        # The replica did not fail, so the move does not use up one of the request's attempts.
+        work.failure_count -= 1
+        self.attempts.announce_cancel(attempt)
+        self._fail(attempt, FailureCause.LEAVING, True, now_s)
+
     def _late_outcome(self, work: Work) -> Outcome:
         if work.attempt_count:
             return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
         return NotRun(RefusalReason.DEADLINE, retry_after_s=2.0)
 
-    def _kind_of(self, work: Work) -> ServiceKind:
-        return ServiceKind.PLAIN if work.request.path else ServiceKind.MODEL
-
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
-        candidates: Sequence[ReplicaState] = self.replicas.of_service(work.request.service)
-        if self._kind_of(work) is ServiceKind.MODEL:
-            candidates = self.limits.with_room(work, candidates, now_s)
-        return self.router.choose(work, candidates, now_s)
+        pool = self.replicas.of_service(work.request.service)
+        zone = self._context.identity.zone
+        degraded = any(state.health.ejected and state.replica.zone == zone for state in pool)
+        probed = self._ejector.probe_for(work, pool, now_s)
+        if probed is not None:
+            return probed
+        if kind_of(work) is ServiceKind.MODEL:
+            pool = self._with_room(work, pool, now_s)
+        healthy = [state for state in pool if not state.health.ejected]
+        return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
+
+    def _with_room(self, work: Work, pool: list[ReplicaState], now_s: float) -> list[ReplicaState]:
+        """Return the replicas of a model that may take a work now.
+
+        A question inside its customer's share goes to a free slot whatever this VM's limits, or
+        to a full replica where another work can give up its slot.
+        """
+        if self._is_express(work, now_s):
+            usable = [state for state in pool if not state.health.ejected]
+            free = self.limits.with_free_slot(usable)
+            if free:
+                return free
+            givers = [state for state in usable if self._victim_at(work, state, now_s) is not None]
+            if givers:
+                return givers
+        return list(self.limits.with_room(work, pool, now_s))
+
+    def _is_express(self, work: Work, now_s: float) -> bool:
+        if not self.limits.enabled or not self._context.enabled("preemption"):
+            return False
+        question = work.work_class is WorkClass.SHORT and kind_of(work) is ServiceKind.MODEL
+        return question and not self.queue.beyond_share(work, now_s)
+
+    def _victim_at(self, work: Work, state: ReplicaState, now_s: float) -> Attempt | None:
+        full = self.limits.may_preempt(state)
+        return self._preemption.victim_at(work, state, now_s) if full else None
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
-        assert state.usable, f"new work for {state.replica.replica_id}, which is leaving"
-        assert work.repeatable or not work.attempt_count, f"{work.work_id} would run twice"
-        self._attempt_sequence += 1
-        identity = self._context.identity
-        attempt_id = f"{identity.vm_id}-{identity.incarnation}-{self._attempt_sequence}"
-        replica = state.replica
-        attempt = Attempt(attempt_id, work, replica.replica_id, now_s)
-        self.attempts[attempt_id] = attempt
-        priority = self._engine_priority(work, state, now_s)
-        if self._kind_of(work) is ServiceKind.MODEL:
-            self.limits.on_started(attempt, state)
-        state.in_flight.add(attempt_id)
-        work.live_attempts.append(attempt_id)
-        work.tried_replicas.append(replica.replica_id)
-        work.attempt_count += 1
-        self.router.note(work, replica.replica_id)
-        self._context.trace(work.work_id, now_s, "dispatched", replica.replica_id)
-        self._context.emit(
-            StartAttempt(
-                attempt_id=attempt_id,
-                request_id=work.work_id,
-                kind=self._kind_of(work),
-                replica_id=replica.replica_id,
-                address=replica.address,
-                path=work.request.path,
-                body=work.request.body,
-                deadline_s=work.request.deadline_s,
-                priority=priority,
-                resume_payloads=tuple(work.payloads),
-            )
-        )
+        purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
+        if state.health.ejected:
+            purpose = AttemptPurpose.PROBE
+        kv_source = self._kv_source(work, state.replica.replica_id)
+        victim = None
+        if self._is_express(work, now_s):
+            victim = self._victim_at(work, state, now_s)
+        if victim is not None:
+            self._preemption.preempt(victim, now_s)
+        attempt = self.attempts.start(work, state, purpose, now_s, kv_source)
+        if victim is not None:
+            self._preemption.resume(victim, state, now_s)
+        self.router.note(work, state.replica.replica_id)
+        if state.health.ejected:
+            self._ejector.on_probe_started(state, attempt)
 
     def _engine_priority(self, work: Work, state: ReplicaState, now_s: float) -> int:
         if not self._context.enabled("engine-priority"):
@@ -287,7 +362,7 @@
         # It is not over yet; twice what it has is the likeliest length by Lindy's rule.
         self._learn_length(work, 2 * work.position)
         for attempt_id in work.live_attempts:
-            self.limits.on_class_changed(self.attempts[attempt_id])
+            self.limits.on_class_changed(self.attempts.live[attempt_id])
         self._context.count(Counter.LENGTH_MISJUDGED)
         self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
 
@@ -299,23 +374,24 @@
         if was_long != (length_tokens > LONG_TOKENS_COUNT):
             self._observed.append(observed)
 
-    def _forget(self, attempt: Attempt) -> None:
-        del self.attempts[attempt.attempt_id]
-        self.limits.on_ended(attempt)
-        attempt.work.live_attempts.remove(attempt.attempt_id)
-        state = self.replicas.get(attempt.replica_id)
-        if state is not None:
-            state.in_flight.discard(attempt.attempt_id)
+    def _kv_source(self, work: Work, target_id: str) -> str:
+        """Return the address of another replica that still holds the KV cache, or empty."""
+        source = self.replicas.get(work.kv_replica_id)
+        usable = source is not None and not source.gone and work.kv_replica_id != target_id
+        if source is None or not usable or not self._context.enabled("kv-move"):
+            return ""
+        return source.replica.address
 
-    def _cancel_attempts(self, work: Work) -> None:
-        for attempt_id in list(work.live_attempts):
-            self._forget(self.attempts[attempt_id])
-            self._context.emit(CancelAttempt(attempt_id))
+    def _forget(self, attempt: Attempt, now_s: float) -> None:
+        self.attempts.forget(attempt)
+        self._ejector.on_probe_ended(attempt, now_s)
 
     def _complete(self, attempt: Attempt, outcome: Outcome, now_s: float) -> None:
-        self._forget(attempt)
-        self._cancel_attempts(attempt.work)
-        self._settle(attempt.work, outcome, now_s)
+        work = attempt.work
+        self._forget(attempt, now_s)
+        self.attempts.cancel_all(work)
+        self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
+        self._settle(work, outcome, now_s)
         self.pump(now_s)
 
     def _settle(self, work: Work, outcome: Outcome, now_s: float) -> None:
@@ -328,10 +404,15 @@
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
         work = attempt.work
-        self._forget(attempt)
+        self._forget(attempt, now_s)
+        work.failure_count += 1
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
+        if is_whole(work.payloads):
+            self._settle(work, Done(), now_s)
+            self.pump(now_s)
+            return
         if not sent and not work.payloads and not work.repeatable:
             work.attempt_count -= 1
         if cause is FailureCause.REFUSED:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -29,6 +29,7 @@
     SendFinal,
     SendTokens,
     StartAttempt,
+    Stopped,
     TellPeer,
 )
 from coriandershelf_core.internal.events import (
@@ -72,9 +73,12 @@
 TICK_S = 0.05
 LOG_LATENCY_S = 0.004
 LOG_READ_PERIOD_S = 0.01
+LOG_READ_IDLE_S = 0.25
+LOG_READ_MAX_COUNT = 500
 LOAD_REPORT_PERIOD_S = 1.0
 LOAD_REPORT_LAG_S = 1.0
 PLAIN_DURATION_S = 0.02
+LAST_PAYLOAD = b'{"choices":[{"delta":{},"finish_reason":"stop"}]}'
 APPEND_LIMIT_S = 2.0
 
 
@@ -108,8 +112,10 @@
     zone: str
     alive: bool = True
     paused: bool = False
+    stopped_at_s: float | None = None
     held: list[Event] = field(default_factory=list)
     offsets: dict[str, int] = field(default_factory=dict)
+    read_at_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -164,6 +170,7 @@
         self.on_final: Callable[[Call], None] = lambda call: None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
+        self._replica_at: dict[str, str] = {}
         self._incarnation = 0
         for shape in deployment.replicas:
             engine = EngineModel(shape.engine) if shape.engine else None
@@ -330,7 +337,8 @@
         if not entry.alive or self.entries[vm_id] is not entry:
             return
         self.feed(vm_id, Tick())
-        self.feed(vm_id, VmListRead(tuple(self.vms.values())))
+        if not self.cut(vm_id, "list"):
+            self.feed(vm_id, VmListRead(tuple(self.vms.values())))
         self.at(TICK_S, lambda: self._tick(entry, vm_id))
 
     def _read_log(self, entry: BenchEntry, vm_id: str) -> None:
@@ -339,15 +347,18 @@
         if not entry.paused and not self.cut(vm_id, "log"):
             for stream in (CONFIGURATION_STREAM, LEDGER_STREAM):
                 start = entry.offsets.get(stream, 0)
-                answer = self.log.read(stream, start, 500, self.now_s)
+                answer = self.log.read(stream, start, LOG_READ_MAX_COUNT, self.now_s)
                 if answer is None:
                     continue
                 stored, first, upcoming = answer
                 entry.offsets[stream] = upcoming
-                if not stored and upcoming == start:
+                idle_s = self.now_s - entry.read_at_s.get(stream, 0.0)
+                if not stored and upcoming == start and idle_s < LOG_READ_IDLE_S:
                     continue
+                entry.read_at_s[stream] = self.now_s
                 records = tuple(Record(item.offset, item.time_s, *item.data) for item in stored)
-                self.feed(vm_id, LogRead(stream, records, first, upcoming))
+                at_end = len(stored) < LOG_READ_MAX_COUNT
+                self.feed(vm_id, LogRead(stream, records, first, upcoming, at_end))
         self.at(LOG_READ_PERIOD_S, lambda: self._read_log(entry, vm_id))
 
     def _perform(self, vm_id: str, action: Action) -> None:
@@ -368,6 +379,9 @@
                 self.at(LOG_LATENCY_S, lambda: self._append(vm_id, action))
             case TellPeer():
                 self._tell(vm_id, action)
+            case Stopped():
+                self.entries[vm_id].stopped_at_s = self.now_s
+                self.at(0.0, lambda: self.kill_entry(vm_id))
             case Count(name, amount):
                 self.counters[name] = self.counters.get(name, 0) + amount
             case _:
@@ -422,6 +436,7 @@
 
     def _start_attempt(self, vm_id: str, action: StartAttempt) -> None:
         upstream = self.upstreams[action.replica_id]
+        self._replica_at[action.address] = action.replica_id
         if self.cut(vm_id, action.replica_id):
             return
         if not upstream.alive:
@@ -431,11 +446,29 @@
         upstream.attempts[action.attempt_id] = vm_id
         if action.kind is ServiceKind.PLAIN:
             self._run_plain(vm_id, upstream, action)
+        elif action.kv_source:
+            self._import_then_run(vm_id, upstream, action)
         else:
             self._run_sequence(vm_id, upstream, action)
 
+    def _import_then_run(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+        """Run a sequence once its KV cache has come; a slowed end slows the transfer as well."""
+        assert upstream.engine is not None, f"{action.replica_id} runs no model"
+        source = self.upstreams[self._replica_at[action.kv_source]]
+        tokens = 0
+        if source.alive and source.engine is not None:
+            tokens = source.engine.export_kv(action.request_id)
+        factor = max(source.engine.slow_factor if source.engine else 1.0, 1.0)
+        delay_s = tokens / upstream.engine.shape.kv_tokens_per_s * factor
+
+        def begin() -> None:
+            if upstream.alive and action.attempt_id in upstream.attempts:
+                self._run_sequence(vm_id, upstream, action, tokens)
+
+        self.at(delay_s, begin)
+
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
-        identity = hashlib.sha256(action.path.encode() + action.body).hexdigest()
+        identity = _identity(action.path, action.body)
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
 
         def answer() -> None:
@@ -445,16 +478,20 @@
 
         self.at(PLAIN_DURATION_S, answer)
 
-    def _run_sequence(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
+    def _run_sequence(
+        self,
+        vm_id: str,
+        upstream: BenchUpstream,
+        action: StartAttempt,
+        imported_tokens: int = 0,
+    ) -> None:
         engine = upstream.engine
         assert engine is not None, f"{action.replica_id} runs no model"
         request = self.calls[action.request_id].request
         shape = self.shapes[action.request_id]
         position = len(action.resume_payloads)
-        if action.kv_source in self.upstreams:
-            source = self.upstreams[action.kv_source]
-            if source.alive and source.engine is not None:
-                engine.import_kv(action.request_id, source.engine.export_kv(action.request_id))
+        if imported_tokens:
+            engine.import_kv(action.request_id, imported_tokens)
         sequence = Sequence(
             attempt_id=action.attempt_id,
             request_id=action.request_id,
@@ -499,7 +536,7 @@
         vm_id = upstream.attempts.get(token.attempt_id)
         if vm_id is None or token.attempt_id in upstream.silent:
             return
-        payload = b"%d" % token.position
+        payload = LAST_PAYLOAD if token.finished else b"%d" % token.position
         attempt_id = token.attempt_id
         event = TokensArrived(attempt_id, attempt_id, token.position, (payload,))
         self._send_back(vm_id, replica_id, event)
@@ -549,8 +586,17 @@
     return totals
 
 
+def was_run(bench: Bench, request: Request) -> bool:
+    """Return whether any plain service ran a call's body."""
+    return executions_by_body(bench).get(_identity(request.path, request.body), 0) > 0
+
+
+def _identity(path: str, body: bytes) -> str:
+    return hashlib.sha256(path.encode() + body).hexdigest()
+
+
 def is_whole(call: Call, shape: Shape) -> bool:
     """Return whether a finished call holds each payload once, in order."""
     if not isinstance(call.outcome, Done):
         return False
-    return call.payloads == [b"%d" % position for position in range(shape.length + 1)]
+    return call.payloads == [*(b"%d" % place for place in range(shape.length)), LAST_PAYLOAD]
