--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control.py
@@ -105,7 +105,7 @@
             self._held.clear()
             self._unsynced_since_s = now_s
         for record in event.records:
-            if self._ledger.on_record(CONTROL_STREAM, record):
+            if self._ledger.on_record(CONTROL_STREAM, record, now_s):
                 self._on_record(record, now_s)
             self._through_offset = record.offset
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -120,6 +120,7 @@
     JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
     JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
     JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
+    PREEMPTED = ("preempted", "Works that gave their slot at a full replica to a question.")
     LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
     CONFIGURATIONS_ADOPTED = ("configuration.adopted", "Configurations that came into force here.")
     CONFIGURATIONS_FROM_PEER = (
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
@@ -26,6 +26,7 @@
 from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
 from coriandershelf_core.internal.occupancy import Occupancy
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.preempt import Preemption
 from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
@@ -74,6 +75,7 @@
         self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
         self.retries = RetryBudget(context.settings)
         self._delayed: list[tuple[float, Work]] = []
+        self._preemption = Preemption(context, self.attempts, self.limits, self.queue.usage_ratio)
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -262,7 +264,8 @@
             if state is not None:
                 state.waiting.pop(attempt.attempt_id, None)
                 waited_s = now_s - attempt.started_at_s
-                state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+                if attempt.purpose is not AttemptPurpose.PREEMPTED:
+                    state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
             self.stalls.on_first_token(attempt, now_s)
         elif state is not None:
             gap_s = (now_s - last_s) / count
@@ -329,19 +332,47 @@
         roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
         return self.router.choose(work, roomy, now_s, any_zone=degraded)
 
-    def _with_room(
-        self, work: Work, pool: Sequence[ReplicaState], now_s: float
-    ) -> Sequence[ReplicaState]:
+    def _with_room(self, work: Work, pool: list[ReplicaState], now_s: float) -> list[ReplicaState]:
+        """Return the replicas of a model that may take a work now.
+
+        A question inside its customer's share goes to a free slot whatever this VM's limits, or
+        to a full replica where another work can give up its slot.
+        """
         if kind_of(work) is not ServiceKind.MODEL:
             return pool
-        return self.limits.with_room(work, pool, now_s)
+        if self._is_express(work, now_s):
+            usable = [state for state in pool if not state.health.ejected]
+            free = self.limits.with_free_slot(usable)
+            if free:
+                return free
+            givers = [state for state in usable if self._victim_at(work, state, now_s) is not None]
+            if givers:
+                return givers
+        return list(self.limits.with_room(work, pool, now_s))
+
+    def _is_express(self, work: Work, now_s: float) -> bool:
+        if not self.limits.enabled or not self._context.enabled("preemption"):
+            return False
+        question = work.work_class is WorkClass.SHORT and kind_of(work) is ServiceKind.MODEL
+        return question and not self.queue.beyond_share(work, now_s)
+
+    def _victim_at(self, work: Work, state: ReplicaState, now_s: float) -> Attempt | None:
+        full = self.limits.may_preempt(state)
+        return self._preemption.victim_at(work, state, now_s) if full else None
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
         if state.health.ejected:
             purpose = AttemptPurpose.PROBE
         kv_source = self._kv_source(work, state.replica.replica_id)
+        victim = None
+        if self._is_express(work, now_s):
+            victim = self._victim_at(work, state, now_s)
+        if victim is not None:
+            self._preemption.preempt(victim, now_s)
         attempt = self.attempts.start(work, state, purpose, now_s, kv_source)
+        if victim is not None:
+            self._preemption.resume(victim, state, now_s)
         self.router.note(work, state.replica.replica_id)
         if state.health.ejected:
             self._ejector.on_probe_started(state, attempt)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -49,7 +49,7 @@
     retry_backoff_max_s: float = documented(2.0, "Longest wait before a retry.", 0.0)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
     wait_limit_s: float = documented(
-        3.0, "Estimated wait for a replica above which short work is refused.", 0.01
+        1.0, "Estimated wait for a replica above which short work is refused.", 0.01
     )
     engine_wait_target_s: float = documented(
         0.1, "Wait inside an engine above which less short work is sent there.", 0.001
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet_bench.py
@@ -228,7 +228,7 @@
         data = (identity.vm_id, identity.incarnation, action.sequence, action.entries)
         fate, _ = self.log.append(action.stream, data, self.now_s)
         if fate is AppendFate.TAKEN:
-            node.ledger.on_answered(action.append_id)
+            node.ledger.on_answered(action.append_id, self.now_s)
         else:
             uncertain = fate is not AppendFate.REFUSED
             node.ledger.on_failed(action.append_id, uncertain, self.now_s)
