--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/settings.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/settings.py
@@ -43,7 +43,7 @@
     answer_buffer_payloads: int = Field(
         256, ge=1, description="Payloads kept for a slow caller before reading stops."
     )
-    poll_s: float = Field(0.5, gt=0, description="Period of reading the platform's VM list.")
+    poll_s: float = Field(2.0, gt=0, description="Period of reading the platform's VM list.")
     tick_s: float = Field(0.05, gt=0, description="Period of the core's timer.")
     default_deadline_s: float = Field(600.0, gt=0, description="Deadline where none is sent.")
     log_level: str = Field("info", pattern="^(debug|info|warning|error)$", description="Logs.")
--- a/tests/cover/test_configuration_log.py
+++ b/tests/cover/test_configuration_log.py
@@ -89,3 +89,15 @@
         entries = [Record(5 + i, 0.0, "w", 1, i, (snapshot(v),)) for i, v in enumerate(order)]
         log.read(tuple(entries), 5, 7)
         assert log.version == 7
+
+
+def test_records_before_a_peers_place_are_not_judged_again_on_the_peers_version():
+    entries = (proposal("a", 0), proposal("too-early", 2), proposal("b", 1))
+    warm = folded(*entries)
+    assert not warm.verdicts["too-early"].accepted
+    cold = ConfigurationLog()
+    cold.read((), 1, 1)
+    assert cold.anchor(warm.texts, warm.next_offset)
+    cold.read(records_of(*entries)[1:], 1, 3)
+    assert cold.version == warm.version == 2
+    assert not cold.verdicts["too-early"].accepted
