--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
@@ -174,6 +174,15 @@
         """Return what is known of a VM, or ``None``."""
         return self._members.get(vm_id)
 
+    def is_gone(self, vm_id: str, incarnation: int) -> bool:
+        """Return whether an incarnation is known to have ended."""
+        member = self._members.get(vm_id)
+        if member is None:
+            return False
+        if member.status.incarnation != incarnation:
+            return member.status.incarnation > incarnation
+        return member.state is VmState.GONE
+
     def incarnation_of(self, vm_id: str) -> int | None:
         """Return a VM's newest known incarnation, or ``None`` where it is not known."""
         member = self._members.get(vm_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -90,6 +90,31 @@
     snapshot: ConfigurationSnapshot
 
 
+@dataclass(frozen=True, slots=True)
+class InFlightDigest:
+    """Tells peers how many works the sender has in flight at each replica it uses.
+
+    :param sequence: grows with each digest of an incarnation.
+    """
+
+    vm_id: str
+    incarnation: int
+    sequence: int
+    replica_ids: tuple[str, ...]
+    counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LengthObserved:
+    """Tells peers the length of an answer that was guessed wrong."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    length_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
@@ -154,6 +179,56 @@
     replica_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TicketCall:
+    """Asks a ticket's owner to run a call, or for the result if it ran before."""
+
+    request_id: str
+    customer: str
+    service: str
+    path: str
+    body: bytes
+    key: str
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TicketResult:
+    """Answers a :class:`TicketCall`; ``outcome`` is ``done``, ``not-run`` or ``unknown``."""
+
+    request_id: str
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
+    detail: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class JobSought:
+    """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobFound:
+    """Answers a :class:`JobSought`: the sender has the whole output and goes on with it."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaVerdict:
+    """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
+
+    replica_id: str
+    in_order: bool
+
+
 Message = (
     Heartbeat
     | ZoneSum
@@ -166,4 +241,11 @@
     | JobCopy
     | JobCopied
     | JobHandover
+    | TicketCall
+    | TicketResult
+    | JobSought
+    | JobFound
+    | ReplicaVerdict
+    | InFlightDigest
+    | LengthObserved
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -19,6 +19,24 @@
     first_token_limit_s: float = documented(10.0, "Longest wait for a first token.", 0.01)
     token_gap_limit_s: float = documented(2.0, "Longest silence between two tokens.", 0.01)
     plain_answer_limit_s: float = documented(10.0, "Longest wait for a plain service.", 0.01)
+    stall_typical_factor: float = documented(
+        5.0, "Multiple of a replica's typical token gap after which it may be stalled.", 1.0
+    )
+    stall_peak_factor: float = documented(
+        1.25, "Multiple of a replica's longest normal token gap after which it is stalled.", 1.0
+    )
+    stall_floor_s: float = documented(0.06, "Least silence that counts as a stall.", 0.001)
+    first_token_factor: float = documented(
+        1.5, "Multiple of the expected first-token time after which a hedge may start.", 1.0
+    )
+    own_pause_s: float = documented(
+        0.3, "Time between two checks after which silence is put down to this VM itself.", 0.06
+    )
+    ejected_max_share: float = documented(0.5, "Share of a service's slots ejected at most.", 0.0)
+    probe_after_s: float = documented(0.5, "Wait before an ejected replica is tried.", 0.01)
+    probe_after_max_s: float = documented(8.0, "Longest wait between two tries.", 0.01)
+    hedge_share: float = documented(0.025, "Hedged work as a share of work done.", 0.0)
+    hedge_reserve_tokens: int = documented(2000, "Hedged work held in reserve at most.", 0)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
     wait_limit_s: float = documented(
         3.0, "Estimated wait for a replica above which short work is refused.", 0.01
@@ -26,13 +44,48 @@
     engine_wait_target_s: float = documented(
         0.1, "Wait inside an engine above which less short work is sent there.", 0.001
     )
+    digest_period_s: float = documented(
+        0.05, "Shortest time between two digests of works in flight to other entry VMs.", 0.01
+    )
     long_floor_share: float = documented(0.3, "Share of slots that long work always may hold.", 0.0)
     long_reserve_share: float = documented(0.2, "Share of slots kept free of long work.", 0.0)
     usage_memory_s: float = documented(10.0, "How long use counts against a customer's share.", 0.1)
     queue_max_count: int = documented(2000, "Requests that wait at the most.", 1)
     claim_wait_s: float = documented(2.0, "Longest wait for a claim to be read back.", 0.01)
     append_resend_s: float = documented(1.0, "Wait before an uncertain append is repeated.", 0.01)
+    append_refused_resend_s: float = documented(
+        0.2, "Wait before an append refused by the log's rate limit is repeated.", 0.01
+    )
+    append_max_bytes: int = documented(262_144, "Entries of one record by size, about.", 1024)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
+    key_refuse_s: float = documented(
+        604_800.0, "How long after its claim a key past its window is still refused.", 1.0
+    )
+    claim_late_s: float = documented(
+        60.0, "A claim that the log takes later than this after it was made is void.", 1.0
+    )
+    claim_open_max_s: float = documented(
+        30.0, "Age after which a claim without a result is told as unknown.", 1.0
+    )
+    claim_result_max_bytes: int = documented(
+        65_536, "Largest answer of a claimed call that is kept for repeats.", 0
+    )
+    repeat_wait_s: float = documented(
+        5.0, "Longest wait of a repeated call for the result of the running one.", 0.0
+    )
+    ticket_life_s: float = documented(
+        21_600.0, "How long tickets are valid; at most half of log_retention_s counts.", 1.0
+    )
+    ticket_ask_s: float = documented(
+        0.5, "Period in which a silent owner of a ticket is asked again.", 0.01
+    )
+    tickets_max_count: int = documented(1000, "Tickets of one grant at the most.", 1)
+    ledger_fresh_s: float = documented(
+        3.0, "Age of the last read to the ledger's end at which refusals still rest on it.", 0.1
+    )
+    log_retention_s: float = documented(
+        86400.0, "How long the platform's log keeps records; set it no higher.", 1.0
+    )
     job_output_keep_s: float = documented(3600.0, "How long a finished job's output is kept.", 1.0)
     job_copy_resend_s: float = documented(
         0.5, "Wait before output that was not acknowledged is copied again.", 0.01
