--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/buyer.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/buyer.py
@@ -30,11 +30,15 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """How far this holder is with one open purchase."""
+    """How far this holder is with one open purchase.
+
+    :param ended: its end is written, but not read back yet.
+    """
 
     started: bool = False
     started_at_s: float = 0.0
     stopping: bool = False
+    ended: bool = False
     send_at_s: float = 0.0
 
 
@@ -121,6 +125,10 @@
         if not self._holder.holds(now_s):
             self._progress.clear()
             return
+        tokens = {intended.token for intended in self._purchases.open()}
+        self._progress = {
+            token: progress for token, progress in self._progress.items() if token in tokens
+        }
         for intended in self._purchases.open():
             self._carry_on(intended, now_s)
         if now_s >= self._decide_at_s and not self._intended:
@@ -134,6 +142,8 @@
     def _carry_on(self, intended: PurchaseIntended, now_s: float) -> None:
         """Send a start or stop that is due; a start of a former holder is sent again."""
         progress = self._progress.setdefault(intended.token, _Progress())
+        if progress.ended:
+            return
         serves = self._vm_serves(intended.token)
         if serves:
             # Also where a former holder started it: no start is sent for a VM that serves.
@@ -191,7 +201,8 @@
         fleet = []
         for item in self._purchases.open():
             progress = self._progress.get(item.token)
-            if item.service != service or (progress is not None and progress.stopping):
+            leaving = progress is not None and (progress.stopping or progress.ended)
+            if item.service != service or leaving:
                 continue
             ready = bool(self._vm_serves(item.token))
             purchase = Purchase(item.purchase)
@@ -228,7 +239,10 @@
         )
 
     def _end(self, token: str, reason: str, now_s: float) -> None:
-        self._progress.pop(token, None)
+        progress = self._progress.setdefault(token, _Progress())
+        if progress.ended:
+            return
+        progress.ended = True
         self._context.count(Counter.PURCHASES_ENDED)
         self._context.log("purchase ended", token=token, reason=reason)
         self._ledger.add(CONTROL_STREAM, PurchaseEnded(token, reason), now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -156,7 +156,8 @@
             return
         self._learn(attempt, len(event.payloads), now_s)
         self.quarantine.on_tokens(attempt, now_s)
-        self.stalls.check(now_s)
+        if not self._context.hold_dispatch:
+            self.stalls.check(now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
             dropped = min(repeated, len(event.payloads))
@@ -280,7 +281,8 @@
         self._apply_digests(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, self._late_outcome(work), now_s)
-        self.stalls.check(now_s)
+        if not self._context.hold_dispatch:
+            self.stalls.check(now_s)
         for attempt in list(self.attempts.live.values()):
             kind = kind_of(attempt.work)
             cause = overdue(attempt, kind, self._context.settings, now_s)
