--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -19,6 +17,7 @@
     result_entry,
     unfinished_outcome,
 )
+from coriandershelf_core.internal.claim_keys import body_hash, claim_key, key_made_at_s
 from coriandershelf_core.internal.claim_table import ClaimState, ClaimTable
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.ledger import Ledger
@@ -34,40 +33,16 @@
     LedgerKept,
     Record,
 )
-from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.retention import Retention
 from coriandershelf_core.internal.work import Work
 
 LOG_RETRY_S = 5.0
-UUID_TIME_VERSION = 7
 # A read may have been under way when a call arrived; the one after it began later.
 END_READS_AFTER_ARRIVAL = 2
 
 HolderGone = Callable[[str, int], bool]
 
 
-def claim_key(customer: str, request: Request) -> str:
-    """Return the key under which a call is claimed, unique to its customer and service."""
-    text = f"{customer}\0{request.service}\0{request.idempotency_key}"
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
-def body_hash(request: Request) -> str:
-    """Return the hash that tells two bodies under one key apart."""
-    return hashlib.sha256(request.path.encode() + b"\0" + request.body).hexdigest()
-
-
-def key_made_at_s(key: str | None) -> float | None:
-    """Return when a key was made if it is a UUID that tells its time (version 7)."""
-    try:
-        parsed = uuid.UUID(key or "")
-    except ValueError:
-        return None
-    if parsed.version != UUID_TIME_VERSION:
-        return None
-    return (parsed.int >> 80) / 1000
-
-
 @dataclass(slots=True)
 class _Call:
     """A caller's call that waits for its claim, or for the result of an earlier call.
@@ -313,9 +288,13 @@
     def _answer_or_attach(self, call: _Call, state: ClaimState, now_s: float) -> None:
         """Answer a repeat, or let it wait for the result of the running call."""
         outcome = self._outcome_of(call, state, now_s)
-        if outcome is not None:
+        if outcome is not None and not self._takes_over(state, now_s):
             self._finish(call, outcome, now_s)
             return
+        if outcome is not None:
+            self._running[call.work.work_id] = state.claim
+            self._start(call.work, now_s)
+            return
         wait_s = self._context.settings.repeat_wait_s
         call.give_up_at_s = min(now_s + wait_s, call.work.request.deadline_s)
         if call.work.work_id not in self._attached:
@@ -345,6 +324,12 @@
     def _unfinished(self, state: ClaimState | None, now_s: float) -> Outcome:
         return unfinished_outcome(state is not None and self._is_lost(state, now_s))
 
+    def _takes_over(self, state: ClaimState, now_s: float) -> bool:
+        """Return whether a test lets a timeout move a claim, which nothing else ever does."""
+        if self._context.enabled("claims-no-takeover"):
+            return False
+        return state.finished is None and self._is_lost(state, now_s)
+
     def _is_lost(self, state: ClaimState, now_s: float) -> bool:
         """Return whether no result is to be expected; this changes words only, never who runs."""
         claim = state.claim
@@ -366,7 +351,8 @@
         claim of its key. Otherwise an earlier call under the key may have run at another VM.
         """
         read = self._ledger.end_reads(LEDGER_STREAM) - call.end_reads
-        if self.retention.complete and read >= END_READS_AFTER_ARRIVAL:
+        proved = self.retention.complete and read >= END_READS_AFTER_ARRIVAL
+        if proved or not self._context.enabled("not-run-evidence"):
             return NotRun(reason, LOG_RETRY_S)
         return Unknown(reason, LOG_RETRY_S, "this VM has not run it")
 
@@ -379,6 +365,10 @@
 
     def _give_up(self, call: _Call, now_s: float) -> None:
         """Refuse a call whose claim was not read back in time; it can never run any more."""
+        if not self._context.enabled("claims-give-up"):
+            call.give_up_at_s = float("inf")
+            self._finish(call, self._unclaimed(call, now_s), now_s)
+            return
         del self._claiming[call.work.work_id]
         assert call.claim is not None, "a call that waits for its claim has one"
         if not self._ledger.discard(LEDGER_STREAM, call.claim):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from coriandershelf_core.internal.claims import body_hash, claim_key
+from coriandershelf_core.internal.claim_keys import body_hash, claim_key
 from coriandershelf_core.internal.classify import make_work
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.copies import Copies
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ticket_messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/ticket_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coriandershelf_core.internal.claim_answers import outcome_of_result
-from coriandershelf_core.internal.claims import body_hash
+from coriandershelf_core.internal.claim_keys import body_hash
 from coriandershelf_core.internal.classify import make_work
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.messages import TicketCall, TicketResult
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/tickets.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/tickets.py
@@ -20,7 +20,7 @@
     outcome_of_result,
     result_entry,
 )
-from coriandershelf_core.internal.claims import body_hash, claim_key
+from coriandershelf_core.internal.claim_keys import body_hash, claim_key
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import TicketsAsked
 from coriandershelf_core.internal.ledger import Ledger
--- a/tests/cover/test_tickets.py
+++ b/tests/cover/test_tickets.py
@@ -4,7 +4,9 @@
 
 from dataclasses import replace
 
-from coriandershelf_core import Done, RefusalReason, Unknown
+from coriandershelf_core import Done, NotRun, RefusalReason, Unknown
+from coriandershelf_core.internal.events import PeerMessageArrived
+from coriandershelf_core.internal.messages import TicketCall
 from coriandershelf_core.internal.records import TicketsGranted
 from coriandershelf_core.internal.ticket_table import TicketTable, parse_ticket, ticket_key
 from coriandershelf_rig.internal.bench import Call
@@ -155,3 +157,17 @@
     assert table.grant_of(ticket_key("g", 1), "depot", 101.0) is None
     assert parse_ticket("ticket.g.x") is None
     assert parse_ticket("order-7") is None
+
+
+def test_a_copy_of_a_forwarded_call_that_was_told_not_run_does_not_run():
+    bench = make_bench()
+    core = bench.entries["entry-1"].core
+    call = TicketCall(
+        "r-copy", "depot", "orders", "orders/new", b"x", bench.tickets[0], bench.now_s + 10.0
+    )
+    core.step(PeerMessageArrived("entry-2", call), bench.now_s)
+    work = core.serving.cancel("r-copy")
+    assert work is not None
+    core.calls.finish(work, NotRun(RefusalReason.NO_UPSTREAM), bench.now_s)
+    core.step(PeerMessageArrived("entry-2", call), bench.now_s)
+    assert "r-copy" not in core.serving.works
