Write releases forward, so that readers agree whatever record they begin at

Cause: a claim, its release, then a late copy of the claim. A reader that began at the copy took it for a live claim, and wrote it forward. It could not run anything by it, but told `unknown` where others told `done`.

Ruled out: holding the first claims of a suffix doubtful; nothing in the suffix settles them.

Change: releases are written forward before the state of their key. A call whose claim lost and that gave up waiting releases a copy of its claim that wins later.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claim_table.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claim_table.py
@@ -15,6 +15,14 @@
 from coriandershelf_core.internal.records import Claim, ClaimFinished, ClaimKept, ClaimReleased
 
 
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Where and when the ledger last told of a release."""
+
+    written_offset: int
+    first_at_s: float
+
+
 @dataclass(slots=True)
 class ClaimState:
     """What the ledger says of one key.
@@ -22,7 +30,7 @@
     :param claimed_offset: offset of the record that claimed the key.
     :param claimed_at_s: log time of that record.
     :param written_offset: offset of the last record that a new reader could take this from.
-    :param released_ids: requests whose claim of this key was given up.
+    :param releases: requests whose claim of this key was given up, and where that last stands.
     """
 
     claim: Claim
@@ -31,7 +39,7 @@
     written_offset: int
     finished: ClaimFinished | None = None
     released: bool = False
-    released_ids: set[str] = field(default_factory=set)
+    releases: dict[str, Release] = field(default_factory=dict)
 
     @property
     def holds(self) -> bool:
@@ -81,10 +89,10 @@
         state = self._states.get(claim.key_hash)
         if state is None:
             return self._put(ClaimState(claim, offset, time_s, offset))
-        if claim.request_id in state.released_ids:
+        if claim.request_id in state.releases:
             return None
         if state.released:
-            fresh = ClaimState(claim, offset, time_s, offset, released_ids=state.released_ids)
+            fresh = ClaimState(claim, offset, time_s, offset, releases=state.releases)
             return self._put(fresh)
         return state
 
@@ -94,10 +102,11 @@
         if state is None:
             claim = Claim(released.key_hash, "", released.request_id, "", time_s)
             state = self._put(ClaimState(claim, offset, time_s, offset))
-        state.released_ids.add(released.request_id)
+        former = state.releases.get(released.request_id)
+        first_at_s = time_s if former is None else former.first_at_s
+        state.releases[released.request_id] = Release(offset, first_at_s)
         if state.claim.request_id == released.request_id and state.finished is None:
             state.released = True
-            state.written_offset = offset
 
     def on_finished(self, finished: ClaimFinished, offset: int, time_s: float) -> None:
         """Apply a result; the first one stays."""
@@ -116,10 +125,10 @@
             return
         claim = kept.claim
         state = self._states.get(claim.key_hash)
-        if state is not None and claim.request_id in state.released_ids:
+        if state is not None and claim.request_id in state.releases:
             return
-        if state is None or kept.claimed_offset < state.claimed_offset:
-            released_ids = set() if state is None else state.released_ids
+        if state is None or state.released or kept.claimed_offset < state.claimed_offset:
+            releases = {} if state is None else state.releases
             finished = kept.finished
             if state is not None and state.claim.request_id == claim.request_id:
                 finished = finished or state.finished
@@ -130,7 +139,7 @@
                     kept.claimed_at_s,
                     offset,
                     finished,
-                    released_ids=released_ids,
+                    releases=releases,
                 )
             )
         elif state.claim.request_id == claim.request_id:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
@@ -166,6 +166,9 @@
             state = self.table.get(call.key_hash)
             if call.give_up_at_s <= now_s or (state is not None and self._is_lost(state, now_s)):
                 del self._attached[call.work.work_id]
+                if call.claim is not None:
+                    # A copy of its claim may still win once the key is free.
+                    self._given_up[call.work.work_id] = now_s
                 self._finish(call, self._unfinished(state, now_s), now_s)
         # A claim that the log takes later than this is void and needs no release.
         keep_s = 2 * self._context.settings.claim_late_s
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/retention.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/retention.py
@@ -14,7 +14,13 @@
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.records import LEDGER_STREAM, ClaimKept, LedgerKept, Record
+from coriandershelf_core.internal.records import (
+    LEDGER_STREAM,
+    ClaimKept,
+    ClaimReleased,
+    LedgerKept,
+    Record,
+)
 
 WRITE_AGE_SHARE = 0.5
 CYCLE_SHARE = 0.125
@@ -95,15 +101,34 @@
         )
         if start_offset is None:
             return
-        old = [state for state in self._table if self._must_move(state, start_offset)]
-        for state in old:
-            kept = ClaimKept(state.claim, state.claimed_offset, state.claimed_at_s, state.finished)
-            self._ledger.add(LEDGER_STREAM, kept, now_s)
-        self._context.count(Counter.CLAIMS_KEPT, len(old))
+        count = 0
+        for state in self._table:
+            released = self._write_releases(state, start_offset, now_s)
+            if state.holds and (released or state.written_offset < start_offset):
+                kept = ClaimKept(
+                    state.claim, state.claimed_offset, state.claimed_at_s, state.finished
+                )
+                self._ledger.add(LEDGER_STREAM, kept, now_s)
+                count += 1
+        self._context.count(Counter.CLAIMS_KEPT, count)
         self._ledger.add(LEDGER_STREAM, LedgerKept(start_offset), now_s)
 
-    def _must_move(self, state: ClaimState, start_offset: int) -> bool:
-        return state.holds and state.written_offset < start_offset
+    def _write_releases(self, state: ClaimState, start_offset: int, now_s: float) -> bool:
+        """Write old releases again while a copy of the released claim may stand in the log.
+
+        A reader that began between a release and a late copy of its claim would take the copy for
+        a claim that holds its key. The holder's state must then follow, since such a reader took
+        it for the later claim.
+        """
+        settings = self._context.settings
+        since_s = now_s - settings.log_retention_s - 2 * settings.claim_late_s
+        written = False
+        for request_id, release in state.releases.items():
+            if release.written_offset < start_offset and release.first_at_s >= since_s:
+                entry = ClaimReleased(state.claim.key_hash, request_id)
+                self._ledger.add(LEDGER_STREAM, entry, now_s)
+                written = True
+        return written
 
     def _offset_after(self, time_s: float) -> int | None:
         """Return an offset before which every record is older than a time, as late as known."""
--- a/tests/cover/test_claim_retention.py
+++ b/tests/cover/test_claim_retention.py
@@ -5,9 +5,11 @@
 from dataclasses import replace
 
 from coriandershelf_core import Done, RefusalReason, Unknown
+from coriandershelf_core.internal.claim_table import ClaimTable
+from coriandershelf_core.internal.records import Claim, ClaimKept, ClaimReleased
 from coriandershelf_rig.internal.bench import Call
 from coriandershelf_rig.internal.soak_bench import RETENTION_S, SOAK_SETTINGS, SoakBench
-from coriandershelf_rig.internal.soak_plan import Book, Cut, Kill, LogOutage
+from coriandershelf_rig.internal.soak_plan import Book, Cut, Kill, LogOutage, Pause
 
 
 def make_bench(*disabled: str) -> SoakBench:
@@ -123,3 +125,33 @@
     assert len(table) == 20
     table.expire(bench.now_s + bench.settings.key_refuse_s + 1.0)
     assert len(table) == 0
+
+
+def test_a_reader_that_began_between_a_release_and_a_late_copy_of_its_claim_agrees_with_others():
+    table = ClaimTable(5.0, 50.0, 100.0)
+    copy = Claim("k", "b", "r1", "vm-1", 0.0)
+    table.on_claim(copy, 29, 1.0)
+    table.on_claim(Claim("k", "b", "r2", "vm-2", 2.0), 40, 2.0)
+    assert table.get("k").claim.request_id == "r1"
+    table.on_released(ClaimReleased("k", "r1"), 50, 12.0)
+    table.on_kept(ClaimKept(Claim("k", "b", "r2", "vm-2", 2.0), 40, 2.0), 51, 12.0)
+    assert table.get("k").claim.request_id == "r2"
+
+
+def test_a_release_is_written_forward_with_the_state_of_its_key():
+    bench = make_bench()
+    book(bench, 0, "other")
+    bench.run(1.0)
+    for vm in (1, 2, 3):
+        bench.apply(Pause(0.0, vm, 100.0))
+    claims = bench.entries["entry-1"].core.calls.claims
+    time_s = claims.retention.log_time_s
+    claims.table.on_claim(Claim("k", "b", "r1", "vm-1", time_s), 0, time_s)
+    claims.table.on_released(ClaimReleased("k", "r1"), 1, time_s)
+    claims.table.on_claim(Claim("k", "b", "r2", "vm-2", time_s), 2, time_s)
+    bench.run(RETENTION_S)
+    stored, _, _ = bench.log.read("ledger", 0, 500, bench.now_s)
+    written = [entry for record in stored for entry in record.data[3]]
+    kept = [getattr(getattr(entry, "claim", None), "request_id", "") for entry in written]
+    marks = [type(entry).__name__ for entry in written]
+    assert written.index(ClaimReleased("k", "r1")) < kept.index("r2") < marks.index("LedgerKept")
