--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/inventory.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/inventory.py
@@ -30,11 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A model or plain service; ``non_idempotent_paths`` are path prefixes."""
+    """A model or plain service.
+
+    :param non_idempotent_paths: path prefixes.
+    :param weights: what its replicas must have loaded; empty to give no orders.
+    :param scaled: whether the system buys and gives back VMs for it.
+    """
 
     name: str
     kind: ServiceKind
     non_idempotent_paths: tuple[str, ...] = ()
+    weights: str = ""
+    scaled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +52,7 @@
     :param slots: requests it runs at once at full batch.
     :param price_per_hour: in the budget's currency.
     :param checks_fencing: whether it refuses orders with an old fencing number.
+    :param bought: whether the system bought its VM, so that no published inventory lists it.
     """
 
     replica_id: str
@@ -56,6 +64,7 @@
     purchase: Purchase = Purchase.RECLAIMABLE
     price_per_hour: float = 0.0
     checks_fencing: bool = True
+    bought: bool = False
 
 
 @dataclass(frozen=True, slots=True)
