--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
@@ -53,6 +53,7 @@
 @dataclass(slots=True)
 class _WaitingJob:
     work: Work
+    entry: JobAccepted
     give_up_at_s: float
 
 
@@ -101,9 +102,14 @@
         key_hash = claim_key(work.customer, work.request) if work.request.idempotency_key else ""
         if self._answer_known(work, key_hash, now_s):
             return
+        if self._ledger.is_down(LEDGER_STREAM):
+            outcome = NotRun(RefusalReason.LOG_UNAVAILABLE, retry_after_s=5.0)
+            self._context.finish(work.work_id, outcome, now_s)
+            return
         give_up_at_s = now_s + self._context.settings.claim_wait_s
-        self._waiting[work.work_id] = _WaitingJob(work, give_up_at_s)
-        self._ledger.add(LEDGER_STREAM, self._acceptance(work, key_hash, now_s), now_s)
+        entry = self._acceptance(work, key_hash, now_s)
+        self._waiting[work.work_id] = _WaitingJob(work, entry, give_up_at_s)
+        self._ledger.add(LEDGER_STREAM, entry, now_s)
 
     def on_accepted(self, entry: JobAccepted, now_s: float) -> None:
         """Apply an accepted job; its holder starts it and answers the caller."""
@@ -200,10 +206,7 @@
         for job_id, waiting in list(self._waiting.items()):
             if waiting.give_up_at_s <= now_s:
                 del self._waiting[job_id]
-                # Its record may still reach the log, and then the job runs: so not "not run".
-                detail = f"ask GET /v1/jobs/{job_id}, or send again with the same Idempotency-Key"
-                outcome = Unknown(RefusalReason.LOG_UNAVAILABLE, 5.0, detail)
-                self._context.finish(job_id, outcome, now_s)
+                self._context.finish(job_id, self._unread_outcome(waiting), now_s)
         self.copies.on_tick(self._me, now_s)
         self._start_retries(now_s)
         self.replication.on_tick(now_s)
@@ -218,6 +221,15 @@
         """Return whether no job waits for its record or has to be handed over."""
         return not self._waiting and self.replication.idle
 
+    def _unread_outcome(self, waiting: _WaitingJob) -> Outcome:
+        """Return what is true of a job whose record was not read back in time."""
+        if self._ledger.discard(LEDGER_STREAM, waiting.entry):
+            return NotRun(RefusalReason.LOG_UNAVAILABLE, retry_after_s=5.0)
+        # The record may still reach the log, and then the job runs.
+        job_id = waiting.work.work_id
+        detail = f"ask GET /v1/jobs/{job_id}, or send again with the same Idempotency-Key"
+        return Unknown(RefusalReason.LOG_UNAVAILABLE, 5.0, detail)
+
     def _acceptance(self, work: Work, key_hash: str, now_s: float) -> JobAccepted:
         request = work.request
         identity = self._context.identity
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
@@ -52,6 +52,10 @@
             self.leaves_at_s = at_s
             self.moves_at_s = at_s - margin_s
 
+    def must_move_now(self, now_s: float) -> bool:
+        """Return whether a stream there can wait no longer for a replica with room."""
+        return self.leaves_at_s is not None and self.leaves_at_s - LAST_MOVE_S <= now_s
+
     def must_move(self, now_s: float) -> bool:
         """Return whether streams that still run there would be cut."""
         return self.leaves_at_s is not None and self.moves_at_s <= now_s and not self.gone
@@ -108,6 +112,7 @@
 
 
 MOVE_MARGIN_S = 2.0
+LAST_MOVE_S = 0.5
 MOVE_SHARE = 0.5
 
 
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/cli.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/cli.py
@@ -8,7 +8,7 @@
 
 import click
 
-from coriandershelf_operator.internal.commands_entry import explain, status
+from coriandershelf_operator.internal.commands_entry import drain, explain, status
 from coriandershelf_operator.internal.commands_publish import publish_command, rollback, verdict
 from coriandershelf_operator.internal.commands_read import check, diff, history
 
@@ -18,5 +18,5 @@
     """Check, publish and watch the configuration of coriandershelf."""
 
 
-for command in (check, diff, publish_command, verdict, rollback, history, status, explain):
+for command in (check, diff, publish_command, verdict, rollback, history, status, explain, drain):
     main.add_command(command)
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/commands_entry.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/commands_entry.py
@@ -1,4 +1,4 @@
-"""Commands that ask entry VMs: ``status`` and ``explain``."""
+"""Commands for entry VMs: ``status``, ``explain`` and ``drain``."""
 
 from __future__ import annotations
 
@@ -21,10 +21,15 @@
 Answers = dict[str, dict[str, Any] | None]
 
 
-async def _ask_all(entries: tuple[str, ...], path: str, key: str) -> Answers:
-    """Return each entry VM's answer, ``None`` where it does not answer or know."""
+async def _ask_all(
+    entries: tuple[str, ...], path: str, key: str, body: bytes | None = None
+) -> Answers:
+    """Return each entry VM's answer, ``None`` where it does not answer or know.
+
+    :param body: sent with ``POST``; ``None`` sends ``GET``.
+    """
     urls = [f"http://{address}/admin/{path}" for address in entries]
-    answers = await asyncio.gather(*(fetch_json(url, key=key) for url in urls))
+    answers = await asyncio.gather(*(fetch_json(url, body, key) for url in urls))
     return {
         address: None if isinstance(answer, NoAnswer) else answer
         for address, answer in zip(entries, answers, strict=True)
@@ -80,3 +85,24 @@
     text = f"no entry VM asked keeps a trace of {request}"
     show({"entry": None, "detail": text}, as_json, text)
     sys.exit(EXIT_NO)
+
+
+@click.command()
+@entry_option
+@key_option
+@json_option
+def drain(entries: tuple[str, ...], operator_key: str, as_json: bool) -> None:
+    """Stop entry VMs gracefully: nothing in flight is cut, accepted work is handed over.
+
+    Name only VMs that others can stand in for. The command returns once the stop has begun;
+    ``status`` shows "not ready" until a process has ended.
+    """
+    answers = asyncio.run(_ask_all(entries, "drain", operator_key, b""))
+    silent = [address for address, answer in answers.items() if answer is None]
+    lines = [
+        f"{address:24} {'does not answer' if address in silent else 'draining'}"
+        for address in answers
+    ]
+    draining = [address for address in answers if address not in silent]
+    show({"draining": draining, "no_answer": silent}, as_json, "\n".join(lines))
+    sys.exit(EXIT_NOT_KNOWN if silent else 0)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_callers.py
@@ -69,7 +69,7 @@
 
     async def stream(self) -> None:
         """Send a chat; what came must be a beginning of the right answer, and whole if ended."""
-        body = chat_body(self._model, self._rng, self._rng.randint(40, 400), True)
+        body = chat_body(self._model, self._rng, self._rng.randint(40, 250), True)
         received = bytearray()
         request = self._request(
             "/v1/chat/completions",
@@ -104,7 +104,7 @@
 
     async def job(self) -> None:
         """Post a job and, once it is accepted, read it at any entry VM until its end."""
-        body = chat_body(self._model, self._rng, self._rng.randint(200, 900), True)
+        body = chat_body(self._model, self._rng, self._rng.randint(150, 450), True)
         key = self._rng.choice(self._keys)
         try:
             request = self._request("/v1/jobs", json.dumps(body), key, ANSWER_LIMIT_S)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_faults.py
@@ -13,7 +13,7 @@
 from coriandershelf_rig.internal.job_callers import Balancer, JobCallers
 
 FAULTS_S = 60.0
-TAIL_S = 120.0
+TAIL_S = 90.0
 JOBS_PER_S = 0.7
 FAULT_EVERY_S = 4.0
 LIST_LAG_S = 1.0
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/load.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/load.py
@@ -165,7 +165,7 @@
         request = self._request(address, key, path, body, streaming_callback=on_chunk)
         await self._client.fetch(request)
         result.total_us.record_value(int((time.monotonic() - started_s) * 1e6))
-        self._judge(_streamed_tokens(bytes(received)), expected_tokens(body))
+        self._judge(streamed_tokens(bytes(received)), expected_tokens(body))
 
     async def _send_whole(self, address: str, key: str, body: dict[str, Any]) -> None:
         request = self._request(address, key, "/v1/chat/completions", body)
@@ -222,7 +222,7 @@
     return [delta["content"] for delta in deltas if "content" in delta]
 
 
-def _streamed_tokens(received: bytes) -> list[str]:
+def streamed_tokens(received: bytes) -> list[str]:
     """Return a stream's tokens; none where its end marker is missing."""
     events = received.split(b"\n\n")
     if b"data: [DONE]" not in events:
--- /dev/null
+++ b/tests/cover/test_drain.py
@@ -0,0 +1,61 @@
+"""An operator drains an entry VM's process; what is in flight there is finished."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from click.testing import CliRunner
+from tornado.httpclient import HTTPRequest
+
+from coriandershelf_operator.internal.cli import main
+from coriandershelf_rig.internal.cluster import Cluster
+from coriandershelf_rig.internal.deployments import OPERATOR_KEY, kingston
+from coriandershelf_rig.internal.faults import small
+from coriandershelf_rig.internal.load import expected_tokens, streamed_tokens
+
+END_LIMIT_S = 60.0
+
+
+def drain_command(address: str) -> int:
+    arguments = ["drain", "--entry", address, "--operator-key", OPERATOR_KEY, "--json"]
+    return CliRunner().invoke(main, arguments).exit_code
+
+
+async def drain_under_a_stream():
+    body = {
+        "model": "inspection-model",
+        "messages": [{"role": "user", "content": "wire 7"}],
+        "max_tokens": 250,
+        "stream": True,
+    }
+    async with Cluster(small(kingston()), seed=1) as cluster:
+        address = cluster.addresses["entry-1"]
+        received = bytearray()
+        begun = asyncio.Event()
+
+        def take(chunk: bytes) -> None:
+            received.extend(chunk)
+            begun.set()
+
+        key = next(iter(cluster.description()["keys"].values()))
+        request = HTTPRequest(
+            f"http://{address}/v1/chat/completions",
+            method="POST",
+            headers={"Authorization": f"Bearer {key}"},
+            body=json.dumps(body),
+            streaming_callback=take,
+            request_timeout=END_LIMIT_S,
+        )
+        stream = asyncio.ensure_future(cluster.client.fetch(request))
+        await begun.wait()
+        code = await asyncio.to_thread(drain_command, address)
+        ready = await cluster.client.fetch(f"http://{address}/readyz", raise_error=False)
+        await stream
+        ended = await asyncio.to_thread(cluster.processes.wait, "entry-1", END_LIMIT_S)
+        tokens = streamed_tokens(bytes(received))
+        return code, ready.code, ended, tokens == expected_tokens(body)
+
+
+def test_a_drained_process_loses_readiness_finishes_its_stream_and_ends():
+    assert asyncio.run(drain_under_a_stream()) == (0, 503, 0, True)
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -165,6 +165,19 @@
     assert job.status == "done"
 
 
+def test_a_job_posted_while_the_log_is_known_to_be_down_is_not_run_and_never_runs():
+    bench = Bench(kingston(), 1)
+    bench.run(1.0)
+    bench.log.down = True
+    first = bench.send("entry-1", bench.chat("depot", kind=RequestKind.JOB))
+    bench.run(2.5)
+    second = bench.send("entry-1", bench.chat("depot", kind=RequestKind.JOB))
+    assert second.outcome == NotRun(RefusalReason.LOG_UNAVAILABLE, retry_after_s=5.0)
+    bench.log.down = False
+    bench.run(10.0)
+    assert list(bench.entries["entry-2"].core.jobs.table.jobs) == [first.request.request_id]
+
+
 def test_an_accepted_job_is_tried_until_a_replica_is_there():
     bench, job = one_job()
     models = [name for name, item in bench.upstreams.items() if item.engine is not None]
