--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -7,7 +7,7 @@
 from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
-from coriandershelf_core.internal.claims import Claims
+from coriandershelf_core.internal.calls import Calls
 from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
@@ -30,9 +30,9 @@
     StopAsked,
     StreamEnded,
     Tick,
+    TicketsAsked,
     TokensArrived,
     VmListRead,
-    VmRole,
     VmState,
 )
 from coriandershelf_core.internal.inventory import Inventory
@@ -40,8 +40,12 @@
 from coriandershelf_core.internal.ledger import Ledger
 from coriandershelf_core.internal.membership import Membership
 from coriandershelf_core.internal.messages import (
+    ConfigurationQuery,
+    ConfigurationReply,
     CrashSeen,
     Heartbeat,
+    InFlightDigest,
+    LengthObserved,
     Message,
     ReplicaVerdict,
     SuspectVerdict,
@@ -50,10 +54,8 @@
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
-    Claim,
-    ClaimFinished,
-    ClaimReleased,
-    ConfigurationProposed,
+    CONFIGURATION_STREAM,
+    ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
@@ -88,9 +90,13 @@
         self.context = Context(identity, settings, rng, disabled)
         self.ledger = Ledger(self.context)
         self.membership = Membership(self.context)
-        self.configuration = Configuration(parse)
+        self.configuration = Configuration(
+            self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
+        )
         self.serving = Serving(self.context, self._deliver, self._finish, self._broadcast)
-        self.claims = Claims(self.context, self.ledger, self.serving.enqueue)
+        self.calls = Calls(
+            self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
+        )
         self.jobs = Jobs(
             self.context,
             self.ledger,
@@ -142,6 +148,8 @@
                 self.serving.on_failed(event, now_s)
             case JobRead():
                 self._on_job_read(event, now_s)
+            case TicketsAsked():
+                self.calls.ask_tickets(event, now_s)
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
@@ -166,14 +174,16 @@
         self.context.trace(request.request_id, now_s, "arrived", request.kind.value)
         customer = authenticate(self.context.inventory, request.credential_hash)
         if isinstance(customer, NotRun):
-            self.context.finish(request.request_id, customer, now_s)
+            self.calls.refuse(request, customer, now_s)
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
+        if self.calls.answer_known(request, customer, inventory, now_s):
+            return
         stopping = refuses(self.context, request, inventory.rules, now_s)
         refusal = admit(request, inventory, stopping, now_s)
         if refusal is not None:
-            self.context.finish(request.request_id, refusal, now_s)
+            self.calls.refuse(request, refusal, now_s)
             return
         owner = owner_of(request, inventory)
         if owner is WorkOwner.CLAIM and request.idempotency_key is None:
@@ -183,13 +193,13 @@
         work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
         refusal = self.serving.refusal_of(work, now_s)
         if refusal is not None:
-            self.context.finish(request.request_id, refusal, now_s)
+            self.calls.refuse(request, refusal, now_s)
         elif owner is WorkOwner.JOB:
             self.jobs.request(work, now_s)
         elif owner is WorkOwner.CALLER:
             self.serving.enqueue(work, now_s)
         else:
-            self.claims.request(work, now_s)
+            self.calls.request(work, now_s)
 
     def _on_caller_gone(self, request_id: str) -> None:
         work = self.serving.works.get(request_id)
@@ -205,19 +215,24 @@
         self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        gap = self.ledger.on_read(event)
+        if event.stream == CONFIGURATION_STREAM:
+            for record in event.records:
+                self.ledger.on_record(event.stream, record)
+            self.configuration.on_log_read(event, now_s)
+            return
+        self.calls.on_read(event, gap)
         for record in event.records:
-            if self.ledger.is_first(event.stream, record):
-                for entry in record.entries:
+            first = self.ledger.on_record(event.stream, record)
+            self.calls.on_record(record)
+            for entry in record.entries:
+                # Claims and tickets are folded without regard to copies; see claim_table.
+                if not self.calls.on_entry(entry, record, now_s) and first:
                     self._on_entry(entry, now_s)
+        self.ledger.on_read_applied(event, now_s)
 
     def _on_entry(self, entry: Entry, now_s: float) -> None:
         match entry:
-            case Claim():
-                self.claims.on_claim(entry, now_s)
-            case ClaimReleased():
-                self.claims.on_released(entry)
-            case ClaimFinished():
-                self.claims.on_finished(entry)
             case JobAccepted():
                 self.jobs.on_accepted(entry, now_s)
             case JobMoved():
@@ -226,13 +241,9 @@
                 self.jobs.on_finished(entry)
             case JobSnapshot():
                 self.jobs.on_snapshot(entry, now_s)
-            case ConfigurationProposed():
-                self._on_proposal(entry, now_s)
 
-    def _on_proposal(self, proposal: ConfigurationProposed, now_s: float) -> None:
-        inventory = self.configuration.apply(proposal)
-        if inventory is not None:
-            self._adopt(inventory, now_s)
+    def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
+        self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
         self.context.inventory = inventory
@@ -259,17 +270,39 @@
             # A notice that has run out was meant for an earlier VM of the same name.
             begin_stop(self.context, at_s, False, now_s)
 
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
+
     def _entry_vm_ids(self) -> tuple[str, ...]:
         peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
         return tuple(sorted([*peers, self.context.identity.vm_id]))
 
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
-        if isinstance(message, ReplicaVerdict):
-            self.serving.stalls.on_verdict(message.replica_id, message.in_order, now_s)
-        elif isinstance(message, CrashSeen | TrialStarted | SuspectVerdict):
-            self.serving.quarantine.on_message(message, now_s)
-        else:
-            self.jobs.on_message(sender, message, now_s)
+        self.jobs.on_message(sender, message, now_s)
+        self.calls.on_message(sender, message, now_s)
+        match message:
+            case ConfigurationQuery():
+                self._answer_configuration(sender, message)
+            case ConfigurationReply():
+                self.configuration.on_reply(message, now_s)
+            case InFlightDigest():
+                self.serving.on_digest(message, now_s)
+            case LengthObserved():
+                self.serving.lengths.learn(message)
+            case Heartbeat():
+                self.configuration.on_peer_version(sender, message.version, now_s)
+            case ReplicaVerdict(replica_id, in_order):
+                self.serving.stalls.on_verdict(replica_id, in_order, now_s)
+            case CrashSeen() | TrialStarted() | SuspectVerdict():
+                self.serving.quarantine.on_message(message, now_s)
+            case _:
+                pass
 
     def _broadcast(self, message: Message) -> None:
         for peer in self.membership.peers(self.context.identity):
@@ -285,9 +318,13 @@
 
     def _on_tick(self, now_s: float) -> None:
         self.ledger.on_tick(now_s)
-        self.claims.on_tick(now_s)
+        self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.configuration.on_tick(now_s)
+        for message in self.serving.due_messages(now_s):
+            for peer in self.membership.peers(self.context.identity):
+                self._tell(peer.vm_id, message)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
             self._send_heartbeats()
@@ -303,13 +340,18 @@
             self.context.stopping,
         )
         for peer in self.membership.peers(identity):
-            if peer.role is VmRole.ENTRY and peer.zone == identity.zone:
+            if peer.zone == identity.zone:
                 self._tell(peer.vm_id, heartbeat)
+        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
+        if far:
+            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
 
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
-        idle = self.claims.idle and self.jobs.idle and self.ledger.idle and not self.serving.works
+        parts = (self.calls, self.jobs, self.ledger)
+        idle = all(part.idle for part in parts) and not self.serving.works
+        idle = idle or not self.context.enabled("finish-in-flight")
         drained = idle and now_s >= self.context.refuse_at_s
         if not self._stopped and (drained or now_s >= self.context.stop_deadline_s):
             self._stopped = True
@@ -317,6 +359,7 @@
 
     def _cut_rest(self, now_s: float) -> None:
         """Tell the callers whose answers the notice cuts off, while there is time to."""
+        self.calls.cut_rest(now_s)
         for work in list(self.serving.works.values()):
             if work.owner is not WorkOwner.JOB:
                 self.serving.cancel(work.work_id)
@@ -333,7 +376,7 @@
     def _finish(self, work: Work, outcome: Outcome, now_s: float) -> None:
         if work.owner is WorkOwner.JOB:
             self.jobs.finish(work, outcome, now_s)
-        elif work.owner is WorkOwner.CLAIM:
-            self.claims.finish(work, outcome, now_s)
+        elif work.owner in (WorkOwner.CLAIM, WorkOwner.TICKET):
+            self.calls.finish(work, outcome, now_s)
         else:
             self.context.finish(work.work_id, outcome, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from coriandershelf_core.internal.records import ConfigurationSnapshot
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -18,6 +20,53 @@
     stopping: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationQuery:
+    """Asks a peer for the configuration in force if it is newer than ``version``.
+
+    :param reply_address: where to answer, also where the asker is not yet in the VM list.
+    """
+
+    version: int
+    reply_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReply:
+    """The configuration in force at the sender.
+
+    :param snapshot: its ``through_offset`` is negative where the sender has it from a peer, so
+        that it says what is in force but not at which offset.
+    """
+
+    snapshot: ConfigurationSnapshot
+
+
+@dataclass(frozen=True, slots=True)
+class InFlightDigest:
+    """Tells peers how many works the sender has in flight at each replica it uses.
+
+    :param sequence: grows with each digest of an incarnation.
+    """
+
+    vm_id: str
+    incarnation: int
+    sequence: int
+    replica_ids: tuple[str, ...]
+    counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LengthObserved:
+    """Tells peers the length of an answer that was guessed wrong."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    length_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
@@ -82,6 +131,48 @@
     replica_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TicketCall:
+    """Asks a ticket's owner to run a call, or for the result if it ran before."""
+
+    request_id: str
+    customer: str
+    service: str
+    path: str
+    body: bytes
+    key: str
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TicketResult:
+    """Answers a :class:`TicketCall`; ``outcome`` is ``done``, ``not-run`` or ``unknown``."""
+
+    request_id: str
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
+    detail: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class JobSought:
+    """Asks, before a job is made anew, whether its lost holder handed it over to the receiver."""
+
+    job_id: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobFound:
+    """Answers a :class:`JobSought`: the sender has the whole output and goes on with it."""
+
+    job_id: str
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaVerdict:
     """Tells that a replica stalled, or is in order again, by the sender's own evidence."""
@@ -116,13 +207,21 @@
 
 Message = (
     Heartbeat
+    | ConfigurationQuery
+    | ConfigurationReply
     | JobQuery
     | JobReply
     | JobCopy
     | JobCopied
     | JobHandover
+    | TicketCall
+    | TicketResult
+    | JobSought
+    | JobFound
     | ReplicaVerdict
     | CrashSeen
     | TrialStarted
     | SuspectVerdict
+    | InFlightDigest
+    | LengthObserved
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -20,6 +20,11 @@
     KEY_REUSED = ("key-reused", 422, "Use a new Idempotency-Key for another body.")
     KEY_EXPIRED = ("key-expired", 422, "Use a new Idempotency-Key; this one is past its window.")
     IN_PROGRESS = ("in-progress", 409, "Ask again with the same key after the stated time.")
+    RESULT_NOT_KEPT = (
+        "result-not-kept",
+        409,
+        "Do not send it again; it ran once and its answer was too large to keep.",
+    )
     OVERLOADED = ("overloaded", 429, "Come back after the stated time.")
     OVER_SHARE = ("over-share", 429, "Come back after the stated time or send less at once.")
     DEADLINE = ("deadline", 504, "Send a later deadline or come back after the stated time.")
@@ -74,6 +79,16 @@
     APPENDS = ("log.appends", "Records appended to the log.")
     APPEND_ENTRIES = ("log.entries", "Entries inside the appended records.")
     APPENDS_UNCERTAIN = ("log.appends-uncertain", "Appends whose answer was lost.")
+    CLAIMS_WON = ("claims.won", "Claims of this VM that won their key.")
+    CLAIMS_LOST = ("claims.lost", "Claims of this VM whose key was taken before.")
+    CLAIMS_VOID = ("claims.void", "Claims that the log took too late to count.")
+    CLAIMS_RELEASED = ("claims.released", "Claims given up before anything was sent.")
+    CLAIMS_KEPT = ("claims.kept", "Keys written forward before their records expire.")
+    REPEATS_ATTACHED = ("claims.repeats-attached", "Repeats that waited for the running call.")
+    TICKETS_GRANTED = ("tickets.granted", "Tickets granted to callers by this VM.")
+    TICKETS_USED = ("tickets.used", "Calls run under a ticket by this VM, its owner.")
+    TICKETS_FORWARDED = ("tickets.forwarded", "Calls passed to the owner of their ticket.")
+    LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
     HEDGES_OVER_BUDGET = ("hedges.over-budget", "Hedges not started for want of budget.")
     RETRIES_OVER_BUDGET = ("retries.over-budget", "Retries not started for want of budget.")
     SUSPECTS = ("suspects", "Requests in flight at a replica that crashed.")
@@ -94,6 +109,28 @@
     JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
     JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
     LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
+    CONFIGURATIONS_ADOPTED = ("configuration.adopted", "Configurations that came into force here.")
+    CONFIGURATIONS_FROM_PEER = (
+        "configuration.from-peer",
+        "Configurations learnt from a peer before the log.",
+    )
+    CONFIGURATION_ASKS = ("configuration.asks", "Peers asked for a newer configuration.")
+    CONFIGURATION_SNAPSHOTS = (
+        "configuration.snapshots",
+        "Configurations appended again before the log's retention passes.",
+    )
+    CONFIGURATION_GAPS = (
+        "configuration.gaps",
+        "Times that configuration records expired before they were read.",
+    )
+    CONFIGURATION_NOT_UNDERSTOOD = (
+        "configuration.not-understood",
+        "Accepted configurations that this software could not read.",
+    )
+    CONFIGURATION_MISMATCHES = (
+        "configuration.mismatches",
+        "Peers or snapshots that named another change under a known version.",
+    )
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -14,13 +14,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A right to run one non-idempotent call; the first in log order wins."""
+    """A right to run one non-idempotent call; the first in log order wins.
+
+    :param incarnation: the holder's; a restarted VM of the same name is not the holder.
+    """
 
     key_hash: str
     body_hash: str
     request_id: str
     holder: str
     at_s: float
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +37,64 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimFinished:
-    """The result of a claimed call; ``known`` is false where it may have run."""
+    """The result of a claimed call; ``known`` is false where it may have run.
+
+    :param whole: whether ``body`` was small enough to be kept.
+    """
 
     key_hash: str
     request_id: str
     known: bool
     status: int = 0
     body: bytes = b""
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKept:
+    """The state of a key, written again before the records it came from expire."""
+
+    claim: Claim
+    claimed_offset: int
+    claimed_at_s: float
+    finished: ClaimFinished | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerKept:
+    """States alive at ``start_offset`` stand in records from there on to this one.
+
+    A reader that began at or before ``start_offset`` has read them all.
+    """
+
+    start_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsGranted:
+    """Tickets of a customer that only ``holder`` in this incarnation may run."""
+
+    grant_id: str
+    customer: str
+    holder: str
+    incarnation: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketUsed:
+    """The result of a call that its ticket's owner ran."""
+
+    key_hash: str
+    body_hash: str
+    result: ClaimFinished
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsReleased:
+    """The owner gives back a grant; what it used of it stands earlier in the log."""
+
+    grant_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +169,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationProposed:
-    """A proposal that is accepted if ``base_version`` is the version in force."""
+    """A proposal that is accepted if ``base_version`` is the version in force.
+
+    :param format: format of the texts; refused above the highest that the log allows.
+    :param changed_paths: what differs from the base, as its operator's tool found.
+    """
 
     publish_id: str
     base_version: int
@@ -122,17 +181,69 @@
     at_s: float
     inventory_text: str
     rules_text: str
+    format: int = 1
+    changed_paths: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class FormatAllowed:
+    """Proposals up to this format may be accepted from here on; it never falls."""
+
+    format: int
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """An accepted proposal without its texts; ``offset`` is where it stands in the log."""
+
+    version: int
+    offset: int
+    publish_id: str
+    operator: str
+    at_s: float
+    changed_paths: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSnapshot:
+    """The configuration as every record before ``through_offset`` left it.
+
+    It is appended well before the log's retention passes and is harmless if it stands twice.
+
+    :param history: the last accepted changes, the one in force last.
+    """
+
+    through_offset: int
+    history: tuple[AcceptedChange, ...]
+    inventory_text: str
+    rules_text: str
+    format: int
+    allowed_format: int
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.history[-1].version
 
 
+ClaimEntry = Claim | ClaimReleased | ClaimFinished | ClaimKept | LedgerKept
+TicketEntry = TicketsGranted | TicketUsed | TicketsReleased
 Entry = (
-    Claim
+    TicketsGranted
+    | TicketUsed
+    | TicketsReleased
+    | Claim
     | ClaimReleased
     | ClaimFinished
+    | ClaimKept
+    | LedgerKept
     | JobAccepted
     | JobMoved
     | JobFinished
     | JobSnapshot
     | ConfigurationProposed
+    | ConfigurationSnapshot
+    | FormatAllowed
 )
 
 
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/retries.py
@@ -0,0 +1,61 @@
+"""Works that wait before they are tried again, within their budgets."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.budget import RetryBudget
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.events import FailureCause
+from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
+from coriandershelf_core.internal.work import Attempt, Work
+
+
+class Retries:
+    """Plans retries; each waits its time outside the queue."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._waiting: list[tuple[float, Work]] = []
+        self.budget = RetryBudget(context.settings)
+
+    def plan(
+        self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float
+    ) -> Outcome | None:
+        """Plan the retry of a failed attempt's work, or return the work's final outcome.
+
+        What leaves no trace at an upstream, or was caused by its leaving, takes nothing from the
+        budgets.
+        """
+        work = attempt.work
+        verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
+        if not isinstance(verdict, Retry):
+            return verdict
+        free = cause is FailureCause.LEAVING or not sent
+        if not free and not self.budget.spend(work.customer, attempt.replica_id):
+            self._context.count(Counter.RETRIES_OVER_BUDGET)
+            return _exhausted(sent)
+        self._context.count(verdict.reason)
+        self._context.log(
+            "retry",
+            request_id=work.work_id,
+            attempt_id=attempt.attempt_id,
+            customer=work.customer,
+            reason=verdict.reason.code,
+        )
+        failures = work.failure_count + work.unsent_count
+        delay_s = backoff_s(failures, self._context.settings, self._context.rng)
+        self._waiting.append((now_s + delay_s, work))
+        return None
+
+    def take_due(self, now_s: float) -> list[Work]:
+        """Take out the works whose wait is over."""
+        due = [work for due_s, work in self._waiting if due_s <= now_s]
+        self._waiting = [item for item in self._waiting if item[0] > now_s]
+        return due
+
+
+def _exhausted(sent: bool) -> Outcome:
+    if sent:
+        return Unknown(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
+    return NotRun(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
-from coriandershelf_core.internal.budget import RetryBudget
 from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.digests import Digests
 from coriandershelf_core.internal.eject import Ejector
 from coriandershelf_core.internal.ending import is_whole
 from coriandershelf_core.internal.events import (
@@ -21,16 +21,17 @@
     TokensArrived,
 )
 from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.lengths import LengthEstimator
+from coriandershelf_core.internal.lengths import LengthEstimator, observe
 from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.messages import ReplicaVerdict
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
+from coriandershelf_core.internal.outcome import Done, NotRun, Outcome
 from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
+from coriandershelf_core.internal.recover import late_outcome
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.retries import Retries
 from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.stalls import Stalls
 from coriandershelf_core.internal.watch import overdue
@@ -58,9 +59,11 @@
         self._finish = finish
         self.replicas = ReplicaTable()
         self.lengths = LengthEstimator()
+        self._observed: list[Message] = []
         self.limits = Limits(
             context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
         )
+        self.digests = Digests(context, self.replicas, self.limits)
         self.queue = WorkQueue(
             context.settings.usage_memory_s,
             context.enabled("fair-queue"),
@@ -69,8 +72,7 @@
         self.router = Router(context)
         self.works: dict[str, Work] = {}
         self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
-        self.retries = RetryBudget(context.settings)
-        self._delayed: list[tuple[float, Work]] = []
+        self.retries = Retries(context)
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -144,6 +146,9 @@
             return
         repeated = work.position - event.first_position
         if repeated < 0:
+            # Tokens are missing in between; the stream is of no use beyond this place.
+            self._context.count(Counter.TOKENS_DROPPED, len(event.payloads))
+            self.attempts.announce_cancel(attempt)
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._learn(attempt, len(event.payloads), now_s)
@@ -175,6 +180,7 @@
             return
         crossed = event.stream_attempt_id != event.attempt_id
         if crossed or event.position != attempt.work.position:
+            self.attempts.announce_cancel(attempt)
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._complete(attempt, Done(), now_s)
@@ -199,12 +205,23 @@
             self.quarantine.on_unsent(attempt)
         self._fail(attempt, event.cause, event.sent, now_s)
 
+    def on_digest(self, digest: InFlightDigest, now_s: float) -> None:
+        """Note what another entry VM has in flight."""
+        if self.digests.on_digest(digest, now_s):
+            self.pump(now_s)
+
+    def due_messages(self, now_s: float) -> list[Message]:
+        """Return what the other entry VMs are to be told now."""
+        messages, self._observed = self._observed, []
+        digest = self.digests.due(now_s)
+        return messages if digest is None else [*messages, digest]
+
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
         state = self.replicas.get(event.replica_id)
         if state is not None:
             state.on_report(event.running_count, event.waiting_count, event.reported_at_s)
-            self.limits.on_report(state)
+            self.limits.on_report(state, event.reported_at_s)
 
     def _learn(self, attempt: Attempt, count: int, now_s: float) -> None:
         """Take tokens as evidence on their replica."""
@@ -223,14 +240,16 @@
         elif state is not None:
             gap_s = (now_s - last_s) / count
             state.health.on_gap(gap_s, now_s)
+            self.limits.on_gap(attempt.replica_id, gap_s)
             self.stalls.on_token(state, attempt, gap_s, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
         for state in self.replicas:
             state.sample(now_s)
+        self.digests.apply(now_s)
         for work in self.queue.take_expired(now_s):
-            self._settle(work, self._late_outcome(work), now_s)
+            self._settle(work, late_outcome(work), now_s)
         self.stalls.check(now_s)
         for attempt in list(self.attempts.live.values()):
             kind = kind_of(attempt.work)
@@ -239,7 +258,7 @@
                 self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
         self._move_from_leaving(now_s)
-        self._release_delayed(now_s)
+        self._release_retries(now_s)
         for work in self.quarantine.release(now_s):
             self.queue.push(work, now_s)
         self.pump(now_s)
@@ -263,11 +282,6 @@
         self.attempts.announce_cancel(attempt)
         self._fail(attempt, FailureCause.LEAVING, True, now_s)
 
-    def _late_outcome(self, work: Work) -> Outcome:
-        if work.attempt_count:
-            return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
-        return NotRun(RefusalReason.DEADLINE, retry_after_s=2.0)
-
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         pool = self.replicas.of_service(work.request.service)
         zone = self._context.identity.zone
@@ -275,14 +289,16 @@
         probed = self._ejector.probe_for(work, pool, now_s)
         if probed is not None:
             return probed
-        if kind_of(work) is ServiceKind.MODEL:
-            pool = [state for state in pool if self.limits.has_room(work.work_class, state)]
-        healthy = [
-            state
-            for state in pool
-            if not state.health.ejected and state.health.unreachable_until_s <= now_s
-        ]
-        return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
+        healthy = self.replicas.in_order(work.request.service, now_s)
+        roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
+        return self.router.choose(work, roomy, now_s, any_zone=degraded)
+
+    def _with_room(
+        self, work: Work, pool: Sequence[ReplicaState], now_s: float
+    ) -> Sequence[ReplicaState]:
+        if kind_of(work) is not ServiceKind.MODEL:
+            return pool
+        return self.limits.with_room(work, pool, now_s)
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
@@ -303,6 +319,8 @@
     def _count_as_long(self, work: Work, now_s: float) -> None:
         """Let a work that turned out long hold a slot of long work."""
         work.work_class = WorkClass.LONG
+        # It is not over yet; twice what it has is the likeliest length by Lindy's rule.
+        self._learn_length(work, 2 * work.position)
         for attempt_id in work.live_attempts:
             self.limits.on_class_changed(self.attempts.live[attempt_id])
         self._context.count(Counter.LENGTH_MISJUDGED)
@@ -316,6 +334,14 @@
             return ""
         return source.replica.address
 
+    def _learn_length(self, work: Work, length_tokens: int) -> None:
+        """Learn an answer's length, and tell the others where the guess was of the wrong class."""
+        observed = observe(work.customer, work.request, length_tokens)
+        self.lengths.learn(observed)
+        was_long = work.expected_tokens > LONG_TOKENS_COUNT
+        if was_long != (length_tokens > LONG_TOKENS_COUNT):
+            self._observed.append(observed)
+
     def _forget(self, attempt: Attempt, now_s: float) -> None:
         self.attempts.forget(attempt)
         self._ejector.on_probe_ended(attempt, now_s)
@@ -327,7 +353,7 @@
         if work.suspected:
             self.quarantine.clear(work, now_s)
         overloaded = len(self.queue) > 0
-        self.retries.on_success(work.customer, attempt.replica_id, overloaded)
+        self.retries.budget.on_success(work.customer, attempt.replica_id, overloaded)
         self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
         self._settle(work, outcome, now_s)
         self.pump(now_s)
@@ -337,7 +363,7 @@
         if work.attempt_count:
             self.queue.correct(work, cost_tokens(work.request, work.position), now_s)
         if isinstance(outcome, Done) and work.payloads:
-            self.lengths.learn(work.customer, work.request, work.position)
+            self._learn_length(work, work.position)
         self._finish(work, outcome, now_s)
 
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
@@ -358,40 +384,15 @@
             work.attempt_count -= 1
         if cause is FailureCause.REFUSED:
             self.limits.on_refused(attempt, now_s)
-        verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
-        if not isinstance(verdict, Retry):
-            self._settle(work, verdict, now_s)
-            self.pump(now_s)
-            return
-        costs_nothing = cause is FailureCause.LEAVING or not sent
-        if not costs_nothing and not self.retries.spend(work.customer, attempt.replica_id):
-            self._context.count(Counter.RETRIES_OVER_BUDGET)
-            self._settle(work, self._exhausted(sent), now_s)
-            self.pump(now_s)
-            return
-        self._context.count(verdict.reason)
-        self._context.log(
-            "retry",
-            request_id=work.work_id,
-            attempt_id=attempt.attempt_id,
-            customer=work.customer,
-            reason=verdict.reason.code,
-        )
-        failures = work.failure_count + work.unsent_count
-        delay_s = backoff_s(failures, self._context.settings, self._context.rng)
-        self._delayed.append((now_s + delay_s, work))
-        self._release_delayed(now_s)
+        outcome = self.retries.plan(attempt, cause, sent, now_s)
+        if outcome is not None:
+            self._settle(work, outcome, now_s)
+        self._release_retries(now_s)
         self.pump(now_s)
 
-    def _exhausted(self, sent: bool) -> Outcome:
-        if sent:
-            return Unknown(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
-        return NotRun(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
-
-    def _release_delayed(self, now_s: float) -> None:
+    def _release_retries(self, now_s: float) -> None:
         """Queue works whose wait before a retry is over."""
-        waiting = [item for item in self._delayed if self.works.get(item[1].work_id) is item[1]]
-        self._delayed = [item for item in waiting if item[0] > now_s]
-        for due_s, work in waiting:
-            if due_s <= now_s and not self.quarantine.takes(work, now_s):
+        for work in self.retries.take_due(now_s):
+            known = self.works.get(work.work_id) is work
+            if known and not self.quarantine.takes(work, now_s):
                 self.queue.push(work, now_s)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
@@ -44,6 +44,7 @@
             name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
         }
         self.entry_flags: list[str] = []
+        self.platform_relays: dict[str, str] = {}
         self._incarnations: dict[str, int] = {}
         self.inventory_text = inventory_yaml(deployment, self.addresses)
         self.rules_text = rules_yaml(deployment)
@@ -92,7 +93,7 @@
     async def start_entry(self, vm_id: str, zone: str) -> None:
         """Start an entry VM's process, or start it again with nothing kept, and list it."""
         self._incarnations[vm_id] = self._incarnations.get(vm_id, 0) + 1
-        platform = self.addresses["platform"]
+        platform = self.platform_relays.get(vm_id, self.addresses["platform"])
         self.processes.start(
             vm_id,
             "coriandershelf_entry",
