--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
@@ -83,6 +83,14 @@
         )
         return attempt
 
+    def kv_source(self, work: Work, target_id: str) -> str:
+        """Return the address of another replica that still holds the KV cache, or empty."""
+        source = self._replicas.get(work.kv_replica_id)
+        usable = source is not None and not source.gone and work.kv_replica_id != target_id
+        if source is None or not usable or not self._context.enabled("kv-move"):
+            return ""
+        return source.replica.address
+
     def serving_count(self, work: Work) -> int:
         """Return the live attempts of a work but for one left as probe."""
         purposes = [self.live[attempt_id].purpose for attempt_id in work.live_attempts]
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/room.py
@@ -0,0 +1,54 @@
+"""Which replicas have room for a work, and which work may give up its slot for it."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.attempts import kind_of
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.limits import Limits
+from coriandershelf_core.internal.preempt import Preemption
+from coriandershelf_core.internal.queue import WorkQueue
+from coriandershelf_core.internal.replicas import ReplicaState
+from coriandershelf_core.internal.work import Attempt, Work, WorkClass
+
+
+class Room:
+    """Looks for room by the limits, the free slots and the works that may be preempted."""
+
+    def __init__(
+        self, context: Context, limits: Limits, queue: WorkQueue, preemption: Preemption
+    ) -> None:
+        self._context = context
+        self._limits = limits
+        self._queue = queue
+        self._preemption = preemption
+
+    def among(self, work: Work, pool: list[ReplicaState], now_s: float) -> list[ReplicaState]:
+        """Return the replicas of a model that may take a work now.
+
+        A question inside its customer's share goes to a free slot whatever this VM's limits, or
+        to a full replica where another work can give up its slot.
+        """
+        if kind_of(work) is not ServiceKind.MODEL:
+            return pool
+        if self.is_express(work, now_s):
+            usable = [state for state in pool if not state.health.ejected]
+            free = self._limits.with_free_slot(usable)
+            if free:
+                return free
+            givers = [state for state in usable if self.victim_at(work, state, now_s) is not None]
+            if givers:
+                return givers
+        return list(self._limits.with_room(work, pool, now_s))
+
+    def is_express(self, work: Work, now_s: float) -> bool:
+        """Return whether a work is a question inside its customer's share."""
+        if not self._limits.enabled or not self._context.enabled("preemption"):
+            return False
+        question = work.work_class is WorkClass.SHORT and kind_of(work) is ServiceKind.MODEL
+        return question and not self._queue.beyond_share(work, now_s)
+
+    def victim_at(self, work: Work, state: ReplicaState, now_s: float) -> Attempt | None:
+        """Return the attempt at a full replica that gives up its slot for a work, or ``None``."""
+        full = self._limits.may_preempt(state)
+        return self._preemption.victim_at(work, state, now_s) if full else None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
@@ -25,6 +25,7 @@
 from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome
+from coriandershelf_core.internal.preempt import Preemption
 from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
@@ -32,6 +33,7 @@
 from coriandershelf_core.internal.recover import late_outcome
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.retries import Retries
+from coriandershelf_core.internal.room import Room
 from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.stalls import Stalls
 from coriandershelf_core.internal.watch import overdue
@@ -73,6 +75,8 @@
         self.works: dict[str, Work] = {}
         self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
         self.retries = Retries(context)
+        self._preemption = Preemption(context, self.attempts, self.limits, self.queue.usage_ratio)
+        self._room = Room(context, self.limits, self.queue, self._preemption)
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -111,7 +115,7 @@
 
     def pump(self, now_s: float) -> None:
         """Dispatch waiting works while replicas have room."""
-        while len(self.queue):
+        while len(self.queue) and not self._context.hold_dispatch:
             taken = self.queue.take_first(lambda work: self._choose(work, now_s), now_s)
             if taken is None:
                 return
@@ -235,7 +239,8 @@
             if state is not None:
                 state.waiting.pop(attempt.attempt_id, None)
                 waited_s = now_s - attempt.started_at_s
-                state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+                if attempt.purpose is not AttemptPurpose.PREEMPTED:
+                    state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
             self.stalls.on_first_token(attempt, now_s)
         elif state is not None:
             gap_s = (now_s - last_s) / count
@@ -290,22 +295,22 @@
         if probed is not None:
             return probed
         healthy = self.replicas.in_order(work.request.service, now_s)
-        roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
+        roomy = self._room.among(work, healthy, now_s) or self._room.among(work, pool, now_s)
         return self.router.choose(work, roomy, now_s, any_zone=degraded)
 
-    def _with_room(
-        self, work: Work, pool: Sequence[ReplicaState], now_s: float
-    ) -> Sequence[ReplicaState]:
-        if kind_of(work) is not ServiceKind.MODEL:
-            return pool
-        return self.limits.with_room(work, pool, now_s)
-
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
         if state.health.ejected:
             purpose = AttemptPurpose.PROBE
-        kv_source = self._kv_source(work, state.replica.replica_id)
+        kv_source = self.attempts.kv_source(work, state.replica.replica_id)
+        victim = None
+        if self._room.is_express(work, now_s):
+            victim = self._room.victim_at(work, state, now_s)
+        if victim is not None:
+            self._preemption.preempt(victim, now_s)
         attempt = self.attempts.start(work, state, purpose, now_s, kv_source)
+        if victim is not None:
+            self._preemption.resume(victim, state, now_s)
         self.router.note(work, state.replica.replica_id)
         if state.health.ejected:
             self._ejector.on_probe_started(state, attempt)
@@ -326,14 +331,6 @@
         self._context.count(Counter.LENGTH_MISJUDGED)
         self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
 
-    def _kv_source(self, work: Work, target_id: str) -> str:
-        """Return the address of another replica that still holds the KV cache, or empty."""
-        source = self.replicas.get(work.kv_replica_id)
-        usable = source is not None and not source.gone and work.kv_replica_id != target_id
-        if source is None or not usable or not self._context.enabled("kv-move"):
-            return ""
-        return source.replica.address
-
     def _learn_length(self, work: Work, length_tokens: int) -> None:
         """Learn an answer's length, and tell the others where the guess was of the wrong class."""
         observed = observe(work.customer, work.request, length_tokens)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -35,6 +35,7 @@
     PROBE = "probe"
     LEFT_AS_PROBE = "left-as-probe"
     TRIAL = "trial"
+    PREEMPTED = "preempted"
 
 
 @dataclass(slots=True)
@@ -48,6 +49,7 @@
     :param suspected: whether it was in flight at a crash and may only run as a trial.
     :param reconnect_position: position at the last fresh connection, or -1.
     :param move_count: times that a stream was moved off a stalled replica.
+    :param preemption_count: times that its slot was given to a question.
     :param expected_tokens: guess of the answer's length.
     :param cost_tokens: what the customer's share was charged, by that guess.
     :param kv_replica_id: replica that holds the KV cache of what was generated, or empty.
@@ -70,6 +72,7 @@
     move_count: int = 0
     reconnect_position: int = -1
     suspected: bool = False
+    preemption_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
     kv_replica_id: str = ""
