--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/affinity.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/affinity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 
 import xxhash
@@ -9,6 +10,7 @@
 from coriandershelf_core.internal.prompt import CHARACTERS_PER_TOKEN, PREFIX_BLOCK_CHARACTERS
 
 BLOCK_TOKENS = PREFIX_BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
+HASH_RANGE = 2.0**64 + 2.0**12
 PREFIXES_MAX_COUNT = 20_000
 REPLICAS_PER_PREFIX_MAX_COUNT = 4
 
@@ -45,10 +47,17 @@
             holders.pop(replica_id, None)
 
 
-def home_of(prefix: int, replica_ids: list[str]) -> str:
-    """Return the replica on which all entry VMs place a prefix first.
+def home_of(prefix: int, slots: dict[str, int]) -> str:
+    """Return the replica on which all entry VMs place a prefix first, larger ones more often.
 
-    Rendezvous hashing (Thaler and Ravishankar, 1996): entry VMs agree without talking, and a
-    replica that leaves moves only its own prefixes.
+    Weighted rendezvous hashing (Thaler and Ravishankar, 1996): entry VMs agree without talking,
+    and a replica that leaves moves only its own prefixes.
+
+    :param slots: slots of each replica that may be chosen, by id.
     """
-    return max(replica_ids, key=lambda name: xxhash.xxh64_intdigest(f"{prefix}:{name}".encode()))
+
+    def weight(name: str) -> float:
+        drawn = (xxhash.xxh64_intdigest(f"{prefix}:{name}".encode()) + 1) / HASH_RANGE
+        return -slots[name] / math.log(drawn)
+
+    return max(slots, key=weight)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/health.py
@@ -93,10 +93,14 @@
         typical_s = self.typical_gap_s or DEFAULT_GAP_S
         return max(floor_s, typical_factor * typical_s, peak_factor * self.peak_gap_s)
 
+    @property
+    def prefill_cost_s(self) -> float:
+        """Return the engine's time for each prompt token that it computes."""
+        return self.prefill_s_per_token or DEFAULT_PREFILL_S_PER_TOKEN
+
     def expected_first_token_s(self, uncached_tokens: float) -> float:
         """Return the expected wait for a first token without waiting for a slot."""
-        per_token_s = self.prefill_s_per_token or DEFAULT_PREFILL_S_PER_TOKEN
-        return 2 * self.expected_gap_s + uncached_tokens * per_token_s
+        return 2 * self.expected_gap_s + uncached_tokens * self.prefill_cost_s
 
 
 def _mix(old: float, new: float, weight: float) -> float:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
@@ -36,8 +36,10 @@
     rest_s = max(1.0, work.expected_tokens - work.position) * state.health.expected_gap_s
     busy = 1.0 + BUSY_PENALTY * max(0.0, load - BUSY_LOAD)
     full_s = FULL_PENALTY_S * max(0.0, load - 1.0)
+    # Computing a prompt holds up every stream of the batch; what the cache saves counts for each.
+    saved_s = cached_tokens * state.health.prefill_cost_s * load * state.replica.slots
     wait_s = max(0.0, state.oldest_wait_s(now_s) - WAIT_NORMAL_S)
-    return (first_s + rest_s) * busy + full_s + WAIT_FACTOR * wait_s
+    return (first_s + rest_s) * busy - saved_s + full_s + WAIT_FACTOR * wait_s
 
 
 class Router:
@@ -103,7 +105,8 @@
     def _home(self, work: Work, pool: Sequence[ReplicaState]) -> list[ReplicaState]:
         if not work.request.prefix_hashes or not self._context.enabled("affinity"):
             return []
-        name = home_of(work.request.prefix_hashes[0], [item.replica.replica_id for item in pool])
+        slots = {item.replica.replica_id: item.replica.slots for item in pool}
+        name = home_of(work.request.prefix_hashes[0], slots)
         return [state for state in pool if state.replica.replica_id == name]
 
     def _sample(self, pool: Sequence[ReplicaState]) -> list[ReplicaState]:
