--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -6,9 +6,9 @@
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
-from coriandershelf_core.internal.budget import RetryBudget
 from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.digests import Digests
 from coriandershelf_core.internal.eject import Ejector
 from coriandershelf_core.internal.ending import is_whole
 from coriandershelf_core.internal.events import (
@@ -24,15 +24,16 @@
 from coriandershelf_core.internal.lengths import LengthEstimator, observe
 from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
-from coriandershelf_core.internal.occupancy import Occupancy
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.outcome import Done, NotRun, Outcome
 from coriandershelf_core.internal.preempt import Preemption
 from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason, RetryReason
-from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
+from coriandershelf_core.internal.recover import late_outcome
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.retries import Retries
+from coriandershelf_core.internal.room import Room
 from coriandershelf_core.internal.route import Router
 from coriandershelf_core.internal.stalls import Stalls
 from coriandershelf_core.internal.watch import overdue
@@ -61,10 +62,10 @@
         self.replicas = ReplicaTable()
         self.lengths = LengthEstimator()
         self._observed: list[Message] = []
-        self.occupancy = Occupancy(context.settings.digest_period_s)
         self.limits = Limits(
             context.settings, context.identity.vm_id, context.rng, context.enabled("limits")
         )
+        self.digests = Digests(context, self.replicas, self.limits)
         self.queue = WorkQueue(
             context.settings.usage_memory_s,
             context.enabled("fair-queue"),
@@ -73,9 +74,9 @@
         self.router = Router(context)
         self.works: dict[str, Work] = {}
         self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
-        self.retries = RetryBudget(context.settings)
-        self._delayed: list[tuple[float, Work]] = []
+        self.retries = Retries(context)
         self._preemption = Preemption(context, self.attempts, self.limits, self.queue.usage_ratio)
+        self._room = Room(context, self.limits, self.queue, self._preemption)
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -211,41 +212,15 @@
 
     def on_digest(self, digest: InFlightDigest, now_s: float) -> None:
         """Note what another entry VM has in flight."""
-        if self._context.enabled("digests"):
-            self.occupancy.on_digest(digest, now_s)
-            self._apply_digests(now_s)
+        if self.digests.on_digest(digest, now_s):
             self.pump(now_s)
 
     def due_messages(self, now_s: float) -> list[Message]:
         """Return what the other entry VMs are to be told now."""
         messages, self._observed = self._observed, []
-        digest = self._due_digest(now_s)
+        digest = self.digests.due(now_s)
         return messages if digest is None else [*messages, digest]
 
-    def _due_digest(self, now_s: float) -> InFlightDigest | None:
-        if not self._context.enabled("digests"):
-            return None
-        identity = self._context.identity
-        counts = {
-            state.replica.replica_id: len(state.in_flight)
-            for state in self.replicas
-            if state.in_flight
-        }
-        return self.occupancy.due_digest(
-            identity.vm_id, identity.incarnation, counts, self.limits.peer_count, now_s
-        )
-
-    def _apply_digests(self, now_s: float) -> None:
-        """Let fresh digests of all entry VMs stand above the replicas' late reports."""
-        self.occupancy.expire(now_s)
-        if not self.occupancy.is_complete(self.limits.peer_count):
-            self.limits.on_digests_missing()
-            return
-        for state in self.replicas:
-            others_count = self.occupancy.others_count(state.replica.replica_id)
-            state.on_digests(others_count, now_s)
-            self.limits.on_digests(state, others_count, now_s)
-
     def on_load(self, event: LoadReported) -> None:
         """Note a replica's own report of its load."""
         state = self.replicas.get(event.replica_id)
@@ -278,9 +253,9 @@
         """Expire waiting works, fail overdue attempts, dispatch what has room."""
         for state in self.replicas:
             state.sample(now_s)
-        self._apply_digests(now_s)
+        self.digests.apply(now_s)
         for work in self.queue.take_expired(now_s):
-            self._settle(work, self._late_outcome(work), now_s)
+            self._settle(work, late_outcome(work), now_s)
         if not self._context.hold_dispatch:
             self.stalls.check(now_s)
         for attempt in list(self.attempts.live.values()):
@@ -290,7 +265,7 @@
                 self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
         self._move_from_leaving(now_s)
-        self._release_delayed(now_s)
+        self._release_retries(now_s)
         for work in self.quarantine.release(now_s):
             self.queue.push(work, now_s)
         self.pump(now_s)
@@ -324,11 +299,6 @@
         if not work.live_attempts:
             self._dispatch(work, target, now_s)
 
-    def _late_outcome(self, work: Work) -> Outcome:
-        if work.attempt_count:
-            return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
-        return NotRun(RefusalReason.DEADLINE, retry_after_s=2.0)
-
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         pool = self.replicas.of_service(work.request.service)
         zone = self._context.identity.zone
@@ -336,50 +306,18 @@
         probed = self._ejector.probe_for(work, pool, now_s)
         if probed is not None:
             return probed
-        healthy = [
-            state
-            for state in pool
-            if not state.health.ejected and state.health.unreachable_until_s <= now_s
-        ]
-        roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
+        healthy = self.replicas.in_order(work.request.service, now_s)
+        roomy = self._room.among(work, healthy, now_s) or self._room.among(work, pool, now_s)
         return self.router.choose(work, roomy, now_s, any_zone=degraded)
 
-    def _with_room(self, work: Work, pool: list[ReplicaState], now_s: float) -> list[ReplicaState]:
-        """Return the replicas of a model that may take a work now.
-
-        A question inside its customer's share goes to a free slot whatever this VM's limits, or
-        to a full replica where another work can give up its slot.
-        """
-        if kind_of(work) is not ServiceKind.MODEL:
-            return pool
-        if self._is_express(work, now_s):
-            usable = [state for state in pool if not state.health.ejected]
-            free = self.limits.with_free_slot(usable)
-            if free:
-                return free
-            givers = [state for state in usable if self._victim_at(work, state, now_s) is not None]
-            if givers:
-                return givers
-        return list(self.limits.with_room(work, pool, now_s))
-
-    def _is_express(self, work: Work, now_s: float) -> bool:
-        if not self.limits.enabled or not self._context.enabled("preemption"):
-            return False
-        question = work.work_class is WorkClass.SHORT and kind_of(work) is ServiceKind.MODEL
-        return question and not self.queue.beyond_share(work, now_s)
-
-    def _victim_at(self, work: Work, state: ReplicaState, now_s: float) -> Attempt | None:
-        full = self.limits.may_preempt(state)
-        return self._preemption.victim_at(work, state, now_s) if full else None
-
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
         if state.health.ejected:
             purpose = AttemptPurpose.PROBE
-        kv_source = self._kv_source(work, state.replica.replica_id)
+        kv_source = self.attempts.kv_source(work, state.replica.replica_id)
         victim = None
-        if self._is_express(work, now_s):
-            victim = self._victim_at(work, state, now_s)
+        if self._room.is_express(work, now_s):
+            victim = self._room.victim_at(work, state, now_s)
         if victim is not None:
             self._preemption.preempt(victim, now_s)
         attempt = self.attempts.start(work, state, purpose, now_s, kv_source)
@@ -405,14 +343,6 @@
         self._context.count(Counter.LENGTH_MISJUDGED)
         self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
 
-    def _kv_source(self, work: Work, target_id: str) -> str:
-        """Return the address of another replica that still holds the KV cache, or empty."""
-        source = self.replicas.get(work.kv_replica_id)
-        usable = source is not None and not source.gone and work.kv_replica_id != target_id
-        if source is None or not usable or not self._context.enabled("kv-move"):
-            return ""
-        return source.replica.address
-
     def _learn_length(self, work: Work, length_tokens: int) -> None:
         """Learn an answer's length, and tell the others where the guess was of the wrong class."""
         observed = observe(work.customer, work.request, length_tokens)
@@ -432,7 +362,7 @@
         if work.suspected:
             self.quarantine.clear(work, now_s)
         overloaded = len(self.queue) > 0
-        self.retries.on_success(work.customer, attempt.replica_id, overloaded)
+        self.retries.budget.on_success(work.customer, attempt.replica_id, overloaded)
         self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
         self._settle(work, outcome, now_s)
         self.pump(now_s)
@@ -463,40 +393,15 @@
             work.attempt_count -= 1
         if cause is FailureCause.REFUSED:
             self.limits.on_refused(attempt, now_s)
-        verdict = decide_recovery(work, cause, sent, self._context.settings, now_s)
-        if not isinstance(verdict, Retry):
-            self._settle(work, verdict, now_s)
-            self.pump(now_s)
-            return
-        costs_nothing = cause is FailureCause.LEAVING or not sent
-        if not costs_nothing and not self.retries.spend(work.customer, attempt.replica_id):
-            self._context.count(Counter.RETRIES_OVER_BUDGET)
-            self._settle(work, self._exhausted(sent), now_s)
-            self.pump(now_s)
-            return
-        self._context.count(verdict.reason)
-        self._context.log(
-            "retry",
-            request_id=work.work_id,
-            attempt_id=attempt.attempt_id,
-            customer=work.customer,
-            reason=verdict.reason.code,
-        )
-        failures = work.failure_count + work.unsent_count
-        delay_s = backoff_s(failures, self._context.settings, self._context.rng)
-        self._delayed.append((now_s + delay_s, work))
-        self._release_delayed(now_s)
+        outcome = self.retries.plan(attempt, cause, sent, now_s)
+        if outcome is not None:
+            self._settle(work, outcome, now_s)
+        self._release_retries(now_s)
         self.pump(now_s)
 
-    def _exhausted(self, sent: bool) -> Outcome:
-        if sent:
-            return Unknown(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
-        return NotRun(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
-
-    def _release_delayed(self, now_s: float) -> None:
+    def _release_retries(self, now_s: float) -> None:
         """Queue works whose wait before a retry is over."""
-        waiting = [item for item in self._delayed if self.works.get(item[1].work_id) is item[1]]
-        self._delayed = [item for item in waiting if item[0] > now_s]
-        for due_s, work in waiting:
-            if due_s <= now_s and not self.quarantine.takes(work, now_s):
+        for work in self.retries.take_due(now_s):
+            known = self.works.get(work.work_id) is work
+            if known and not self.quarantine.takes(work, now_s):
                 self.queue.push(work, now_s)
