--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -188,6 +188,13 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsGiven:
+    """Addresses of entry VMs to turn to while the platform's list names none."""
+
+    addresses: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class VmListRead:
     """The platform's list of VMs, which lags."""
@@ -203,6 +210,13 @@
     at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class NoticesRefreshed:
+    """Every reclaim notice up to the answer to a ``RefreshNotices`` has been told."""
+
+    asked_at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReported:
     """A replica's own report of its load, which lags."""
@@ -245,8 +259,10 @@
     | AppendAnswered
     | AppendFailed
     | PeerMessageArrived
+    | SeedsGiven
     | VmListRead
     | ReclaimNotice
+    | NoticesRefreshed
     | LoadReported
     | StopAsked
     | Tick
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -7,8 +7,8 @@
 from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
-from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import is_repeatable, make_work, owner_of
+from coriandershelf_core.internal.calls import Calls
+from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
 from coriandershelf_core.internal.events import (
@@ -23,10 +23,12 @@
     JobRead,
     LoadReported,
     LogRead,
+    NoticesRefreshed,
     PeerMessageArrived,
     PlainAnswered,
     ReclaimNotice,
     RequestArrived,
+    SeedsGiven,
     StopAsked,
     StreamEnded,
     Tick,
@@ -35,41 +37,40 @@
     VmListRead,
     VmState,
 )
-from coriandershelf_core.internal.inventory import Customer, Inventory
+from coriandershelf_core.internal.evidence import Evidence
+from coriandershelf_core.internal.gossip import Gossip
+from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
+from coriandershelf_core.internal.loads import LoadDigest, Loads
 from coriandershelf_core.internal.membership import Membership
 from coriandershelf_core.internal.messages import (
     ConfigurationQuery,
     ConfigurationReply,
     Heartbeat,
     InFlightDigest,
+    LeavingNotices,
+    LeavingQuery,
     LengthObserved,
     Message,
     ReplicaVerdict,
-    TicketCall,
-    TicketResult,
+    ZoneSum,
 )
-from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     CONFIGURATION_STREAM,
-    LEDGER_STREAM,
-    ClaimEntry,
     ConfigurationSnapshot,
     Entry,
     JobAccepted,
     JobFinished,
     JobMoved,
     JobSnapshot,
-    TicketEntry,
 )
-from coriandershelf_core.internal.request import Request, RequestKind
+from coriandershelf_core.internal.request import Request
 from coriandershelf_core.internal.serving import Serving
 from coriandershelf_core.internal.settings import CoreSettings
 from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
-from coriandershelf_core.internal.ticket_table import parse_ticket
-from coriandershelf_core.internal.tickets import Tickets
 from coriandershelf_core.internal.work import Work, WorkOwner
 
 
@@ -97,9 +98,12 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
+        self.evidence = Evidence(self.context)
+        self.loads = Loads(self.context, self.membership)
+        self.gossip = Gossip(self.context, self.membership, self.loads, self._tell)
         self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
-        self.claims = Claims(
-            self.context, self.ledger, self.serving.enqueue, self.membership.is_gone
+        self.calls = Calls(
+            self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
         )
         self.jobs = Jobs(
             self.context,
@@ -109,15 +113,6 @@
             self.serving.cancel,
             self._tell,
         )
-        self.tickets = Tickets(
-            self.context,
-            self.ledger,
-            self.serving.enqueue,
-            self._tell,
-            self.claims.request,
-            self.membership.is_gone,
-        )
-        self._heartbeat_at_s = 0.0
         self._stopped = False
 
     def step(self, event: Event, now_s: float) -> list[Action]:
@@ -126,6 +121,8 @@
         :param now_s: the present time in seconds; it never goes back.
         :raises AssertionError: an invariant is broken; the process must stop.
         """
+        if self.evidence.on_step(now_s):
+            self.gossip.ask_notices(now_s)
         self._handle(event, now_s)
         actions = self.context.outbox
         self.context.outbox = []
@@ -161,7 +158,7 @@
             case JobRead():
                 self._on_job_read(event, now_s)
             case TicketsAsked():
-                self.tickets.on_asked(event, now_s)
+                self.calls.ask_tickets(event, now_s)
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
@@ -170,14 +167,19 @@
                 self.ledger.on_failed(append_id, uncertain, now_s)
             case PeerMessageArrived(sender, message):
                 self._on_peer_message(sender, message, now_s)
+            case SeedsGiven(addresses):
+                self.gossip.on_seeds(addresses)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
                 self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id, at_s):
-                self._on_notice(vm_id, at_s, now_s)
+                self._on_notices([(vm_id, at_s)], now_s)
+            case NoticesRefreshed(asked_at_s):
+                if self.evidence.on_refreshed(asked_at_s):
+                    self.serving.pump(now_s)
             case LoadReported():
-                self.serving.on_load(event)
+                self._on_load(event)
             case StopAsked(deadline_s, urgent):
                 begin_stop(self.context, deadline_s, urgent, now_s)
 
@@ -186,61 +188,32 @@
         self.context.trace(request.request_id, now_s, "arrived", request.kind.value)
         customer = authenticate(self.context.inventory, request.credential_hash)
         if isinstance(customer, NotRun):
-            self._refuse(request, customer, now_s)
+            self.calls.refuse(request, customer, now_s)
             return
         inventory = self.context.inventory
         assert inventory is not None, "authenticated without a configuration"
-        if self._answer_known_key(request, customer, inventory, now_s):
+        if self.calls.answer_known(request, customer, inventory, now_s):
             return
         stopping = refuses(self.context, request, inventory.rules, now_s)
         refusal = admit(request, inventory, stopping, now_s)
         if refusal is not None:
-            self._refuse(request, refusal, now_s)
+            self.calls.refuse(request, refusal, now_s)
             return
         owner = owner_of(request, inventory)
         if owner is WorkOwner.CLAIM and request.idempotency_key is None:
             outcome = NotRun(RefusalReason.KEY_MISSING)
             self.context.finish(request.request_id, outcome, now_s)
             return
-        if owner is WorkOwner.CLAIM and parse_ticket(request.idempotency_key) is not None:
-            owner = WorkOwner.TICKET
         work = make_work(request, customer, inventory, owner, now_s, self.serving.lengths)
         refusal = self.serving.refusal_of(work, now_s)
         if refusal is not None:
-            self._refuse(request, refusal, now_s)
+            self.calls.refuse(request, refusal, now_s)
         elif owner is WorkOwner.JOB:
             self.jobs.request(work, now_s)
         elif owner is WorkOwner.CALLER:
             self.serving.enqueue(work, now_s)
-        elif owner is WorkOwner.TICKET:
-            self.tickets.request(work, now_s)
         else:
-            self.claims.request(work, now_s)
-
-    def _refuse(self, request: Request, refusal: NotRun, now_s: float) -> None:
-        """Refuse a request before its idempotency key was looked at."""
-        outcome: Outcome = refusal
-        if request.kind is RequestKind.SERVICE and request.idempotency_key is not None:
-            outcome = self.claims.early_refusal(refusal, now_s)
-            if parse_ticket(request.idempotency_key) is not None:
-                # Only the ticket's owner knows whether it ran.
-                outcome = Unknown(refusal.reason, refusal.retry_after_s, refusal.detail)
-        self.context.finish(request.request_id, outcome, now_s)
-
-    def _answer_known_key(
-        self, request: Request, customer: Customer, inventory: Inventory, now_s: float
-    ) -> bool:
-        """Answer a repeat from its claim, which no reason to refuse may stand before."""
-        service = inventory.service(request.service)
-        if service is None or request.idempotency_key is None:
-            return False
-        if is_repeatable(request, inventory):
-            return False
-        work = make_work(request, customer, inventory, WorkOwner.CLAIM, now_s, self.serving.lengths)
-        known = self.claims.knows(work)
-        if known:
-            self.claims.request(work, now_s)
-        return known
+            self.calls.request(work, now_s)
 
     def _on_caller_gone(self, request_id: str) -> None:
         work = self.serving.works.get(request_id)
@@ -256,24 +229,19 @@
         self.jobs.read(event.request_id, customer.name, event.job_id, event.position, now_s)
 
     def _on_log_read(self, event: LogRead, now_s: float) -> None:
+        gap = self.ledger.on_read(event)
         if event.stream == CONFIGURATION_STREAM:
+            for record in event.records:
+                self.ledger.on_record(event.stream, record)
             self.configuration.on_log_read(event, now_s)
             return
-        gap = self.ledger.on_read(event)
-        if event.stream == LEDGER_STREAM:
-            self.claims.on_read(event.first_offset, gap)
-            self.tickets.on_read(gap)
+        self.calls.on_read(event, gap)
         for record in event.records:
             first = self.ledger.on_record(event.stream, record)
-            if event.stream == LEDGER_STREAM:
-                self.claims.retention.on_record(record)
+            self.calls.on_record(record)
             for entry in record.entries:
-                if isinstance(entry, ClaimEntry):
-                    # Claims are folded without regard to copies; see claim_table.
-                    self.claims.on_entry(entry, record, now_s)
-                elif isinstance(entry, TicketEntry):
-                    self.tickets.on_entry(entry, self.claims.retention.log_time_s, now_s)
-                elif first:
+                # Claims and tickets are folded without regard to copies; see claim_table.
+                if not self.calls.on_entry(entry, record, now_s) and first:
                     self._on_entry(entry, now_s)
         self.ledger.on_read_applied(event, now_s)
 
@@ -305,10 +273,8 @@
             state.gone = vm_state is VmState.GONE
 
     def _on_notice(self, vm_id: str, at_s: float, now_s: float) -> None:
-        identity = self.context.identity
-        if vm_id != identity.vm_id:
-            self.membership.on_notice(vm_id)
-            self._mark_replicas()
+        if vm_id != self.context.identity.vm_id:
+            self.membership.on_notice(vm_id, at_s, now_s)
             state = self.serving.replicas.get(vm_id)
             if state is not None and at_s > now_s:
                 state.announce_leave(at_s, now_s)
@@ -316,40 +282,83 @@
             # A notice that has run out was meant for an earlier VM of the same name.
             begin_stop(self.context, at_s, False, now_s)
 
-    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
-        return self._tell(vm_id, query)
-
-    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
-        reply = self.configuration.answer_query(query)
-        if reply is not None:
-            self.context.count(Counter.PEER_MESSAGES)
-            self.context.emit(TellPeer(sender, query.reply_address, reply))
+    def _on_notices(self, notices: list[tuple[str, float]], now_s: float) -> int:
+        """Take reclaim notices, pass news on, return how many were news."""
+        news = [item for item in notices if self.gossip.learn_notice(*item, now_s)]
+        for vm_id, at_s in news:
+            self._on_notice(vm_id, at_s, now_s)
+        if news:
+            self.context.count(Counter.NOTICES, len(news))
+            self._mark_replicas()
+            self.gossip.pass_on(news)
+        return len(news)
+
+    def _on_load(self, event: LoadReported) -> None:
+        self.membership.on_heard(event.replica_id, event.reported_at_s)
+        if self.loads.on_report(event):
+            self.serving.on_load(event)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat, now_s: float) -> None:
+        generation = self.membership.generation
+        self.gossip.on_heartbeat(heartbeat, now_s)
+        self.configuration.on_peer_version(sender, heartbeat.version, now_s)
+        digest = LoadDigest(
+            heartbeat.inventory_version,
+            heartbeat.load_indexes,
+            heartbeat.load_running_counts,
+            heartbeat.load_waiting_counts,
+            heartbeat.load_age_steps,
+        )
+        for report in self.loads.reports_of(digest, now_s):
+            self._on_load(report)
+        if self.membership.generation != generation:
+            self._mark_replicas()
 
-    def _entry_vm_ids(self) -> tuple[str, ...]:
-        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
-        return tuple(sorted([*peers, self.context.identity.vm_id]))
+    def _on_leaving_notices(self, message: LeavingNotices, now_s: float) -> None:
+        news = self._on_notices(list(zip(message.vm_ids, message.at_s, strict=True)), now_s)
+        if news:
+            self.context.count(Counter.NOTICES_FROM_PEER, news)
+        if message.asked_at_s and self.evidence.on_refreshed(message.asked_at_s):
+            self.serving.pump(now_s)
 
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
-        if isinstance(message, TicketCall | TicketResult):
-            self.tickets.on_message(sender, message, now_s)
-            return
         self.jobs.on_message(sender, message, now_s)
+        self.calls.on_message(sender, message, now_s)
         match message:
-            case InFlightDigest():
-                self.serving.on_digest(message, now_s)
-            case LengthObserved():
-                self.serving.lengths.learn(message)
             case ConfigurationQuery():
                 self._answer_configuration(sender, message)
             case ConfigurationReply():
                 self.configuration.on_reply(message, now_s)
             case Heartbeat():
-                self.configuration.on_peer_version(sender, message.version, now_s)
+                self._on_heartbeat(sender, message, now_s)
+            case ZoneSum():
+                self.gossip.on_sum(message)
+            case LeavingNotices():
+                self._on_leaving_notices(message, now_s)
+            case InFlightDigest():
+                self.serving.on_digest(message, now_s)
+            case LengthObserved():
+                self.serving.lengths.learn(message)
             case ReplicaVerdict(replica_id, in_order):
                 self.serving.stalls.on_verdict(replica_id, in_order, now_s)
+            case LeavingQuery():
+                self._tell(sender, self.gossip.answer_notices(message))
             case _:
                 pass
 
+    def _ask_configuration(self, vm_id: str, query: ConfigurationQuery) -> bool:
+        return self._tell(vm_id, query)
+
+    def _answer_configuration(self, sender: str, query: ConfigurationQuery) -> None:
+        reply = self.configuration.answer_query(query)
+        if reply is not None:
+            self.context.count(Counter.PEER_MESSAGES)
+            self.context.emit(TellPeer(sender, query.reply_address, reply))
+
+    def _entry_vm_ids(self) -> tuple[str, ...]:
+        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
+        return tuple(sorted([*peers, self.context.identity.vm_id]))
+
     def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
         """Tell every entry VM of a replica that stalls or is in order again."""
         for peer in self.membership.peers(self.context.identity):
@@ -364,40 +373,29 @@
         return True
 
     def _on_tick(self, now_s: float) -> None:
+        if self.evidence.on_tick(now_s):
+            self.serving.pump(now_s)
         self.ledger.on_tick(now_s)
-        self.claims.on_tick(now_s)
-        self.tickets.on_tick(now_s)
+        self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.configuration.on_tick(now_s)
         for message in self.serving.due_messages(now_s):
             for peer in self.membership.peers(self.context.identity):
                 self._tell(peer.vm_id, message)
-        self.configuration.on_tick(now_s)
-        if now_s >= self._heartbeat_at_s:
-            self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
-            self._send_heartbeats()
+        generation = self.membership.generation
+        self.membership.on_tick(now_s)
+        if self.membership.generation != generation:
+            self._mark_replicas()
+        self.loads.on_tick(now_s)
+        self.gossip.on_tick(self.configuration.version, now_s)
         if self.context.stopping:
             self._try_to_stop(now_s)
 
-    def _send_heartbeats(self) -> None:
-        identity = self.context.identity
-        heartbeat = Heartbeat(
-            identity.vm_id,
-            identity.incarnation,
-            self.configuration.version,
-            self.context.stopping,
-        )
-        for peer in self.membership.peers(identity):
-            if peer.zone == identity.zone:
-                self._tell(peer.vm_id, heartbeat)
-        far = [peer for peer in self.membership.peers(identity) if peer.zone != identity.zone]
-        if far:
-            self._tell(self.context.rng.choice(far).vm_id, heartbeat)
-
     def _try_to_stop(self, now_s: float) -> None:
         if must_cut(self.context, now_s):
             self._cut_rest(now_s)
-        parts = (self.claims, self.tickets, self.jobs, self.ledger)
+        parts = (self.calls, self.jobs, self.ledger)
         idle = all(part.idle for part in parts) and not self.serving.works
         idle = idle or not self.context.enabled("finish-in-flight")
         drained = idle and now_s >= self.context.refuse_at_s
@@ -407,7 +405,7 @@
 
     def _cut_rest(self, now_s: float) -> None:
         """Tell the callers whose answers the notice cuts off, while there is time to."""
-        self.claims.cut_rest(now_s)
+        self.calls.cut_rest(now_s)
         for work in list(self.serving.works.values()):
             if work.owner is not WorkOwner.JOB:
                 self.serving.cancel(work.work_id)
@@ -424,9 +422,7 @@
     def _finish(self, work: Work, outcome: Outcome, now_s: float) -> None:
         if work.owner is WorkOwner.JOB:
             self.jobs.finish(work, outcome, now_s)
-        elif work.owner is WorkOwner.CLAIM:
-            self.claims.finish(work, outcome, now_s)
-        elif work.owner is WorkOwner.TICKET:
-            self.tickets.finish(work, outcome, now_s)
+        elif work.owner in (WorkOwner.CLAIM, WorkOwner.TICKET):
+            self.calls.finish(work, outcome, now_s)
         else:
             self.context.finish(work.work_id, outcome, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
@@ -12,37 +12,60 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Sent every period to peers of the same zone."""
+    """Sent every period to some peers, within the zone with a digest of what the sender knows.
+
+    Columns of one group belong together row by row; ages stand in tenths of a second.
+
+    :param version: the newest accepted configuration that the sender knows.
+    :param member_keys: short names of entry VMs that the sender heard of, directly or by digest.
+    :param inventory_version: of the inventory in which ``load_indexes`` count.
+    """
 
     vm_id: str
     incarnation: int
     version: int
     stopping: bool
+    zone: str = ""
+    address: str = ""
+    member_keys: tuple[int, ...] = ()
+    member_age_steps: tuple[int, ...] = ()
+    leaving_ids: tuple[str, ...] = ()
+    leaving_incarnations: tuple[int, ...] = ()
+    inventory_version: int = 0
+    load_indexes: tuple[int, ...] = ()
+    load_running_counts: tuple[int, ...] = ()
+    load_waiting_counts: tuple[int, ...] = ()
+    load_age_steps: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class InFlightDigest:
-    """Tells peers how many works the sender has in flight at each replica it uses.
+class ZoneSum:
+    """A zone's slots and load by service, for the other zones."""
 
-    :param sequence: grows with each digest of an incarnation.
+    zone: str
+    services: tuple[str, ...]
+    slots: tuple[int, ...]
+    running_counts: tuple[int, ...]
+    waiting_counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingNotices:
+    """Reclaim notices, passed on at once or as the answer to a :class:`LeavingQuery`.
+
+    :param asked_at_s: copied from the query; 0 where none was asked.
     """
 
-    vm_id: str
-    incarnation: int
-    sequence: int
-    replica_ids: tuple[str, ...]
-    counts: tuple[int, ...]
+    vm_ids: tuple[str, ...]
+    at_s: tuple[float, ...]
+    asked_at_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class LengthObserved:
-    """Tells peers the length of an answer that was guessed wrong."""
+class LeavingQuery:
+    """Asks for the reclaim notices that a peer knows; sent by a VM that was paused."""
 
-    customer: str
-    service: str
-    prompt_tokens: int
-    max_tokens: int
-    length_tokens: int
+    asked_at_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +90,31 @@
     snapshot: ConfigurationSnapshot
 
 
+@dataclass(frozen=True, slots=True)
+class InFlightDigest:
+    """Tells peers how many works the sender has in flight at each replica it uses.
+
+    :param sequence: grows with each digest of an incarnation.
+    """
+
+    vm_id: str
+    incarnation: int
+    sequence: int
+    replica_ids: tuple[str, ...]
+    counts: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LengthObserved:
+    """Tells peers the length of an answer that was guessed wrong."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    length_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobQuery:
     """Asks a job's holder, or the VM that keeps its copy, for its status and output."""
@@ -183,8 +231,9 @@
 
 Message = (
     Heartbeat
-    | InFlightDigest
-    | LengthObserved
+    | ZoneSum
+    | LeavingNotices
+    | LeavingQuery
     | ConfigurationQuery
     | ConfigurationReply
     | JobQuery
@@ -197,4 +246,6 @@
     | JobSought
     | JobFound
     | ReplicaVerdict
+    | InFlightDigest
+    | LengthObserved
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -95,6 +95,16 @@
     EJECTION_HINTS = ("ejections.hints", "Ejections on the word of another entry VM.")
     PROBES = ("ejections.probes", "Requests sent to an ejected replica to try it.")
     READMISSIONS = ("ejections.readmitted", "Ejected replicas that take new work again.")
+    EMPTY_VM_LISTS = ("membership.empty-lists", "Empty VM lists, which change nothing.")
+    DISPUTED_VMS = ("membership.disputed", "VMs that the list calls gone while they answer.")
+    NOTICES = ("membership.notices", "Reclaim notices learnt, from the platform or a peer.")
+    NOTICES_FROM_PEER = ("membership.notices-from-peer", "Those of them that a peer told first.")
+    LOAD_POLLS = ("membership.load-polls", "Polls of watched replicas' loads.")
+    WAKE_HOLDS = ("membership.wake-holds", "Holds of new dispatches after a jump of the clock.")
+    WAKE_HOLDS_UNANSWERED = (
+        "membership.wake-holds-unanswered",
+        "Holds that ended without an answer from the platform or a peer.",
+    )
     STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
     JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
     JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
@@ -105,7 +105,7 @@
 
     def pump(self, now_s: float) -> None:
         """Dispatch waiting works while replicas have room."""
-        while len(self.queue):
+        while len(self.queue) and not self._context.hold_dispatch:
             taken = self.queue.take_first(lambda work: self._choose(work, now_s), now_s)
             if taken is None:
                 return
@@ -251,6 +251,7 @@
         elif state is not None:
             gap_s = (now_s - last_s) / count
             state.health.on_gap(gap_s, now_s)
+            self.limits.on_gap(attempt.replica_id, gap_s)
             self.stalls.on_token(state, attempt, gap_s, now_s)
             self.limits.on_gap(attempt.replica_id, gap_s)
 
@@ -302,17 +303,20 @@
         probed = self._ejector.probe_for(work, pool, now_s)
         if probed is not None:
             return probed
-        if kind_of(work) is ServiceKind.MODEL:
-            pool = self._with_room(work, pool, now_s)
         healthy = [state for state in pool if not state.health.ejected]
-        return self.router.choose(work, healthy or pool, now_s, any_zone=degraded)
+        roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
+        return self.router.choose(work, roomy, now_s, any_zone=degraded)
 
-    def _with_room(self, work: Work, pool: list[ReplicaState], now_s: float) -> list[ReplicaState]:
-        """Return the replicas of a model that may take a work now.
+    def _with_room(
+        self, work: Work, pool: Sequence[ReplicaState], now_s: float
+    ) -> Sequence[ReplicaState]:
+        """Return the replicas that may take a work now.
 
         A question inside its customer's share goes to a free slot whatever this VM's limits, or
         to a full replica where another work can give up its slot.
         """
+        if kind_of(work) is not ServiceKind.MODEL:
+            return pool
         if self._is_express(work, now_s):
             usable = [state for state in pool if not state.health.ejected]
             free = self.limits.with_free_slot(usable)
@@ -321,7 +325,7 @@
             givers = [state for state in usable if self._victim_at(work, state, now_s) is not None]
             if givers:
                 return givers
-        return list(self.limits.with_room(work, pool, now_s))
+        return self.limits.with_room(work, pool, now_s)
 
     def _is_express(self, work: Work, now_s: float) -> bool:
         if not self.limits.enabled or not self._context.enabled("preemption"):
@@ -366,14 +370,6 @@
         self._context.count(Counter.LENGTH_MISJUDGED)
         self._context.trace(work.work_id, now_s, "length-misjudged", str(work.position))
 
-    def _learn_length(self, work: Work, length_tokens: int) -> None:
-        """Learn an answer's length, and tell the others where the guess was of the wrong class."""
-        observed = observe(work.customer, work.request, length_tokens)
-        self.lengths.learn(observed)
-        was_long = work.expected_tokens > LONG_TOKENS_COUNT
-        if was_long != (length_tokens > LONG_TOKENS_COUNT):
-            self._observed.append(observed)
-
     def _kv_source(self, work: Work, target_id: str) -> str:
         """Return the address of another replica that still holds the KV cache, or empty."""
         source = self.replicas.get(work.kv_replica_id)
@@ -382,6 +378,14 @@
             return ""
         return source.replica.address
 
+    def _learn_length(self, work: Work, length_tokens: int) -> None:
+        """Learn an answer's length, and tell the others where the guess was of the wrong class."""
+        observed = observe(work.customer, work.request, length_tokens)
+        self.lengths.learn(observed)
+        was_long = work.expected_tokens > LONG_TOKENS_COUNT
+        if was_long != (length_tokens > LONG_TOKENS_COUNT):
+            self._observed.append(observed)
+
     def _forget(self, attempt: Attempt, now_s: float) -> None:
         self.attempts.forget(attempt)
         self._ejector.on_probe_ended(attempt, now_s)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -26,6 +26,7 @@
     Append,
     CancelAttempt,
     Count,
+    RefreshNotices,
     SendFinal,
     SendTokens,
     StartAttempt,
@@ -42,8 +43,10 @@
     FailureCause,
     LoadReported,
     LogRead,
+    NoticesRefreshed,
     PeerMessageArrived,
     PlainAnswered,
+    ReclaimNotice,
     RequestArrived,
     StreamEnded,
     Tick,
@@ -72,6 +75,7 @@
 
 TICK_S = 0.05
 LOG_LATENCY_S = 0.004
+NOTICE_LATENCY_S = 0.01
 LOG_READ_PERIOD_S = 0.01
 LOG_READ_IDLE_S = 0.25
 LOG_READ_MAX_COUNT = 500
@@ -166,8 +170,10 @@
         self.shapes: dict[str, Shape] = {}
         self.counters: dict[str, int] = {}
         self.vms: dict[str, VmStatus] = {}
+        self.notices: list[ReclaimNotice] = []
         self.cut: Callable[[str, str], bool] = lambda source, target: False
         self.on_final: Callable[[Call], None] = lambda call: None
+        self.on_attempt: Callable[[str, StartAttempt], None] = lambda vm_id, attempt: None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
         self._replica_at: dict[str, str] = {}
@@ -252,6 +258,14 @@
             vm_id, status.incarnation, status.role, status.zone, state, status.address
         )
 
+    def announce(self, vm_id: str, in_s: float) -> None:
+        """Send a reclaim notice to every entry VM that can ask for it just now."""
+        notice = ReclaimNotice(vm_id, self.now_s + in_s)
+        self.notices.append(notice)
+        for name, entry in self.entries.items():
+            if not entry.paused and not self.cut(name, "notices"):
+                self.at(NOTICE_LATENCY_S, lambda v=name: self.feed(v, notice))  # type: ignore[misc]
+
     def publish(self, publish_id: str, base_version: int, rules_text: str | None = None) -> None:
         """Append a proposal of the deployment's configuration."""
         inventory_text = inventory_yaml(self.deployment, {})
@@ -366,6 +380,7 @@
             case SendTokens(request_id, payloads):
                 self._on_payloads(request_id, payloads)
             case StartAttempt():
+                self.on_attempt(vm_id, action)
                 upstream = self.upstreams[action.replica_id]
                 delay_s = self.latency_s(self.entries[vm_id].zone, upstream.zone)
                 self.at(delay_s, lambda: self._start_attempt(vm_id, action))
@@ -379,6 +394,8 @@
                 self.at(LOG_LATENCY_S, lambda: self._append(vm_id, action))
             case TellPeer():
                 self._tell(vm_id, action)
+            case RefreshNotices(asked_at_s):
+                self._refresh_notices(vm_id, asked_at_s)
             case Stopped():
                 self.entries[vm_id].stopped_at_s = self.now_s
                 self.at(0.0, lambda: self.kill_entry(vm_id))
@@ -387,6 +404,13 @@
             case _:
                 pass
 
+    def _refresh_notices(self, vm_id: str, asked_at_s: float) -> None:
+        if self.cut(vm_id, "notices"):
+            return
+        answer = [*self.notices, NoticesRefreshed(asked_at_s)]
+        for event in answer:
+            self.at(NOTICE_LATENCY_S, lambda e=event: self.feed(vm_id, e))  # type: ignore[misc]
+
     def _on_payloads(self, request_id: str, payloads: tuple[bytes, ...]) -> None:
         call = self.calls[request_id]
         if call.first_token_at_s is None:
@@ -573,6 +597,8 @@
             engine = upstream.engine
             event = LoadReported(replica_id, engine.running_count, engine.waiting_count, self.now_s)
             for vm_id in self.entries:
+                if self.cut(replica_id, vm_id):
+                    continue
                 self.at(LOAD_REPORT_LAG_S, lambda v=vm_id, e=event: self.feed(v, e))  # type: ignore[misc]
         self.at(LOAD_REPORT_PERIOD_S, self._report_loads)
 
