--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/membership.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/membership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 
 import click
@@ -38,8 +39,11 @@
 ZONE_COUNT = 6
 WARM_UP_S = 8.0
 MEASURE_S = 8.0
+WAY_S = 5.0
 BYTES_TARGET_PER_S = 12_000.0
 EVERY_PEER = 10_000
+# These go to every entry VM and grow with their number; they are measured apart.
+IN_FLIGHT_DIGESTS = frozenset({"digests"})
 
 
 @dataclass(slots=True)
@@ -127,28 +131,35 @@
         bench.at(index * CALL_PERIOD_S, lambda i=index: send(i))  # type: ignore[misc]
 
 
-def measure_costs(
-    node_count: int, seed: int, settings: CoreSettings, disabled: frozenset[str] = frozenset()
-) -> FleetCost:
+def measure_costs(node_count: int, seed: int, disabled: frozenset[str]) -> FleetCost:
     """Return what control costs a node in a fleet of that size."""
     replicas = int(node_count * REPLICAS_PER_NODE)
-    fleet = Fleet(node_count, replicas, ZONE_COUNT, seed, settings, disabled)
+    fleet = Fleet(node_count, replicas, ZONE_COUNT, seed, CoreSettings(), disabled)
     return fleet.measure(WARM_UP_S, MEASURE_S)
 
 
+def measure_way(seed: int, settings: CoreSettings, *disabled: str) -> FleetCost:
+    """Return what a way of control costs a node in one zone of the largest fleet."""
+    nodes = math.ceil(NODE_COUNTS[-1] / ZONE_COUNT)
+    replicas = int(nodes * REPLICAS_PER_NODE)
+    fleet = Fleet(nodes, replicas, 1, seed, settings, IN_FLIGHT_DIGESTS | set(disabled))
+    return fleet.measure(WAY_S, WAY_S)
+
+
 def _print_costs(seed: int) -> None:
-    click.echo(
-        "way                       nodes  B/s mean  B/s worst  msg/s  polls/s  core %  age s"
-    )
+    heads = "nodes  B/s mean  B/s worst  msg/s  polls/s  core %  age s"
+    click.echo(f"{'six zones':25} {heads}")
     for count in NODE_COUNTS:
-        _print_row("watchers and digests", measure_costs(count, seed, CoreSettings()))
-    largest = NODE_COUNTS[-1]
+        _print_row("watchers and digests", measure_costs(count, seed, IN_FLIGHT_DIGESTS))
+    for count in NODE_COUNTS[:2]:
+        _print_row("with in-flight digests", measure_costs(count, seed, frozenset()))
+    click.echo(f"{'one zone of the largest':25} {heads}")
+    plain = CoreSettings()
     every = CoreSettings(heartbeat_fanout_count=EVERY_PEER)
-    all_peers = frozenset({"ring-neighbours"})
-    _print_row("digest to every peer", measure_costs(largest, seed, every, all_peers))
-    _print_row("digest to random peers", measure_costs(largest, seed, CoreSettings(), all_peers))
-    polls = measure_costs(largest, seed, CoreSettings(), frozenset({"watchers"}))
-    _print_row("every peer polls its zone", polls)
+    _print_row("watchers and digests", measure_way(seed, plain))
+    _print_row("digest to all in turn", measure_way(seed, plain, "ring-neighbours"))
+    _print_row("every VM polls its zone", measure_way(seed, plain, "watchers"))
+    _print_row("digest to every peer", measure_way(seed, every, "ring-neighbours"))
 
 
 def _print_row(way: str, cost: FleetCost) -> None:
--- a/tests/cover/test_configuration_spread.py
+++ b/tests/cover/test_configuration_spread.py
@@ -7,6 +7,7 @@
 import pytest
 
 from coriandershelf_core import CoreSettings
+from coriandershelf_core.internal.messages import ConfigurationQuery
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.experiments import config_race
@@ -136,3 +137,30 @@
 @pytest.mark.parametrize("mechanism", ["configuration-spread"])
 def test_the_race_finds_each_mechanism_missing(mechanism):
     assert config_race.run(seed=1, disabled=frozenset({mechanism})).violations > 0
+
+
+def test_after_records_expired_unread_by_everyone_versions_go_on_from_what_is_remembered():
+    rare = replace(SHORT, configuration_snapshot_s=RETENTION_S * 100)
+    bench = make_bench(settings=rare)
+    bench.cut = lambda source, target: target == "log"
+    publish_one(bench, 1)
+    bench.run(RETENTION_S * 1.5)
+    bench.cut = lambda source, target: False
+    bench.run(TARGET_S)
+    bench.publish("after", 1)
+    bench.run(TARGET_S)
+    assert versions(bench) == {2}
+    assert all(entry.core.configuration.log.anchored for entry in bench.entries.values())
+
+
+def test_a_vm_that_has_its_version_from_a_peer_names_no_offset_for_it():
+    bench = make_bench()
+    cut_zone(bench, "jm-b", "log", "list")
+    publish_one(bench, 1)
+    bench.run(TARGET_S)
+    query = ConfigurationQuery(0, "")
+    cut = next(entry for entry in bench.entries.values() if entry.zone == "jm-b")
+    assert cut.core.configuration.answer_query(query).snapshot.through_offset < 0
+    others = [entry for entry in bench.entries.values() if entry.zone != "jm-b"]
+    for entry in others:
+        assert entry.core.configuration.answer_query(query).snapshot.through_offset >= 2
--- a/tests/cover/test_operator.py
+++ b/tests/cover/test_operator.py
@@ -138,3 +138,17 @@
     assert command[:2] == ["coriandershelf", "verdict"]
     platform.set_faults(log_down=False)
     assert call(platform, *command[1:3])[1]["verdict"] == "accepted"
+
+
+def test_a_publish_whose_first_append_is_lost_is_sent_again(platform, files, monkeypatch):
+    append = LogView.append
+    calls = []
+
+    async def lose_the_first(view, proposal):
+        calls.append(proposal.publish_id)
+        return NoAnswer("lost") if len(calls) == 1 else await append(view, proposal)
+
+    monkeypatch.setattr(LogView, "append", lose_the_first)
+    code, document = call(platform, "publish", *files(20.0))
+    assert (code, document["verdict"]) == (0, "accepted")
+    assert len(calls) == 2
