--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -7,10 +7,12 @@
 from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
+from coriandershelf_core.internal.bought import BoughtVms
 from coriandershelf_core.internal.calls import Calls
 from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
+from coriandershelf_core.internal.control import Control
 from coriandershelf_core.internal.events import (
     AppendAnswered,
     AppendFailed,
@@ -24,11 +26,16 @@
     LoadReported,
     LogRead,
     NoticesRefreshed,
+    OffersRead,
+    OrderAnswered,
+    OrderFailed,
     PeerMessageArrived,
     PlainAnswered,
     ReclaimNotice,
     RequestArrived,
     SeedsGiven,
+    StartAnswered,
+    StopAnswered,
     StopAsked,
     StreamEnded,
     Tick,
@@ -44,15 +51,19 @@
 from coriandershelf_core.internal.messages import (
     ConfigurationQuery,
     ConfigurationReply,
+    CrashSeen,
     InFlightDigest,
     LengthObserved,
     Message,
     ReplicaVerdict,
+    SuspectVerdict,
+    TrialStarted,
 )
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     CONFIGURATION_STREAM,
+    CONTROL_STREAM,
     ConfigurationSnapshot,
     Entry,
     JobAccepted,
@@ -91,7 +102,7 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
-        self.serving = Serving(self.context, self._deliver, self._finish, self._tell_verdict)
+        self.serving = Serving(self.context, self._deliver, self._finish, self._broadcast)
         self.fleet = FleetView(
             self.context,
             self.membership,
@@ -110,6 +121,8 @@
             self.serving.cancel,
             self._tell,
         )
+        self.bought = BoughtVms(self.context, self.membership, self.serving)
+        self.control = Control(self.context, self.ledger, self.bought.needs, self.bought.vm_serves)
         self._stopped = False
 
     def step(self, event: Event, now_s: float) -> list[Action]:
@@ -158,7 +171,7 @@
             case LogRead():
                 self._on_log_read(event, now_s)
             case AppendAnswered(append_id):
-                self.ledger.on_answered(append_id)
+                self.ledger.on_answered(append_id, now_s)
             case AppendFailed(append_id, uncertain):
                 self.ledger.on_failed(append_id, uncertain, now_s)
             case PeerMessageArrived(sender, message):
@@ -167,12 +180,15 @@
                 self.fleet.gossip.on_seeds(addresses)
             case VmListRead(vms):
                 self.fleet.on_vm_list(vms, now_s)
+                self._adopt_bought()
             case ReclaimNotice(vm_id, at_s):
                 self.fleet.on_notices([(vm_id, at_s)], now_s)
             case NoticesRefreshed(asked_at_s):
                 self.fleet.on_refreshed(asked_at_s, now_s)
             case LoadReported():
                 self.fleet.on_load(event)
+            case OrderAnswered() | OrderFailed() | StartAnswered() | StopAnswered() | OffersRead():
+                self.control.handle(event, now_s)
             case StopAsked(deadline_s, urgent):
                 begin_stop(self.context, deadline_s, urgent, now_s)
 
@@ -225,12 +241,15 @@
         gap = self.ledger.on_read(event)
         if event.stream == CONFIGURATION_STREAM:
             for record in event.records:
-                self.ledger.on_record(event.stream, record)
+                self.ledger.on_record(event.stream, record, now_s)
             self.configuration.on_log_read(event, now_s)
             return
+        if event.stream == CONTROL_STREAM:
+            self.control.on_log_read(event, now_s)
+            return
         self.calls.on_read(event, gap)
         for record in event.records:
-            first = self.ledger.on_record(event.stream, record)
+            first = self.ledger.on_record(event.stream, record, now_s)
             self.calls.on_record(record)
             for entry in record.entries:
                 # Claims and tickets are folded without regard to copies; see claim_table.
@@ -252,7 +271,15 @@
     def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
         self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
+    def _adopt_bought(self) -> None:
+        """Route to bought VMs as the platform's list shows them."""
+        inventory = self.bought.changed_inventory()
+        if inventory is not None:
+            self.context.inventory = inventory
+            self.serving.replicas.adopt(inventory)
+
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
+        inventory = self.bought.with_bought(inventory)
         self.context.inventory = inventory
         self.serving.replicas.adopt(inventory)
         self.fleet.mark_replicas()
@@ -274,6 +301,8 @@
                 self._answer_configuration(sender, message)
             case ConfigurationReply():
                 self.configuration.on_reply(message, now_s)
+            case CrashSeen() | TrialStarted() | SuspectVerdict():
+                self.serving.quarantine.on_message(message, now_s)
             case _:
                 pass
 
@@ -286,10 +315,9 @@
             self.context.count(Counter.PEER_MESSAGES)
             self.context.emit(TellPeer(sender, query.reply_address, reply))
 
-    def _tell_verdict(self, replica_id: str, in_order: bool) -> None:
-        """Tell every entry VM of a replica that stalls or is in order again."""
+    def _broadcast(self, message: Message) -> None:
         for peer in self.membership.peers(self.context.identity):
-            self._tell(peer.vm_id, ReplicaVerdict(replica_id, in_order))
+            self._tell(peer.vm_id, message)
 
     def _tell(self, vm_id: str, message: Message) -> bool:
         address = self.membership.address_of(vm_id)
@@ -304,6 +332,7 @@
         self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.control.on_tick(now_s)
         self.configuration.on_tick(now_s)
         self.fleet.on_tick(self.configuration.version, now_s)
         for message in self.serving.due_messages(now_s):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from coriandershelf_core.internal.admit import admit_work
 from coriandershelf_core.internal.attempts import Attempts, kind_of
+from coriandershelf_core.internal.budget import RetryBudget
 from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
 from coriandershelf_core.internal.context import Context
 from coriandershelf_core.internal.eject import Ejector
@@ -22,19 +23,23 @@
 from coriandershelf_core.internal.inventory import ServiceKind
 from coriandershelf_core.internal.lengths import LengthEstimator, observe
 from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.messages import InFlightDigest, Message
+from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
 from coriandershelf_core.internal.occupancy import Occupancy
 from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.preempt import Preemption
+from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.recover import Retry, decide_recovery
+from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.route import Router
-from coriandershelf_core.internal.stalls import Stalls, TellVerdict
+from coriandershelf_core.internal.stalls import Stalls
 from coriandershelf_core.internal.watch import overdue
 from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
 
+UNREACHABLE_S = 1.0
+
 Deliver = Callable[[Work, tuple[bytes, ...], float], None]
 Finish = Callable[[Work, Outcome, float], None]
 
@@ -44,11 +49,11 @@
 
     :param deliver: called with each run of new payloads.
     :param finish: called once with a work's final outcome.
-    :param tell: tells other entry VMs of a replica that stalls or is in order again.
+    :param broadcast: tells every other entry VM.
     """
 
     def __init__(
-        self, context: Context, deliver: Deliver, finish: Finish, tell: TellVerdict
+        self, context: Context, deliver: Deliver, finish: Finish, broadcast: Broadcast
     ) -> None:
         self._context = context
         self._deliver = deliver
@@ -68,6 +73,9 @@
         self.router = Router(context)
         self.works: dict[str, Work] = {}
         self.attempts = Attempts(context, self.replicas, self.limits, self._engine_priority)
+        self.retries = RetryBudget(context.settings)
+        self._delayed: list[tuple[float, Work]] = []
+        self._preemption = Preemption(context, self.attempts, self.limits, self.queue.usage_ratio)
         self._ejector = Ejector(context, self.replicas)
         self.stalls = Stalls(
             context,
@@ -76,9 +84,10 @@
             self.attempts,
             self._ejector,
             self.limits,
-            tell,
+            lambda replica_id, in_order: broadcast(ReplicaVerdict(replica_id, in_order)),
             lambda: len(self.queue) > 0,
         )
+        self.quarantine = Quarantine(context, self.replicas, self.attempts, self._settle, broadcast)
 
     def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
         """Return why a work is refused under the present load, or ``None``."""
@@ -97,6 +106,8 @@
         """Accept a work and dispatch what can be dispatched."""
         assert work.work_id not in self.works, f"{work.work_id} runs twice in one entry VM"
         self.works[work.work_id] = work
+        if self.quarantine.takes(work, now_s):
+            return
         self.queue.push(work, now_s)
         self._context.trace(work.work_id, now_s, "queued", work.work_class.value)
         self.pump(now_s)
@@ -116,6 +127,7 @@
         if work is None:
             return None
         self.queue.remove(work_id)
+        self.quarantine.forget(work)
         self.attempts.cancel_all(work)
         return work
 
@@ -143,6 +155,7 @@
             self._fail(attempt, FailureCause.CLOSED, True, now_s)
             return
         self._learn(attempt, len(event.payloads), now_s)
+        self.quarantine.on_tokens(attempt, now_s)
         if not self._context.hold_dispatch:
             self.stalls.check(now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
@@ -185,8 +198,16 @@
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
         """Recover from an attempt that ended early."""
         attempt = self.attempts.live.get(event.attempt_id)
-        if attempt is not None:
-            self._fail(attempt, event.cause, event.sent, now_s)
+        if attempt is None:
+            return
+        if event.cause is FailureCause.CLOSED and kind_of(attempt.work) is ServiceKind.MODEL:
+            self.quarantine.on_closed(attempt, now_s)
+        state = self.replicas.get(attempt.replica_id)
+        if event.cause is FailureCause.CONNECT and state is not None:
+            state.health.unreachable_until_s = now_s + UNREACHABLE_S
+            self._ejector.eject(state, now_s)
+            self.quarantine.on_unsent(attempt)
+        self._fail(attempt, event.cause, event.sent, now_s)
 
     def on_digest(self, digest: InFlightDigest, now_s: float) -> None:
         """Note what another entry VM has in flight."""
@@ -244,7 +265,8 @@
             if state is not None:
                 state.waiting.pop(attempt.attempt_id, None)
                 waited_s = now_s - attempt.started_at_s
-                state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
+                if attempt.purpose is not AttemptPurpose.PREEMPTED:
+                    state.health.on_first_token(waited_s, attempt.work.request.prompt_tokens, now_s)
             self.stalls.on_first_token(attempt, now_s)
         elif state is not None:
             gap_s = (now_s - last_s) / count
@@ -268,6 +290,9 @@
                 self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
         self._move_from_leaving(now_s)
+        self._release_delayed(now_s)
+        for work in self.quarantine.release(now_s):
+            self.queue.push(work, now_s)
         self.pump(now_s)
 
     def _move_from_leaving(self, now_s: float) -> None:
@@ -301,23 +326,55 @@
         probed = self._ejector.probe_for(work, pool, now_s)
         if probed is not None:
             return probed
-        healthy = [state for state in pool if not state.health.ejected]
+        healthy = [
+            state
+            for state in pool
+            if not state.health.ejected and state.health.unreachable_until_s <= now_s
+        ]
         roomy = self._with_room(work, healthy, now_s) or self._with_room(work, pool, now_s)
         return self.router.choose(work, roomy, now_s, any_zone=degraded)
 
-    def _with_room(
-        self, work: Work, pool: Sequence[ReplicaState], now_s: float
-    ) -> Sequence[ReplicaState]:
+    def _with_room(self, work: Work, pool: list[ReplicaState], now_s: float) -> list[ReplicaState]:
+        """Return the replicas of a model that may take a work now.
+
+        A question inside its customer's share goes to a free slot whatever this VM's limits, or
+        to a full replica where another work can give up its slot.
+        """
         if kind_of(work) is not ServiceKind.MODEL:
             return pool
-        return self.limits.with_room(work, pool, now_s)
+        if self._is_express(work, now_s):
+            usable = [state for state in pool if not state.health.ejected]
+            free = self.limits.with_free_slot(usable)
+            if free:
+                return free
+            givers = [state for state in usable if self._victim_at(work, state, now_s) is not None]
+            if givers:
+                return givers
+        return list(self.limits.with_room(work, pool, now_s))
+
+    def _is_express(self, work: Work, now_s: float) -> bool:
+        if not self.limits.enabled or not self._context.enabled("preemption"):
+            return False
+        question = work.work_class is WorkClass.SHORT and kind_of(work) is ServiceKind.MODEL
+        return question and not self.queue.beyond_share(work, now_s)
+
+    def _victim_at(self, work: Work, state: ReplicaState, now_s: float) -> Attempt | None:
+        full = self.limits.may_preempt(state)
+        return self._preemption.victim_at(work, state, now_s) if full else None
 
     def _dispatch(self, work: Work, state: ReplicaState, now_s: float) -> None:
         purpose = AttemptPurpose.RETRY if work.attempt_count else AttemptPurpose.FIRST
         if state.health.ejected:
             purpose = AttemptPurpose.PROBE
         kv_source = self._kv_source(work, state.replica.replica_id)
+        victim = None
+        if self._is_express(work, now_s):
+            victim = self._victim_at(work, state, now_s)
+        if victim is not None:
+            self._preemption.preempt(victim, now_s)
         attempt = self.attempts.start(work, state, purpose, now_s, kv_source)
+        if victim is not None:
+            self._preemption.resume(victim, state, now_s)
         self.router.note(work, state.replica.replica_id)
         if state.health.ejected:
             self._ejector.on_probe_started(state, attempt)
@@ -362,6 +419,10 @@
         work = attempt.work
         self._forget(attempt, now_s)
         self.attempts.cancel_all(work)
+        if work.suspected:
+            self.quarantine.clear(work, now_s)
+        overloaded = len(self.queue) > 0
+        self.retries.on_success(work.customer, attempt.replica_id, overloaded)
         self.stalls.hedges.earn(work.request.prompt_tokens + work.position)
         self._settle(work, outcome, now_s)
         self.pump(now_s)
@@ -377,7 +438,10 @@
     def _fail(self, attempt: Attempt, cause: FailureCause, sent: bool, now_s: float) -> None:
         work = attempt.work
         self._forget(attempt, now_s)
-        work.failure_count += 1
+        if sent:
+            work.failure_count += 1
+        else:
+            work.unsent_count += 1
         self._context.trace(work.work_id, now_s, "failed", f"{attempt.replica_id} {cause.value}")
         if work.live_attempts:
             return
@@ -394,6 +458,12 @@
             self._settle(work, verdict, now_s)
             self.pump(now_s)
             return
+        costs_nothing = cause is FailureCause.LEAVING or not sent
+        if not costs_nothing and not self.retries.spend(work.customer, attempt.replica_id):
+            self._context.count(Counter.RETRIES_OVER_BUDGET)
+            self._settle(work, self._exhausted(sent), now_s)
+            self.pump(now_s)
+            return
         self._context.count(verdict.reason)
         self._context.log(
             "retry",
@@ -402,5 +472,21 @@
             customer=work.customer,
             reason=verdict.reason.code,
         )
-        self.queue.push(work, now_s)
+        failures = work.failure_count + work.unsent_count
+        delay_s = backoff_s(failures, self._context.settings, self._context.rng)
+        self._delayed.append((now_s + delay_s, work))
+        self._release_delayed(now_s)
         self.pump(now_s)
+
+    def _exhausted(self, sent: bool) -> Outcome:
+        if sent:
+            return Unknown(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
+        return NotRun(RefusalReason.RETRIES_EXHAUSTED, retry_after_s=2.0)
+
+    def _release_delayed(self, now_s: float) -> None:
+        """Queue works whose wait before a retry is over."""
+        waiting = [item for item in self._delayed if self.works.get(item[1].work_id) is item[1]]
+        self._delayed = [item for item in waiting if item[0] > now_s]
+        for due_s, work in waiting:
+            if due_s <= now_s and not self.quarantine.takes(work, now_s):
+                self.queue.push(work, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
@@ -33,6 +33,9 @@
     MOVE = "move"
     HEDGE = "hedge"
     PROBE = "probe"
+    LEFT_AS_PROBE = "left-as-probe"
+    TRIAL = "trial"
+    PREEMPTED = "preempted"
 
 
 @dataclass(slots=True)
@@ -42,7 +45,11 @@
     :param payloads: what was generated so far; its length is the stream's position.
     :param repeatable: whether a second attempt may start after bytes of a first were sent.
     :param failure_count: attempts that failed; moves and hedges do not count.
+    :param unsent_count: attempts that failed before anything was sent.
+    :param suspected: whether it was in flight at a crash and may only run as a trial.
+    :param reconnect_position: position at the last fresh connection, or -1.
     :param move_count: times that a stream was moved off a stalled replica.
+    :param preemption_count: times that its slot was given to a question.
     :param expected_tokens: guess of the answer's length.
     :param cost_tokens: what the customer's share was charged, by that guess.
     :param kv_replica_id: replica that holds the KV cache of what was generated, or empty.
@@ -61,7 +68,11 @@
     payloads: list[bytes] = field(default_factory=list)
     attempt_count: int = 0
     failure_count: int = 0
+    unsent_count: int = 0
     move_count: int = 0
+    reconnect_position: int = -1
+    suspected: bool = False
+    preemption_count: int = 0
     live_attempts: list[str] = field(default_factory=list)
     tried_replicas: list[str] = field(default_factory=list)
     kv_replica_id: str = ""
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/platform.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/platform.py
@@ -34,6 +34,8 @@
             item["zone"],
             STATES[item["state"]],
             item["address"],
+            item.get("service", ""),
+            item.get("slots", 0),
         )
         for item in json.loads(body)["vms"]
     )
