Slopes of configuration, requests, claims and membership; no in-flight digests in large fleets

Change: slope modules with line, worst miss and range; above 12 peers no in-flight digests are sent, and load reports of the watchers must do.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/occupancy.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/occupancy.py
@@ -15,6 +15,8 @@
 DIGEST_RESEND_S = 0.4
 # Above this many peers the period grows, so that a VM's messages a second stay bounded.
 PEERS_AT_FULL_RATE_COUNT = 10
+# Beyond this the digests would cost more than all other control together; load reports must do.
+PEERS_MAX_COUNT = 12
 
 
 @dataclass(slots=True)
@@ -65,6 +67,8 @@
         self, vm_id: str, incarnation: int, counts: dict[str, int], peer_count: int, now_s: float
     ) -> InFlightDigest | None:
         """Return the digest to send now, or ``None`` while it would say nothing new."""
+        if peer_count > PEERS_MAX_COUNT:
+            return None
         period_s = self.period_s * max(1.0, peer_count / PEERS_AT_FULL_RATE_COUNT)
         since_s = now_s - self._sent_at_s
         changed = counts != self._sent_counts
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/configuration.py
@@ -0,0 +1,68 @@
+"""What a change of the configuration costs a node, by replicas in the inventory."""
+
+from __future__ import annotations
+
+import time
+
+from coriandershelf_core.internal.records import ConfigurationProposed
+from coriandershelf_rig.internal.deployments import (
+    MIDDLE,
+    CustomerShape,
+    Deployment,
+    ReplicaShape,
+    inventory_yaml,
+    rules_yaml,
+)
+from coriandershelf_rig.internal.slopes.fit import Quantity, join, median_of
+from coriandershelf_wire import encode_record, parse_configuration
+
+NAME = "configuration"
+REPLICA_COUNTS = (50, 100, 200, 400, 600)
+TARGET_COUNT = 600
+REPEAT_COUNT = 3
+ZONES = tuple(f"zone-{index}" for index in range(6))
+
+
+def _deployment(replica_count: int) -> Deployment:
+    replicas = tuple(
+        ReplicaShape(
+            f"replica-{index}", "model", ZONES[index % 6], MIDDLE, "c", "reclaimable", 1.0, True
+        )
+        for index in range(replica_count)
+    )
+    return Deployment(
+        name="large",
+        region="region",
+        zones=ZONES,
+        entries=(),
+        model="model",
+        plain="calls",
+        non_idempotent_paths=("orders",),
+        replicas=replicas,
+        customers=(CustomerShape("caller", 1.0, 0),),
+        zone_latency_s=0.001,
+        budget_per_hour=100.0,
+    )
+
+
+def run(seed: int) -> str:
+    """Measure reading one change and the size of its record."""
+    reading, size = [], []
+    for count in REPLICA_COUNTS:
+        deployment = _deployment(count)
+        inventory, rules = inventory_yaml(deployment, {}), rules_yaml(deployment)
+
+        def read_once(inventory: str = inventory, rules: str = rules) -> float:
+            started_s = time.process_time()
+            parse_configuration(inventory, rules, 1)
+            return (time.process_time() - started_s) * 1000
+
+        reading.append((float(count), median_of(REPEAT_COUNT, read_once)))
+        proposal = ConfigurationProposed("p", 0, "operator", 0.0, inventory, rules)
+        size.append((float(count), len(encode_record("w", 1, 1, (proposal,))) / 1024))
+    return join(
+        [
+            Quantity("processor time of one change", "replica", "ms", tuple(reading), TARGET_COUNT),
+            Quantity("record of one change", "replica", "KiB", tuple(size), TARGET_COUNT),
+        ]
+    )
