--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -17,6 +17,7 @@
 from coriandershelf_rig.internal.engine_model import EngineShape
 from coriandershelf_rig.internal.faults import FAULTS, plan_windows, run_faults
 from coriandershelf_rig.internal.load import Mix, run_load
+from coriandershelf_rig.internal.reference import reference_page
 from coriandershelf_rig.internal.registry import find_modules
 from coriandershelf_rig.internal.soak_command import soak_command
 from coriandershelf_rig.internal.standin_engine import serve_engine
@@ -149,6 +150,13 @@
         (target / "rules.yaml").write_text(rules_yaml(make()))
 
 
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def reference(file: str) -> None:
+    """Write the reference of settings, reasons and counters."""
+    Path(file).write_text(reference_page())
+
+
 @main.command("standin-engine", hidden=True)
 @click.option("--port", type=int, required=True)
 @click.option("--shape", default="{}")
