Count a soak's steps without heartbeats and gossip

Since the membership messages came, 8 in 10 counted events were peer messages that no booking depends on; a step now counts a peer message only if it is about a ticket.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
@@ -23,6 +23,7 @@
     Event,
     FailureCause,
     LogRead,
+    PeerMessageArrived,
     PlainAnswered,
     StopAsked,
     Tick,
@@ -30,6 +31,7 @@
     VmListRead,
     VmState,
 )
+from coriandershelf_core.internal.messages import TicketCall, TicketResult
 from coriandershelf_core.internal.records import CONFIGURATION_STREAM, LEDGER_STREAM, Record
 from coriandershelf_rig.internal.bench import (
     APPEND_LIMIT_S,
@@ -125,11 +127,13 @@
 
 
 def _is_step(event: Event) -> bool:
-    """Return whether an event counts: no ticks, VM lists, empty reads or refused connections."""
+    """Return whether an event counts: no ticks, lists, heartbeats, empty reads and the like."""
     if isinstance(event, LogRead):
         return bool(event.records)
     if isinstance(event, AttemptFailed):
         return event.cause is not FailureCause.CONNECT
+    if isinstance(event, PeerMessageArrived):
+        return isinstance(event.message, TicketCall | TicketResult)
     return not isinstance(event, Tick | VmListRead)
 
 
