--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/digests.py
@@ -0,0 +1,52 @@
+"""What the entry VMs tell each other of their works in flight, applied to replicas and limits."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.limits import Limits
+from coriandershelf_core.internal.messages import InFlightDigest
+from coriandershelf_core.internal.occupancy import Occupancy
+from coriandershelf_core.internal.replicas import ReplicaTable
+
+
+class Digests:
+    """Sends this VM's digest when it is due, and applies those of the others."""
+
+    def __init__(self, context: Context, replicas: ReplicaTable, limits: Limits) -> None:
+        self._context = context
+        self._replicas = replicas
+        self._limits = limits
+        self._occupancy = Occupancy(context.settings.digest_period_s)
+
+    def on_digest(self, digest: InFlightDigest, now_s: float) -> bool:
+        """Note what another entry VM has in flight; false where digests are not in force."""
+        if not self._context.enabled("digests"):
+            return False
+        self._occupancy.on_digest(digest, now_s)
+        self.apply(now_s)
+        return True
+
+    def due(self, now_s: float) -> InFlightDigest | None:
+        """Return this VM's digest if it is due."""
+        if not self._context.enabled("digests"):
+            return None
+        identity = self._context.identity
+        counts = {
+            state.replica.replica_id: len(state.in_flight)
+            for state in self._replicas
+            if state.in_flight
+        }
+        return self._occupancy.due_digest(
+            identity.vm_id, identity.incarnation, counts, self._limits.peer_count, now_s
+        )
+
+    def apply(self, now_s: float) -> None:
+        """Let fresh digests of all entry VMs stand above the replicas' late reports."""
+        self._occupancy.expire(now_s)
+        if not self._occupancy.is_complete(self._limits.peer_count):
+            self._limits.on_digests_missing()
+            return
+        for state in self._replicas:
+            others_count = self._occupancy.others_count(state.replica.replica_id)
+            state.on_digests(others_count, now_s)
+            self._limits.on_digests(state, others_count, now_s)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/fleet_view.py
@@ -0,0 +1,151 @@
+"""What this entry VM knows of the other VMs, and what it does with news of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.events import LoadReported, VmState, VmStatus
+from coriandershelf_core.internal.evidence import Evidence
+from coriandershelf_core.internal.gossip import Gossip, Tell
+from coriandershelf_core.internal.loads import LoadDigest, Loads
+from coriandershelf_core.internal.membership import Membership
+from coriandershelf_core.internal.messages import (
+    Heartbeat,
+    LeavingNotices,
+    LeavingQuery,
+    Message,
+    ZoneSum,
+)
+from coriandershelf_core.internal.reasons import Counter
+from coriandershelf_core.internal.serving import Serving
+from coriandershelf_core.internal.stopping import begin_stop
+
+OnPeerVersion = Callable[[str, int, float], None]
+
+
+class FleetView:
+    """Membership, loads, gossip and the hold after a pause, wired to what is served.
+
+    :param tell: sends a message to a peer.
+    :param on_peer_version: called with the configuration's version of each heartbeat.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        membership: Membership,
+        serving: Serving,
+        tell: Tell,
+        on_peer_version: OnPeerVersion,
+    ) -> None:
+        self._context = context
+        self._membership = membership
+        self._serving = serving
+        self._tell = tell
+        self._on_peer_version = on_peer_version
+        self._marked_generation = 0
+        self.evidence = Evidence(context)
+        self.loads = Loads(context, membership)
+        self.gossip = Gossip(context, membership, self.loads, tell)
+
+    def on_step(self, now_s: float) -> None:
+        """Look at the clock before an event is applied."""
+        if self.evidence.on_step(now_s):
+            self.gossip.ask_notices(now_s)
+
+    def on_tick(self, version: int, now_s: float) -> None:
+        """Poll, tell and give up what is due."""
+        if self.evidence.on_tick(now_s):
+            self._serving.pump(now_s)
+        self._membership.on_tick(now_s)
+        self._mark_changes()
+        self.loads.on_tick(now_s)
+        self.gossip.on_tick(version, now_s)
+
+    def on_vm_list(self, vms: tuple[VmStatus, ...], now_s: float) -> None:
+        """Take the platform's list."""
+        self._membership.on_vm_list(vms, now_s)
+        peers = [peer.vm_id for peer in self._membership.peers(self._context.identity)]
+        ids = tuple(sorted([*peers, self._context.identity.vm_id]))
+        self._serving.limits.set_entry_vms(ids)
+        self._mark_changes()
+
+    def on_notices(self, notices: list[tuple[str, float]], now_s: float) -> int:
+        """Take reclaim notices, pass news on, return how many were news."""
+        news = [item for item in notices if self.gossip.learn_notice(*item, now_s)]
+        for vm_id, at_s in news:
+            self._on_notice(vm_id, at_s, now_s)
+        if news:
+            self._context.count(Counter.NOTICES, len(news))
+            self._mark_changes()
+            self.gossip.pass_on(news)
+        return len(news)
+
+    def on_refreshed(self, asked_at_s: float, now_s: float) -> None:
+        """Dispatch again once the platform or a peer has told its notices."""
+        if self.evidence.on_refreshed(asked_at_s):
+            self._serving.pump(now_s)
+
+    def on_load(self, event: LoadReported) -> None:
+        """Take a replica's report, first hand or from a digest."""
+        self._membership.on_heard(event.replica_id, event.reported_at_s)
+        if self.loads.on_report(event):
+            self._serving.on_load(event)
+
+    def on_message(self, sender: str, message: Message, now_s: float) -> None:
+        """Take a peer's message, if it is of this part."""
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(sender, message, now_s)
+            case ZoneSum():
+                self.gossip.on_sum(message)
+            case LeavingNotices():
+                self._on_leaving_notices(message, now_s)
+            case LeavingQuery():
+                self._tell(sender, self.gossip.answer_notices(message))
+            case _:
+                pass
+
+    def mark_replicas(self) -> None:
+        """Note at every replica whether its VM may take new work."""
+        for state in self._serving.replicas:
+            vm_state = self._membership.state_of(state.replica.replica_id)
+            state.leaving = vm_state is VmState.LEAVING
+            state.gone = vm_state is VmState.GONE
+
+    def _mark_changes(self) -> None:
+        if self._membership.generation != self._marked_generation:
+            self._marked_generation = self._membership.generation
+            self.mark_replicas()
+
+    def _on_notice(self, vm_id: str, at_s: float, now_s: float) -> None:
+        if vm_id != self._context.identity.vm_id:
+            self._membership.on_notice(vm_id, at_s, now_s)
+            state = self._serving.replicas.get(vm_id)
+            if state is not None and at_s > now_s:
+                state.announce_leave(at_s, now_s)
+        elif at_s > now_s:
+            # A notice that has run out was meant for an earlier VM of the same name.
+            begin_stop(self._context, at_s, False, now_s)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat, now_s: float) -> None:
+        self.gossip.on_heartbeat(heartbeat, now_s)
+        self._on_peer_version(sender, heartbeat.version, now_s)
+        digest = LoadDigest(
+            heartbeat.inventory_version,
+            heartbeat.load_indexes,
+            heartbeat.load_running_counts,
+            heartbeat.load_waiting_counts,
+            heartbeat.load_age_steps,
+        )
+        for report in self.loads.reports_of(digest, now_s):
+            self.on_load(report)
+        self._mark_changes()
+
+    def _on_leaving_notices(self, message: LeavingNotices, now_s: float) -> None:
+        news = self.on_notices(list(zip(message.vm_ids, message.at_s, strict=True)), now_s)
+        if news:
+            self._context.count(Counter.NOTICES_FROM_PEER, news)
+        if message.asked_at_s:
+            self.on_refreshed(message.asked_at_s, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
@@ -60,3 +60,10 @@
             return Unknown(reason, retry_after_s=2.0)
         return NotRun(reason, retry_after_s=2.0)
     return Retry(RETRY_REASONS[cause])
+
+
+def late_outcome(work: Work) -> NotRun | Unknown:
+    """Return the final outcome of a work whose deadline passed before its answer was whole."""
+    if work.attempt_count:
+        return Unknown(RefusalReason.DEADLINE, retry_after_s=2.0)
+    return NotRun(RefusalReason.DEADLINE, retry_after_s=2.0)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
@@ -19,6 +19,7 @@
 MOVES_MAX_COUNT = 8
 LIVE_ATTEMPTS_MAX_COUNT = 2
 RECONNECT_FACTOR = 4.0
+RECONNECT_BLIND_FACTOR = 16.0
 PROBE_SILENCE_MAX_S = 0.5
 
 TellVerdict = Callable[[str, bool], None]
@@ -147,6 +148,9 @@
                 self._move(attempt, state, now_s)
             return
         work.reconnect_position = work.position
+        if not attempt.token_count:
+            # A prompt that is still being computed starts again.
+            self.hedges.charge(work.request.prompt_tokens + work.position)
         self._attempts.cancel(attempt)
         self._start(attempt, state, AttemptPurpose.RECONNECT, RetryReason.RECONNECTED, "", now_s)
 
@@ -206,7 +210,9 @@
         if self._attempts.serving_count(attempt.work) >= LIVE_ATTEMPTS_MAX_COUNT:
             return
         limit_s = self._first_token_limit_s(attempt, state, False)
-        if not state.health.ejected and attempt.silent_s(now_s) > RECONNECT_FACTOR * limit_s:
+        moving = now_s - state.health.progress_at_s <= self._stall_limit_s(state)
+        factor = RECONNECT_FACTOR if moving else RECONNECT_BLIND_FACTOR
+        if not state.health.ejected and attempt.silent_s(now_s) > factor * limit_s:
             self._reconnect(attempt, state, now_s)
             return
         if not self._context.enabled("hedge") or not _may_run_twice(attempt.work):
