--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/stragglers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/stragglers.py
@@ -5,11 +5,13 @@
 import math
 import random
 from dataclasses import dataclass
+from pathlib import Path
 
 from coriandershelf_core import NotRun
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, Deployment
 from coriandershelf_rig.internal.model_load import SentCall, schedule_load, total_work_tokens, whole
+from coriandershelf_rig.internal.plots import plot_latencies
 from coriandershelf_rig.internal.report import Report, percentile
 
 NAME = "stragglers"
@@ -31,7 +33,7 @@
     """What one run measured."""
 
     completion_p99_s: dict[str, float]
-    first_token_p99_s: float
+    first_tokens_s: list[float]
     gap_p999_s: float
     work_tokens: int
     broken: int
@@ -95,7 +97,7 @@
             )
             for name in COUNTED_CLASSES
         },
-        percentile([item.call.first_token_s or 0.0 for item in counted], 0.99),
+        [item.call.first_token_s for item in counted if item.call.first_token_s is not None],
         percentile([gap for item in counted for gap in item.call.token_gaps_s], 0.999),
         total_work_tokens(bench),
         broken,
@@ -111,21 +113,35 @@
     )
 
 
+def _first_token_p99_s(outcome: Outcome) -> float:
+    return percentile(outcome.first_tokens_s, 0.99)
+
+
 def _words(outcome: Outcome) -> str:
     return " ".join(f"{name} {value:.3f}" for name, value in outcome.completion_p99_s.items())
 
 
-def _report(name: str, seed: int, disabled: frozenset[str]) -> tuple[Report, Outcome]:
+def _report(
+    name: str, seed: int, disabled: frozenset[str], plot: str | None
+) -> tuple[Report, Outcome]:
     make = DEPLOYMENTS[name]
     quiet = measure(make(), seed, False, disabled)
     ours = measure(make(), seed, True, disabled)
     plain = measure(make(), seed, True, disabled | PLAIN)
+    if plot is not None:
+        series = {
+            "none slowed": quiet.first_tokens_s,
+            "slowed, ours": ours.first_tokens_s,
+            "slowed, plain": plain.first_tokens_s,
+        }
+        file = Path(plot)
+        plot_latencies(str(file.with_stem(f"{file.stem}-{name}")), f"{NAME} {name}", series)
     extra = ours.work_tokens / quiet.work_tokens - 1.0
     violations = quiet.broken + ours.broken + int(extra > EXTRA_WORK_MAX)
     note = (
         f"{name}; load {LOAD}; p99 completion s quiet {_words(quiet)}, ours {_words(ours)}, "
-        f"plain {_words(plain)}; first token p99 {quiet.first_token_p99_s:.3f} s, "
-        f"{ours.first_token_p99_s:.3f} s, plain {plain.first_token_p99_s:.3f} s; gap p99.9 "
+        f"plain {_words(plain)}; first token p99 {_first_token_p99_s(quiet):.3f} s, "
+        f"{_first_token_p99_s(ours):.3f} s, plain {_first_token_p99_s(plain):.3f} s; gap p99.9 "
         f"{quiet.gap_p999_s:.3f} s, {ours.gap_p999_s:.3f} s, plain {plain.gap_p999_s:.3f} s; "
         f"extra work {extra:.4f}; refused {quiet.refused} quiet, {ours.refused} ours, "
         f"{plain.refused} plain"
@@ -147,7 +163,7 @@
     """Measure both deployments; the worse one is reported."""
     reports = []
     for name in DEPLOYMENTS:
-        report, ours = _report(name, seed, disabled)
+        report, ours = _report(name, seed, disabled, plot)
         reports.append(report)
         if verbose:
             print(report.to_json())
