--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/fleet.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/bought.py
@@ -13,7 +13,7 @@
 from coriandershelf_core.internal.spending import FleetVm, Need
 
 
-class Fleet:
+class BoughtVms:
     """Joins the inventory's replicas with the VMs that the system bought."""
 
     def __init__(self, context: Context, membership: Membership, serving: Serving) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -7,6 +7,7 @@
 from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
 from coriandershelf_core.internal.admit import admit
 from coriandershelf_core.internal.authenticate import authenticate
+from coriandershelf_core.internal.bought import BoughtVms
 from coriandershelf_core.internal.calls import Calls
 from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
@@ -41,30 +42,22 @@
     TicketsAsked,
     TokensArrived,
     VmListRead,
-    VmState,
 )
-from coriandershelf_core.internal.evidence import Evidence
-from coriandershelf_core.internal.fleet import Fleet
-from coriandershelf_core.internal.gossip import Gossip
+from coriandershelf_core.internal.fleet_view import FleetView
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.loads import LoadDigest, Loads
 from coriandershelf_core.internal.membership import Membership
 from coriandershelf_core.internal.messages import (
     ConfigurationQuery,
     ConfigurationReply,
     CrashSeen,
-    Heartbeat,
     InFlightDigest,
-    LeavingNotices,
-    LeavingQuery,
     LengthObserved,
     Message,
     ReplicaVerdict,
     SuspectVerdict,
     TrialStarted,
-    ZoneSum,
 )
 from coriandershelf_core.internal.outcome import NotRun, Outcome
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
@@ -109,10 +102,14 @@
         self.configuration = Configuration(
             self.context, parse, self._adopt, self._append_snapshot, self._ask_configuration
         )
-        self.evidence = Evidence(self.context)
-        self.loads = Loads(self.context, self.membership)
-        self.gossip = Gossip(self.context, self.membership, self.loads, self._tell)
         self.serving = Serving(self.context, self._deliver, self._finish, self._broadcast)
+        self.fleet = FleetView(
+            self.context,
+            self.membership,
+            self.serving,
+            self._tell,
+            self.configuration.on_peer_version,
+        )
         self.calls = Calls(
             self.context, self.ledger, self.membership, self.serving.enqueue, self._tell
         )
@@ -124,8 +121,8 @@
             self.serving.cancel,
             self._tell,
         )
-        self.fleet = Fleet(self.context, self.membership, self.serving)
-        self.control = Control(self.context, self.ledger, self.fleet.needs, self.fleet.vm_serves)
+        self.bought = BoughtVms(self.context, self.membership, self.serving)
+        self.control = Control(self.context, self.ledger, self.bought.needs, self.bought.vm_serves)
         self._stopped = False
 
     def step(self, event: Event, now_s: float) -> list[Action]:
@@ -134,8 +131,7 @@
         :param now_s: the present time in seconds; it never goes back.
         :raises AssertionError: an invariant is broken; the process must stop.
         """
-        if self.evidence.on_step(now_s):
-            self.gossip.ask_notices(now_s)
+        self.fleet.on_step(now_s)
         self._handle(event, now_s)
         actions = self.context.outbox
         self.context.outbox = []
@@ -181,19 +177,16 @@
             case PeerMessageArrived(sender, message):
                 self._on_peer_message(sender, message, now_s)
             case SeedsGiven(addresses):
-                self.gossip.on_seeds(addresses)
+                self.fleet.gossip.on_seeds(addresses)
             case VmListRead(vms):
-                self.membership.on_vm_list(vms, now_s)
-                self._adopt_fleet(now_s)
-                self.serving.limits.set_entry_vms(self._entry_vm_ids())
-                self._mark_replicas()
+                self.fleet.on_vm_list(vms, now_s)
+                self._adopt_bought()
             case ReclaimNotice(vm_id, at_s):
-                self._on_notices([(vm_id, at_s)], now_s)
+                self.fleet.on_notices([(vm_id, at_s)], now_s)
             case NoticesRefreshed(asked_at_s):
-                if self.evidence.on_refreshed(asked_at_s):
-                    self.serving.pump(now_s)
+                self.fleet.on_refreshed(asked_at_s, now_s)
             case LoadReported():
-                self._on_load(event)
+                self.fleet.on_load(event)
             case OrderAnswered() | OrderFailed() | StartAnswered() | StopAnswered() | OffersRead():
                 self.control.handle(event, now_s)
             case StopAsked(deadline_s, urgent):
@@ -278,100 +271,38 @@
     def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
         self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
-    def _adopt_fleet(self, now_s: float) -> None:
+    def _adopt_bought(self) -> None:
         """Route to bought VMs as the platform's list shows them."""
-        inventory = self.fleet.changed_inventory()
+        inventory = self.bought.changed_inventory()
         if inventory is not None:
             self.context.inventory = inventory
             self.serving.replicas.adopt(inventory)
 
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
-        inventory = self.fleet.with_bought(inventory)
+        inventory = self.bought.with_bought(inventory)
         self.context.inventory = inventory
         self.serving.replicas.adopt(inventory)
-        self._mark_replicas()
+        self.fleet.mark_replicas()
         self.context.log("configuration in force", version=inventory.version)
         self.serving.pump(now_s)
 
-    def _mark_replicas(self) -> None:
-        for state in self.serving.replicas:
-            vm_state = self.membership.state_of(state.replica.replica_id)
-            state.leaving = vm_state is VmState.LEAVING
-            state.gone = vm_state is VmState.GONE
-
-    def _on_notice(self, vm_id: str, at_s: float, now_s: float) -> None:
-        if vm_id != self.context.identity.vm_id:
-            self.membership.on_notice(vm_id, at_s, now_s)
-            state = self.serving.replicas.get(vm_id)
-            if state is not None and at_s > now_s:
-                state.announce_leave(at_s, now_s)
-        elif at_s > now_s:
-            # A notice that has run out was meant for an earlier VM of the same name.
-            begin_stop(self.context, at_s, False, now_s)
-
-    def _on_notices(self, notices: list[tuple[str, float]], now_s: float) -> int:
-        """Take reclaim notices, pass news on, return how many were news."""
-        news = [item for item in notices if self.gossip.learn_notice(*item, now_s)]
-        for vm_id, at_s in news:
-            self._on_notice(vm_id, at_s, now_s)
-        if news:
-            self.context.count(Counter.NOTICES, len(news))
-            self._mark_replicas()
-            self.gossip.pass_on(news)
-        return len(news)
-
-    def _on_load(self, event: LoadReported) -> None:
-        self.membership.on_heard(event.replica_id, event.reported_at_s)
-        if self.loads.on_report(event):
-            self.serving.on_load(event)
-
-    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat, now_s: float) -> None:
-        generation = self.membership.generation
-        self.gossip.on_heartbeat(heartbeat, now_s)
-        self.configuration.on_peer_version(sender, heartbeat.version, now_s)
-        digest = LoadDigest(
-            heartbeat.inventory_version,
-            heartbeat.load_indexes,
-            heartbeat.load_running_counts,
-            heartbeat.load_waiting_counts,
-            heartbeat.load_age_steps,
-        )
-        for report in self.loads.reports_of(digest, now_s):
-            self._on_load(report)
-        if self.membership.generation != generation:
-            self._mark_replicas()
-
-    def _on_leaving_notices(self, message: LeavingNotices, now_s: float) -> None:
-        news = self._on_notices(list(zip(message.vm_ids, message.at_s, strict=True)), now_s)
-        if news:
-            self.context.count(Counter.NOTICES_FROM_PEER, news)
-        if message.asked_at_s and self.evidence.on_refreshed(message.asked_at_s):
-            self.serving.pump(now_s)
-
     def _on_peer_message(self, sender: str, message: Message, now_s: float) -> None:
         self.jobs.on_message(sender, message, now_s)
         self.calls.on_message(sender, message, now_s)
+        self.fleet.on_message(sender, message, now_s)
         match message:
-            case ConfigurationQuery():
-                self._answer_configuration(sender, message)
-            case ConfigurationReply():
-                self.configuration.on_reply(message, now_s)
-            case Heartbeat():
-                self._on_heartbeat(sender, message, now_s)
-            case ZoneSum():
-                self.gossip.on_sum(message)
-            case LeavingNotices():
-                self._on_leaving_notices(message, now_s)
             case InFlightDigest():
                 self.serving.on_digest(message, now_s)
             case LengthObserved():
                 self.serving.lengths.learn(message)
-            case CrashSeen() | TrialStarted() | SuspectVerdict():
-                self.serving.quarantine.on_message(message, now_s)
             case ReplicaVerdict(replica_id, in_order):
                 self.serving.stalls.on_verdict(replica_id, in_order, now_s)
-            case LeavingQuery():
-                self._tell(sender, self.gossip.answer_notices(message))
+            case ConfigurationQuery():
+                self._answer_configuration(sender, message)
+            case ConfigurationReply():
+                self.configuration.on_reply(message, now_s)
+            case CrashSeen() | TrialStarted() | SuspectVerdict():
+                self.serving.quarantine.on_message(message, now_s)
             case _:
                 pass
 
@@ -384,10 +315,6 @@
             self.context.count(Counter.PEER_MESSAGES)
             self.context.emit(TellPeer(sender, query.reply_address, reply))
 
-    def _entry_vm_ids(self) -> tuple[str, ...]:
-        peers = [peer.vm_id for peer in self.membership.peers(self.context.identity)]
-        return tuple(sorted([*peers, self.context.identity.vm_id]))
-
     def _broadcast(self, message: Message) -> None:
         for peer in self.membership.peers(self.context.identity):
             self._tell(peer.vm_id, message)
@@ -401,23 +328,16 @@
         return True
 
     def _on_tick(self, now_s: float) -> None:
-        if self.evidence.on_tick(now_s):
-            self.serving.pump(now_s)
         self.ledger.on_tick(now_s)
         self.calls.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
         self.control.on_tick(now_s)
         self.configuration.on_tick(now_s)
+        self.fleet.on_tick(self.configuration.version, now_s)
         for message in self.serving.due_messages(now_s):
             for peer in self.membership.peers(self.context.identity):
                 self._tell(peer.vm_id, message)
-        generation = self.membership.generation
-        self.membership.on_tick(now_s)
-        if self.membership.generation != generation:
-            self._mark_replicas()
-        self.loads.on_tick(now_s)
-        self.gossip.on_tick(self.configuration.version, now_s)
         if self.context.stopping:
             self._try_to_stop(now_s)
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -29,7 +29,7 @@
 from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.reasons import Counter, RefusalReason, RetryReason
 from coriandershelf_core.internal.recover import late_outcome
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.retries import Retries
@@ -157,7 +157,8 @@
             return
         self._learn(attempt, len(event.payloads), now_s)
         self.quarantine.on_tokens(attempt, now_s)
-        self.stalls.check(now_s)
+        if not self._context.hold_dispatch:
+            self.stalls.check(now_s)
         fresh = event.payloads[repeated:] if repeated else event.payloads
         if repeated:
             dropped = min(repeated, len(event.payloads))
@@ -255,7 +256,8 @@
         self.digests.apply(now_s)
         for work in self.queue.take_expired(now_s):
             self._settle(work, late_outcome(work), now_s)
-        self.stalls.check(now_s)
+        if not self._context.hold_dispatch:
+            self.stalls.check(now_s)
         for attempt in list(self.attempts.live.values()):
             kind = kind_of(attempt.work)
             cause = overdue(attempt, kind, self._context.settings, now_s)
@@ -274,18 +276,28 @@
             return
         leaving = [state for state in self.replicas if state.must_move(now_s)]
         for state in leaving:
-            for attempt_id in sorted(state.in_flight):
-                attempt = self.attempts.live.get(attempt_id)
-                if attempt is not None and attempt.work.repeatable:
-                    self._move(attempt, now_s)
+            for attempt in self.attempts.at(state):
+                if attempt.work.repeatable and not is_whole(attempt.work.payloads):
+                    self._move_if_room(attempt, state.must_move_now(now_s), now_s)
 
-    def _move(self, attempt: Attempt, now_s: float) -> None:
+    def _move_if_room(self, attempt: Attempt, last: bool, now_s: float) -> None:
+        """Move a stream once another replica has room; at last to one that lets it wait.
+
+        A stream that waited in the queue here would lose its KV cache with the leaving replica.
+        """
         work = attempt.work
+        target = self._choose(work, now_s)
+        if target is None and last:
+            pool = self.replicas.of_service(work.request.service)
+            target = min(pool, key=lambda state: state.load(now_s), default=None)
+        if target is None:
+            return
         work.kv_replica_id = attempt.replica_id
-        # The replica did not fail, so the move does not use up one of the request's attempts.
-        work.failure_count -= 1
         self.attempts.announce_cancel(attempt)
-        self._fail(attempt, FailureCause.LEAVING, True, now_s)
+        self._forget(attempt, now_s)
+        self._context.count(RetryReason.UPSTREAM_LEAVING)
+        if not work.live_attempts:
+            self._dispatch(work, target, now_s)
 
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         pool = self.replicas.of_service(work.request.service)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet.py
@@ -155,7 +155,7 @@
             assert inventory is not None, "every node was given the inventory"
             for replica in inventory.replicas:
                 if replica.zone == node.zone:
-                    load = node.core.loads.get(replica.replica_id)
+                    load = node.core.fleet.loads.get(replica.replica_id)
                     ages_s.append(self.now_s - load.reported_at_s if load else self.now_s)
         return ages_s
 
