--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/context.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/context.py
@@ -36,6 +36,7 @@
 class Context:
     """State that every part of the core reads; parts answer by adding to ``outbox``.
 
+    ``entry_count`` is the number of entry VMs known, this one included; they share the log's rate.
     ``disabled`` names mechanisms that a test has taken out; it is empty in production.
     """
 
@@ -45,6 +46,7 @@
     disabled: frozenset[str] = frozenset()
     inventory: Inventory | None = None
     outbox: list[Action] = field(default_factory=list)
+    entry_count: int = 1
     stopping: bool = False
     stop_deadline_s: float = 0.0
     hold_dispatch: bool = False
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ledger.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/ledger.py
@@ -210,7 +210,7 @@
         stream = self._stream(name)
         if stream.outstanding is not None or not stream.waiting or now_s < stream.next_send_s:
             return
-        stream.next_send_s = now_s + self._context.settings.append_spacing_s
+        stream.next_send_s = now_s + self._spacing_s()
         stream.sequence += 1
         entries = self._take_group(stream)
         stream.outstanding = _Outstanding(stream.sequence, entries)
@@ -218,6 +218,12 @@
         self._context.count(Counter.APPEND_ENTRIES, len(entries))
         self._send(name, stream.outstanding)
 
+    def _spacing_s(self) -> float:
+        """Return the pause that keeps all entry VMs together within the log's rate."""
+        settings = self._context.settings
+        fair_share_s = self._context.entry_count / settings.log_appends_per_s
+        return max(settings.append_spacing_s, fair_share_s)
+
     def _take_group(self, stream: _Stream) -> tuple[Entry, ...]:
         """Take the entries of the next record, at least one, within the limit on its size."""
         size_bytes = 0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -180,6 +180,7 @@
                 self.fleet.gossip.on_seeds(addresses)
             case VmListRead(vms):
                 self.fleet.on_vm_list(vms, now_s)
+                self.context.entry_count = 1 + len(self.membership.peers(self.context.identity))
                 self._adopt_bought()
             case ReclaimNotice(vm_id, at_s):
                 self.fleet.on_notices([(vm_id, at_s)], now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -69,6 +69,9 @@
     append_spacing_s: float = documented(
         0.03, "Least time between two records that one entry VM appends to a stream.", 0.0
     )
+    log_appends_per_s: float = documented(
+        300.0, "Appends a second that all entry VMs together may ask of the log.", 1.0
+    )
     append_max_bytes: int = documented(262_144, "Entries of one record by size, about.", 1024)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
     key_refuse_s: float = documented(
--- /dev/null
+++ b/tests/cover/test_ledger_rate.py
@@ -0,0 +1,46 @@
+"""All entry VMs together stay within the rate of the platform's log."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from coriandershelf_core import CoreSettings, VmIdentity
+from coriandershelf_core.internal.actions import Append
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.ledger import Ledger
+from coriandershelf_core.internal.records import LEDGER_STREAM, ClaimReleased
+
+RUN_S = 20.0
+TICK_S = 0.05
+
+
+def count_appends(entry_count: int) -> int:
+    """Return the appends of one busy VM of that many, each answered at once."""
+    context = Context(VmIdentity("e", "z", 1), CoreSettings(), random.Random(1))
+    context.entry_count = entry_count
+    ledger = Ledger(context)
+    now_s = 0.0
+    appends = 0
+    while now_s < RUN_S:
+        ledger.add(LEDGER_STREAM, ClaimReleased("k", str(now_s)), now_s)
+        ledger.on_tick(now_s)
+        while context.outbox:
+            action = context.outbox.pop(0)
+            if isinstance(action, Append):
+                appends += 1
+                ledger.on_answered(action.append_id, now_s)
+        now_s += TICK_S
+    return appends
+
+
+@pytest.mark.parametrize("entry_count", [9, 50, 400])
+def test_busy_entry_vms_together_append_no_more_than_the_log_takes(entry_count):
+    settings = CoreSettings()
+    together_per_s = entry_count * count_appends(entry_count) / RUN_S
+    assert together_per_s <= settings.log_appends_per_s + entry_count / RUN_S
+
+
+def test_an_idle_vm_appends_at_once_whatever_their_number():
+    assert count_appends(400) >= 1
