--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/queue.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/queue.py
@@ -99,6 +99,11 @@
         queue = self._queue_of(work)
         return queue.wait_s(work, now_s) if isinstance(queue, FairQueue) else 0.0
 
+    def usage_ratio(self, work: Work, now_s: float) -> float:
+        """Return its customer's late use ÷ its share of all use."""
+        queue = self._queue_of(work)
+        return queue.usage_ratio(work.customer, now_s) if isinstance(queue, FairQueue) else 0.0
+
     def beyond_share(self, work: Work, now_s: float) -> bool:
         """Return whether a work's customer has lately used more than its share."""
         queue = self._queue_of(work)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -55,7 +55,10 @@
     UPSTREAM_REFUSED = ("upstream-refused", "The upstream refused the work as overloaded.")
     UPSTREAM_ERROR = ("upstream-error", "The upstream answered with a server error.")
     UPSTREAM_LEAVING = ("upstream-leaving", "The upstream is being reclaimed or drained.")
+    ORDER_UNANSWERED = ("order-unanswered", "An upstream did not answer an order in time.")
+    START_UNANSWERED = ("start-unanswered", "The cloud's answer to a start or stop was lost.")
     HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
+    RECONNECTED = ("reconnected", "A silent stream went on over a fresh connection.")
     MOVED = ("moved", "A stream was moved off a stalled replica with its KV cache.")
 
     def __init__(self, code: str, meaning: str) -> None:
@@ -89,12 +92,27 @@
     TICKETS_FORWARDED = ("tickets.forwarded", "Calls passed to the owner of their ticket.")
     LEDGER_GAPS = ("log.gaps", "Times that records expired before they were read here.")
     HEDGES_OVER_BUDGET = ("hedges.over-budget", "Hedges not started for want of budget.")
+    RETRIES_OVER_BUDGET = ("retries.over-budget", "Retries not started for want of budget.")
+    SUSPECTS = ("suspects", "Requests in flight at a replica that crashed.")
+    SUSPECTS_HELD = ("suspects.held", "Suspected requests held until they may be tried alone.")
+    SUSPECTS_CLEARED = ("suspects.cleared", "Suspected requests that ran without a crash.")
+    TRIALS = ("suspects.trials", "Suspected requests tried with no other suspect beside them.")
     ATTEMPTS_LOST = ("attempts.lost", "Slower attempts cancelled because another one answered.")
     EJECTIONS = ("ejections", "Replicas kept from new work because they stalled.")
     EJECTIONS_FLOOR = ("ejections.floor", "Ejections not done: too few replicas would be left.")
     EJECTION_HINTS = ("ejections.hints", "Ejections on the word of another entry VM.")
     PROBES = ("ejections.probes", "Requests sent to an ejected replica to try it.")
     READMISSIONS = ("ejections.readmitted", "Ejected replicas that take new work again.")
+    EMPTY_VM_LISTS = ("membership.empty-lists", "Empty VM lists, which change nothing.")
+    DISPUTED_VMS = ("membership.disputed", "VMs that the list calls gone while they answer.")
+    NOTICES = ("membership.notices", "Reclaim notices learnt, from the platform or a peer.")
+    NOTICES_FROM_PEER = ("membership.notices-from-peer", "Those of them that a peer told first.")
+    LOAD_POLLS = ("membership.load-polls", "Polls of watched replicas' loads.")
+    WAKE_HOLDS = ("membership.wake-holds", "Holds of new dispatches after a jump of the clock.")
+    WAKE_HOLDS_UNANSWERED = (
+        "membership.wake-holds-unanswered",
+        "Holds that ended without an answer from the platform or a peer.",
+    )
     STOP_CUT = ("stop.cut", "Answers ended early because the notice was shorter than their rest.")
     JOBS_HANDED_OVER = ("jobs.handed-over", "Jobs that another entry VM took from a leaving one.")
     JOBS_TAKEN_OVER = ("jobs.taken-over", "Jobs taken over from a lost holder with its output.")
@@ -102,6 +120,7 @@
     JOBS_FENCED = ("jobs.fenced", "Jobs that a former holder stopped after reading their move.")
     JOBS_RETRIED = ("jobs.retried", "Accepted jobs tried again after their attempts were spent.")
     JOB_COPIES = ("jobs.copies", "Pieces of job output sent to the VM that keeps the copy.")
+    PREEMPTED = ("preempted", "Works that gave their slot at a full replica to a question.")
     LENGTH_MISJUDGED = ("length-misjudged", "Short works that turned out long while they ran.")
     CONFIGURATIONS_ADOPTED = ("configuration.adopted", "Configurations that came into force here.")
     CONFIGURATIONS_FROM_PEER = (
@@ -125,6 +144,14 @@
         "configuration.mismatches",
         "Peers or snapshots that named another change under a known version.",
     )
+    LEASES_ACQUIRED = ("leases.acquired", "Leases that this VM acquired.")
+    LEASES_LAPSED = ("leases.lapsed", "Leases that this VM could not renew in time.")
+    ORDERS_SENT = ("orders.sent", "Orders sent to upstreams.")
+    ORDERS_FENCED = ("orders.fenced", "Orders that an upstream refused for an old number.")
+    PURCHASES_MADE = ("purchases.made", "VMs that the cloud started for this VM's orders.")
+    PURCHASES_REFUSED = ("purchases.refused", "Starts that the cloud refused.")
+    PURCHASES_OVER_BUDGET = ("purchases.over-budget", "Purchases not made for lack of budget.")
+    PURCHASES_ENDED = ("purchases.ended", "VMs given back or reclaimed.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -37,9 +37,19 @@
     probe_after_max_s: float = documented(8.0, "Longest wait between two tries.", 0.01)
     hedge_share: float = documented(0.025, "Hedged work as a share of work done.", 0.0)
     hedge_reserve_tokens: int = documented(2000, "Hedged work held in reserve at most.", 0)
+    reconnect_floor_s: float = documented(
+        0.25, "Least silence of one stream, while others move, before a fresh connection.", 0.01
+    )
+    suspicion_keep_s: float = documented(
+        600.0, "How long a request that crashed upstreams is refused.", 1.0
+    )
+    retry_share: float = documented(0.2, "Retries as a share of successes.", 0.0)
+    retry_reserve_count: int = documented(30, "Retries held in reserve at most.", 1)
+    retry_backoff_s: float = documented(0.1, "Wait before a second retry; it doubles.", 0.0)
+    retry_backoff_max_s: float = documented(2.0, "Longest wait before a retry.", 0.0)
     attempts_max_count: int = documented(4, "Attempts of one request at the most.", 1)
     wait_limit_s: float = documented(
-        3.0, "Estimated wait for a replica above which short work is refused.", 0.01
+        1.0, "Estimated wait for a replica above which short work is refused.", 0.01
     )
     engine_wait_target_s: float = documented(
         0.1, "Wait inside an engine above which less short work is sent there.", 0.001
@@ -56,6 +66,9 @@
     append_refused_resend_s: float = documented(
         0.2, "Wait before an append refused by the log's rate limit is repeated.", 0.01
     )
+    append_spacing_s: float = documented(
+        0.03, "Least time between two records that one entry VM appends to a stream.", 0.0
+    )
     append_max_bytes: int = documented(262_144, "Entries of one record by size, about.", 1024)
     key_window_s: float = documented(86400.0, "How long an idempotency key is remembered.", 1.0)
     key_refuse_s: float = documented(
@@ -101,6 +114,23 @@
     )
     heartbeat_s: float = documented(1.0, "Period of heartbeats between entry VMs.", 0.01)
     peer_lost_s: float = documented(5.0, "Silence after which a peer counts as lost.", 0.01)
+    heartbeat_fanout_count: int = documented(
+        2, "Neighbours of the zone that get a heartbeat each period.", 1
+    )
+    member_forget_s: float = documented(
+        120.0, "How long a VM is missing from the list and silent before it is forgotten.", 1.0
+    )
+    watchers_count: int = documented(2, "Entry VMs that poll one replica's load.", 1)
+    load_poll_s: float = documented(1.0, "Period of polling a watched replica's load.", 0.01)
+    notice_keep_s: float = documented(
+        600.0, "How long past its time a reclaim notice is kept and believed.", 1.0
+    )
+    pause_suspect_s: float = documented(
+        1.0, "Gap between two steps after which this VM counts as having been paused.", 0.1
+    )
+    wake_hold_limit_s: float = documented(
+        1.0, "Longest hold of new dispatches while a VM that was paused asks for notices.", 0.0
+    )
     configuration_ask_s: float = documented(
         0.5, "Wait before a VM that is behind asks a peer for the configuration.", 0.01
     )
@@ -111,6 +141,19 @@
         30.0, "Wait for a snapshot after records were missed, before one is written.", 0.01
     )
     readiness_lag_s: float = documented(3.0, "Wait for the balancer after readiness is lost.", 0.0)
+    lease_valid_s: float = documented(10.0, "How long a lease is valid without renewal.", 0.1)
+    order_limit_s: float = documented(30.0, "Longest wait for an upstream's order answer.", 0.1)
+    orders_max_count: int = documented(2, "Orders under way at once in an availability zone.", 1)
+    spending_period_s: float = documented(5.0, "Period of deciding on purchases.", 0.1)
+    purchases_max_count: int = documented(4, "VMs bought at most in one period.", 1)
+    start_refused_wait_s: float = documented(
+        120.0, "How long an offer is passed over after the cloud refused it.", 0.1
+    )
+    start_resend_s: float = documented(10.0, "Wait before an unanswered start is repeated.", 0.1)
+    start_limit_s: float = documented(900.0, "Longest wait for a started VM to serve.", 1.0)
+    control_snapshot_s: float = documented(
+        3600.0, "Period of writing leases and purchases forward in the log.", 1.0
+    )
     trace_keep_count: int = documented(2000, "Request traces kept for explain.", 1)
 
     def __post_init__(self) -> None:
