--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -37,18 +37,19 @@
     CONTROL_STREAM,
     LEDGER_STREAM,
 )
-from coriandershelf_entry.internal.callers import Callers, make_application, wait_room
+from coriandershelf_entry.internal.callers import wait_room
 from coriandershelf_entry.internal.clock import make_clock
 from coriandershelf_entry.internal.cloud import poll_offers, send_order, start_vm, stop_vm
 from coriandershelf_entry.internal.core_task import CoreTask
+from coriandershelf_entry.internal.handlers import Callers
 from coriandershelf_entry.internal.load_polls import poll_load
 from coriandershelf_entry.internal.log_client import LogClient
 from coriandershelf_entry.internal.mailbox import CallerMailbox
 from coriandershelf_entry.internal.metrics import Metrics
 from coriandershelf_entry.internal.peers import PeerSender, PeerServer
 from coriandershelf_entry.internal.platform import NoticeReader, poll_vm_list
+from coriandershelf_entry.internal.routes import make_application
 from coriandershelf_entry.internal.settings import EntrySettings
-from coriandershelf_entry.internal.ticket_handler import TicketsHandler
 from coriandershelf_entry.internal.upstream import ConnectionPool, run_attempt
 from coriandershelf_wire import parse_or_none
 
@@ -91,9 +92,7 @@
         self._peer_server = PeerServer(settings.peer_listen, post, log)
         self._peer_sender = PeerSender(settings.vm_id, incarnation)
         callers = Callers(settings, self._core_task, self._clock, self._metrics, self._mailboxes)
-        application = make_application(callers)
-        application.add_handlers(".*", [("/v1/tickets", TicketsHandler, {"callers": callers})])
-        self._server = HTTPServer(application)
+        self._server = HTTPServer(make_application(callers))
 
     async def start(self) -> None:
         """Listen and start every task."""
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
@@ -6,17 +6,21 @@
 import json
 import uuid
 from collections.abc import Awaitable
-from dataclasses import dataclass
-from typing import Any
 
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler, stream_request_body
+from tornado.web import stream_request_body
 
 from coriandershelf_core import Done, NotRun, Outcome, Request, RequestKind, Unknown
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import CallerGone, JobRead, RequestArrived, StopAsked
+from coriandershelf_core.internal.events import CallerGone, JobRead, RequestArrived
 from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_entry.internal.answers import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    error_document,
+    outcome_name,
+    whole_completion,
+)
 from coriandershelf_entry.internal.bodies import (
     DEADLINE_HEADER,
     BadRequest,
@@ -24,96 +28,14 @@
     parse_chat,
     parse_deadline,
 )
-from coriandershelf_entry.internal.clock import Clock
-from coriandershelf_entry.internal.core_task import CoreTask
+from coriandershelf_entry.internal.handlers import Callers, JsonHandler
 from coriandershelf_entry.internal.mailbox import CallerMailbox
-from coriandershelf_entry.internal.metrics import Metrics
-from coriandershelf_entry.internal.settings import EntrySettings
 
-OUTCOME_HEADER = "X-Outcome"
-REASON_HEADER = "X-Outcome-Reason"
 # The refusal of a larger body is ours, with a reason; tornado would only close the connection.
 BODY_READ_LIMIT_BYTES = 1 << 40
 REFUSED_BODY_LINGER_S = 1.0
 
 
-@dataclass(slots=True)
-class Callers:
-    """What the handlers share."""
-
-    settings: EntrySettings
-    core_task: CoreTask
-    clock: Clock
-    metrics: Metrics
-    mailboxes: dict[str, CallerMailbox]
-
-    @property
-    def context(self) -> Context:
-        """Return the core's context, for reading only."""
-        return self.core_task.core.context
-
-
-def outcome_name(outcome: Outcome) -> str:
-    """Return the outcome's name as callers see it."""
-    if isinstance(outcome, Done):
-        return "done"
-    return "not-run" if isinstance(outcome, NotRun) else "unknown"
-
-
-def error_document(outcome: NotRun | Unknown) -> dict[str, Any]:
-    """Return the error in the interface's usual JSON form."""
-    reason = outcome.reason
-    message = f"{outcome.detail}. {reason.remedy}" if outcome.detail else reason.remedy
-    kind = "invalid_request_error" if 400 <= reason.status < 500 else "server_error"
-    error = {"message": message, "type": kind, "code": reason.code, "param": None}
-    return {"error": error, "outcome": outcome_name(outcome)}
-
-
-def whole_completion(request: Request, payloads: list[bytes]) -> bytes:
-    """Return the answer of a caller that does not stream."""
-    chunks = [json.loads(payload) for payload in payloads]
-    text = "".join(chunk["choices"][0]["delta"].get("content", "") for chunk in chunks)
-    finish = chunks[-1]["choices"][0].get("finish_reason") if chunks else None
-    count = sum("content" in chunk["choices"][0]["delta"] for chunk in chunks)
-    document = {
-        "id": f"chatcmpl-{request.request_id}",
-        "object": "chat.completion",
-        "model": request.service,
-        "choices": [
-            {
-                "index": 0,
-                "message": {"role": "assistant", "content": text},
-                "finish_reason": finish,
-            }
-        ],
-        "usage": {
-            "prompt_tokens": request.prompt_tokens,
-            "completion_tokens": count,
-            "total_tokens": request.prompt_tokens + count,
-        },
-    }
-    return json.dumps(document).encode()
-
-
-class JsonHandler(RequestHandler):
-    """Writes errors of the HTTP layer in the interface's usual JSON form."""
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Write an error that no handler answered itself."""
-        message = f"{self._reason}. See the callers' page for paths and methods."
-        error = {"message": message, "type": "invalid_request_error", "code": "http-error"}
-        self.set_header("Content-Type", "application/json")
-        self.finish({"error": {**error, "param": None}, "outcome": "not-run"})
-
-
-class UnknownPathHandler(JsonHandler):
-    """Every path that the interface does not have."""
-
-    def prepare(self) -> None:
-        """Answer 404."""
-        self.send_error(404)
-
-
 @stream_request_body
 class CallerHandler(JsonHandler):
     """Common parts of the handlers that answer through the core."""
@@ -363,103 +285,6 @@
         await self.answer_whole(mailbox)
 
 
-class HealthHandler(JsonHandler):
-    """``GET /healthz`` and ``GET /readyz``."""
-
-    def initialize(self, callers: Callers, readiness: bool) -> None:
-        """Take whether readiness is asked for."""
-        self._core = callers.core_task.core
-        self._readiness = readiness
-
-    def get(self) -> None:
-        """Answer 200, or 503 where not ready."""
-        ready = self._core.ready or not self._readiness
-        self.set_status(200 if ready else 503)
-        self.write({"ready": self._core.ready})
-
-
-class OperatorHandler(JsonHandler):
-    """``GET /admin/status``, ``GET /admin/explain/{request}``, ``POST /admin/drain``."""
-
-    def initialize(self, callers: Callers) -> None:
-        """Take what the handlers share."""
-        self._callers = callers
-
-    def prepare(self) -> None:
-        """Let only the operator in."""
-        expected = self._callers.settings.operator_key_hash
-        if not expected or hash_key(self.request.headers.get("Authorization", "")) != expected:
-            self.set_status(403)
-            self.finish({"error": {"code": "not-operator", "message": "Send the operator key."}})
-
-    def get(self, what: str, argument: str | None = None) -> None:
-        """Answer with JSON."""
-        if what == "status":
-            self.write(self._status())
-            return
-        steps = self._callers.context.traces.get(argument or "")
-        if steps is None:
-            self.set_status(404)
-            self.write({"error": {"code": "unknown-request", "message": "No trace is kept."}})
-            return
-        first_s = steps[0].at_s
-        self.write(
-            {
-                "request": argument,
-                "steps": [
-                    {
-                        "after_ms": round((step.at_s - first_s) * 1000, 1),
-                        "step": step.step,
-                        "detail": step.detail,
-                    }
-                    for step in steps
-                ],
-            }
-        )
-
-    def post(self, what: str) -> None:
-        """Begin a graceful stop; the answer comes before it is finished."""
-        deadline_s = self._callers.clock() + self._callers.settings.drain_limit_s
-        self._callers.core_task.post(StopAsked(deadline_s))
-        self.set_status(202)
-        self.write({"draining": True})
-
-    def _status(self) -> dict[str, Any]:
-        core = self._callers.core_task.core
-        return {
-            "vm_id": core.context.identity.vm_id,
-            "zone": core.context.identity.zone,
-            "version": core.configuration.version_in_force,
-            "accepted_version": core.configuration.version,
-            "ready": core.ready,
-            "stopping": core.context.stopping,
-            "jobs_held": len(core.jobs.replication.held),
-            "in_flight": len(core.serving.works),
-            "queued": len(core.serving.queue),
-            "counters": dict(self._callers.metrics.totals),
-        }
-
-
-def make_application(callers: Callers) -> Application:
-    """Return the callers' and operators' interface."""
-    shared = {"callers": callers}
-    return Application(
-        [
-            (r"/v1/chat/completions", ChatHandler, shared),
-            (r"/v1/jobs", JobsHandler, shared),
-            (r"/v1/jobs/([0-9a-zA-Z-]+)", JobHandler, shared),
-            (r"/v1/services/([a-z0-9.-]+)/(.+)", ServiceHandler, shared),
-            (r"/healthz", HealthHandler, {"callers": callers, "readiness": False}),
-            (r"/readyz", HealthHandler, {"callers": callers, "readiness": True}),
-            (r"/admin/(drain)", OperatorHandler, shared),
-            (r"/admin/(status)", OperatorHandler, shared),
-            (r"/admin/(explain)/(.+)", OperatorHandler, shared),
-        ],
-        default_handler_class=UnknownPathHandler,
-        log_function=lambda handler: None,
-    )
-
-
 def wait_room(mailboxes: dict[str, CallerMailbox], request_id: str) -> Awaitable[None] | None:
     """Return what to wait for until a caller has taken enough; ``None`` if it has.
 
--- /dev/null
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/operators.py
@@ -0,0 +1,86 @@
+"""The interface of the balancer and of operators."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from coriandershelf_core.internal.events import StopAsked
+from coriandershelf_entry.internal.bodies import hash_key
+from coriandershelf_entry.internal.handlers import Callers, JsonHandler
+
+
+class HealthHandler(JsonHandler):
+    """``GET /healthz`` and ``GET /readyz``."""
+
+    def initialize(self, callers: Callers, readiness: bool) -> None:
+        """Take whether readiness is asked for."""
+        self._core = callers.core_task.core
+        self._readiness = readiness
+
+    def get(self) -> None:
+        """Answer 200, or 503 where not ready."""
+        ready = self._core.ready or not self._readiness
+        self.set_status(200 if ready else 503)
+        self.write({"ready": self._core.ready})
+
+
+class OperatorHandler(JsonHandler):
+    """``GET /admin/status``, ``GET /admin/explain/{request}``, ``POST /admin/drain``."""
+
+    def initialize(self, callers: Callers) -> None:
+        """Take what the handlers share."""
+        self._callers = callers
+
+    def prepare(self) -> None:
+        """Let only the operator in."""
+        expected = self._callers.settings.operator_key_hash
+        if not expected or hash_key(self.request.headers.get("Authorization", "")) != expected:
+            self.set_status(403)
+            self.finish({"error": {"code": "not-operator", "message": "Send the operator key."}})
+
+    def get(self, what: str, argument: str | None = None) -> None:
+        """Answer with JSON."""
+        if what == "status":
+            self.write(self._status())
+            return
+        steps = self._callers.context.traces.get(argument or "")
+        if steps is None:
+            self.set_status(404)
+            self.write({"error": {"code": "unknown-request", "message": "No trace is kept."}})
+            return
+        first_s = steps[0].at_s
+        self.write(
+            {
+                "request": argument,
+                "steps": [
+                    {
+                        "after_ms": round((step.at_s - first_s) * 1000, 1),
+                        "step": step.step,
+                        "detail": step.detail,
+                    }
+                    for step in steps
+                ],
+            }
+        )
+
+    def post(self, what: str) -> None:
+        """Begin a graceful stop; the answer comes before it is finished."""
+        deadline_s = self._callers.clock() + self._callers.settings.drain_limit_s
+        self._callers.core_task.post(StopAsked(deadline_s))
+        self.set_status(202)
+        self.write({"draining": True})
+
+    def _status(self) -> dict[str, Any]:
+        core = self._callers.core_task.core
+        return {
+            "vm_id": core.context.identity.vm_id,
+            "zone": core.context.identity.zone,
+            "version": core.configuration.version_in_force,
+            "accepted_version": core.configuration.version,
+            "ready": core.ready,
+            "stopping": core.context.stopping,
+            "jobs_held": len(core.jobs.replication.held),
+            "in_flight": len(core.serving.works),
+            "queued": len(core.serving.queue),
+            "counters": dict(self._callers.metrics.totals),
+        }
