Judge the flooded customer's 95 in 100 on a hundred questions; measurements of accepted work

Of its 17 questions the 95th in 100 is the worst one, and which questions came worst moved with the merged random numbers. Change: the flood lasts 15 s; bound and what is asserted are unchanged. Conclusion: the sample now is what the target speaks of.

--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -102,17 +102,21 @@
     assert not refusals(overloaded_bench(frozenset({"admission"})))
 
 
+# Long enough for some hundred questions: of twenty, 95 in 100 would be the worst one.
+FLOOD_S = 15.0
+
+
 def flooded_small_customers(disabled=frozenset()):
     """Return a small customer's first-token times while a large one floods."""
     bench = Bench(kingston(), 1, disabled=disabled)
     bench.run(1.0)
     callers = Callers(bench, 1)
     flows = [
-        Flow("tram-authority", SHORT, 150.0, 0.0, 4.0),
-        Flow("training", SHORT, 8.0, 0.0, 4.0),
+        Flow("tram-authority", SHORT, 150.0, 0.0, FLOOD_S),
+        Flow("training", SHORT, 8.0, 0.0, FLOOD_S),
     ]
     callers.schedule(draw_arrivals(flows, 1))
-    bench.run(10.0)
+    bench.run(FLOOD_S + 6.0)
     small = [s for s in callers.sent if s.arrival.customer == "training" and s.arrival.at_s > 2.0]
     return sorted(s.last.first_token_s or float("inf") for s in small)
 
