--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -6,15 +6,11 @@
 
 from __future__ import annotations
 
-import hashlib
-import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from coriandershelf_core import (
     CoreSettings,
-    Done,
     EntryCore,
     Outcome,
     Request,
@@ -64,6 +60,15 @@
     ConfigurationProposed,
     Record,
 )
+from coriandershelf_rig.internal.bench_state import (
+    LAST_PAYLOAD,
+    BenchEntry,
+    BenchUpstream,
+    Call,
+    Shape,
+    call_identity,
+    is_whole,
+)
 from coriandershelf_rig.internal.deployments import (
     Deployment,
     hash_of,
@@ -72,8 +77,22 @@
 )
 from coriandershelf_rig.internal.engine_model import EngineModel, EngineToken, Sequence
 from coriandershelf_rig.internal.log_model import AppendFate, LogModel
+from coriandershelf_rig.internal.virtual_time import VirtualTime
 from coriandershelf_wire import parse_or_none
 
+__all__ = [
+    "LAST_PAYLOAD",
+    "Bench",
+    "BenchEntry",
+    "BenchUpstream",
+    "Call",
+    "Shape",
+    "executions_by_body",
+    "is_whole",
+    "was_run",
+]
+
+START_S = 1000.0
 TICK_S = 0.05
 LOG_LATENCY_S = 0.004
 NOTICE_LATENCY_S = 0.01
@@ -83,68 +102,10 @@
 LOAD_REPORT_PERIOD_S = 1.0
 LOAD_REPORT_LAG_S = 1.0
 PLAIN_DURATION_S = 0.02
-LAST_PAYLOAD = b'{"choices":[{"delta":{},"finish_reason":"stop"}]}'
 APPEND_LIMIT_S = 2.0
 
 
-@dataclass(slots=True)
-class Call:
-    """One caller's request and what came back."""
-
-    request: Request
-    vm_id: str
-    sent_at_s: float
-    first_token_at_s: float | None = None
-    last_token_at_s: float | None = None
-    token_gaps_s: list[float] = field(default_factory=list)
-    payloads: list[bytes] = field(default_factory=list)
-    outcome: Outcome | None = None
-    ended_at_s: float | None = None
-
-    @property
-    def first_token_s(self) -> float | None:
-        """Return the time to the first token."""
-        if self.first_token_at_s is None:
-            return None
-        return self.first_token_at_s - self.sent_at_s
-
-
-@dataclass(slots=True)
-class BenchEntry:
-    """One entry VM: its core, and whether it is paused or dead."""
-
-    core: EntryCore
-    zone: str
-    alive: bool = True
-    paused: bool = False
-    stopped_at_s: float | None = None
-    held: list[Event] = field(default_factory=list)
-    offsets: dict[str, int] = field(default_factory=dict)
-    read_at_s: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class BenchUpstream:
-    """One upstream: a model engine, or a plain service that counts executions."""
-
-    zone: str
-    engine: EngineModel | None
-    alive: bool = True
-    stepping: bool = False
-    silent: set[str] = field(default_factory=set)
-    attempts: dict[str, str] = field(default_factory=dict)
-    executions: dict[str, int] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Shape:
-    """The true shape of one generated answer, which the core does not see."""
-
-    length: int
-    crashes: bool = False
-
-
-class Bench:
+class Bench(VirtualTime):
     """An event heap around cores and fakes.
 
     :param deployment: whose zones, replicas and customers to build.
@@ -159,11 +120,11 @@
         settings: CoreSettings | None = None,
         disabled: frozenset[str] = frozenset(),
     ) -> None:
+        super().__init__(START_S)
         self.deployment = deployment
         self.rng = random.Random(seed)
         self.settings = settings or CoreSettings()
         self.disabled = disabled
-        self.now_s = 1000.0
         self.log = LogModel(self.rng)
         self.entries: dict[str, BenchEntry] = {}
         self.upstreams: dict[str, BenchUpstream] = {}
@@ -175,7 +136,6 @@
         self.cut: Callable[[str, str], bool] = lambda source, target: False
         self.on_final: Callable[[Call], None] = lambda call: None
         self.on_attempt: Callable[[str, StartAttempt], None] = lambda vm_id, attempt: None
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
         self._replica_at: dict[str, str] = {}
         self._incarnation = 0
@@ -188,19 +148,6 @@
         self.publish("initial", 0)
         self.at(LOAD_REPORT_PERIOD_S, self._report_loads)
 
-    def at(self, delay_s: float, call: Callable[[], None]) -> None:
-        """Run ``call`` after a delay."""
-        self._sequence += 1
-        heapq.heappush(self._heap, (self.now_s + delay_s, self._sequence, call))
-
-    def run(self, duration_s: float) -> None:
-        """Let virtual time pass."""
-        until_s = self.now_s + duration_s
-        while self._heap and self._heap[0][0] <= until_s:
-            self.now_s, _, call = heapq.heappop(self._heap)
-            call()
-        self.now_s = until_s
-
     def start_entry(self, vm_id: str, zone: str) -> BenchEntry:
         """Start an entry VM, or start it again with nothing kept."""
         self._incarnation += 1
@@ -493,7 +440,7 @@
         self.at(delay_s, begin)
 
     def _run_plain(self, vm_id: str, upstream: BenchUpstream, action: StartAttempt) -> None:
-        identity = _identity(action.path, action.body)
+        identity = call_identity(action.path, action.body)
         upstream.executions[identity] = upstream.executions.get(identity, 0) + 1
 
         def answer() -> None:
@@ -615,15 +562,4 @@
 
 def was_run(bench: Bench, request: Request) -> bool:
     """Return whether any plain service ran a call's body."""
-    return executions_by_body(bench).get(_identity(request.path, request.body), 0) > 0
-
-
-def _identity(path: str, body: bytes) -> str:
-    return hashlib.sha256(path.encode() + body).hexdigest()
-
-
-def is_whole(call: Call, shape: Shape) -> bool:
-    """Return whether a finished call holds each payload once, in order."""
-    if not isinstance(call.outcome, Done):
-        return False
-    return call.payloads == [*(b"%d" % place for place in range(shape.length)), LAST_PAYLOAD]
+    return executions_by_body(bench).get(call_identity(request.path, request.body), 0) > 0
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_state.py
@@ -0,0 +1,81 @@
+"""What the bench keeps of each call, entry VM and upstream."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+
+from coriandershelf_core import Done, EntryCore, Outcome, Request
+from coriandershelf_core.internal.events import Event
+from coriandershelf_rig.internal.engine_model import EngineModel
+
+LAST_PAYLOAD = b'{"choices":[{"delta":{},"finish_reason":"stop"}]}'
+
+
+@dataclass(slots=True)
+class Call:
+    """One caller's request and what came back."""
+
+    request: Request
+    vm_id: str
+    sent_at_s: float
+    first_token_at_s: float | None = None
+    last_token_at_s: float | None = None
+    token_gaps_s: list[float] = field(default_factory=list)
+    payloads: list[bytes] = field(default_factory=list)
+    outcome: Outcome | None = None
+    ended_at_s: float | None = None
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Return the time to the first token."""
+        if self.first_token_at_s is None:
+            return None
+        return self.first_token_at_s - self.sent_at_s
+
+
+@dataclass(slots=True)
+class BenchEntry:
+    """One entry VM: its core, and whether it is paused or dead."""
+
+    core: EntryCore
+    zone: str
+    alive: bool = True
+    paused: bool = False
+    stopped_at_s: float | None = None
+    held: list[Event] = field(default_factory=list)
+    offsets: dict[str, int] = field(default_factory=dict)
+    read_at_s: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class BenchUpstream:
+    """One upstream: a model engine, or a plain service that counts executions."""
+
+    zone: str
+    engine: EngineModel | None
+    alive: bool = True
+    stepping: bool = False
+    silent: set[str] = field(default_factory=set)
+    attempts: dict[str, str] = field(default_factory=dict)
+    executions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """The true shape of one generated answer, which the core does not see."""
+
+    length: int
+    crashes: bool = False
+
+
+def call_identity(path: str, body: bytes) -> str:
+    """Return the identity under which a plain service counts a call."""
+    return hashlib.sha256(path.encode() + body).hexdigest()
+
+
+def is_whole(call: Call, shape: Shape) -> bool:
+    """Return whether a finished call holds each payload once, in order."""
+    if not isinstance(call.outcome, Done):
+        return False
+    return call.payloads == [*(b"%d" % place for place in range(shape.length)), LAST_PAYLOAD]
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/overhead.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/overhead.py
@@ -140,7 +140,7 @@
             click.echo(line)
 
     async with Cluster(single_zone(ENGINE, ENGINE_COUNT), seed) as cluster:
-        engines = [cluster.addresses[f"engine-{index}"] for index in range(ENGINE_COUNT)]
+        engines = [cluster.addresses[f"engine-{index}"] for index in range(1, ENGINE_COUNT + 1)]
         entry = [cluster.addresses["entry-1"]]
         await _run_streams(cluster, engines + entry, 5, 50, seed)
         direct = await _run_streams(cluster, engines, 100, REQUEST_COUNT, seed)
