--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
@@ -21,6 +21,7 @@
     TokensArrived,
 )
 from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.leaving import Leaving
 from coriandershelf_core.internal.lengths import LengthEstimator, observe
 from coriandershelf_core.internal.limits import Limits
 from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
@@ -29,7 +30,7 @@
 from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
 from coriandershelf_core.internal.queue import WorkQueue
 from coriandershelf_core.internal.ranking import engine_priority
-from coriandershelf_core.internal.reasons import Counter, RefusalReason, RetryReason
+from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.recover import late_outcome
 from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
 from coriandershelf_core.internal.retries import Retries
@@ -88,6 +89,9 @@
             lambda replica_id, in_order: broadcast(ReplicaVerdict(replica_id, in_order)),
             lambda: len(self.queue) > 0,
         )
+        self._leaving = Leaving(
+            context, self.replicas, self.attempts, self._choose, self._dispatch, self._forget
+        )
         self.quarantine = Quarantine(context, self.replicas, self.attempts, self._settle, broadcast)
 
     def refusal_of(self, work: Work, now_s: float) -> NotRun | None:
@@ -264,41 +268,12 @@
             if cause is not None and attempt.attempt_id in self.attempts.live:
                 self.attempts.announce_cancel(attempt)
                 self._fail(attempt, cause, True, now_s)
-        self._move_from_leaving(now_s)
+        self._leaving.move(now_s)
         self._release_retries(now_s)
         for work in self.quarantine.release(now_s):
             self.queue.push(work, now_s)
         self.pump(now_s)
 
-    def _move_from_leaving(self, now_s: float) -> None:
-        """Move streams off replicas whose VM is taken before they end, with their KV cache."""
-        if not self._context.enabled("move-on-notice"):
-            return
-        leaving = [state for state in self.replicas if state.must_move(now_s)]
-        for state in leaving:
-            for attempt in self.attempts.at(state):
-                if attempt.work.repeatable and not is_whole(attempt.work.payloads):
-                    self._move_if_room(attempt, state.must_move_now(now_s), now_s)
-
-    def _move_if_room(self, attempt: Attempt, last: bool, now_s: float) -> None:
-        """Move a stream once another replica has room; at last to one that lets it wait.
-
-        A stream that waited in the queue here would lose its KV cache with the leaving replica.
-        """
-        work = attempt.work
-        target = self._choose(work, now_s)
-        if target is None and last:
-            pool = self.replicas.of_service(work.request.service)
-            target = min(pool, key=lambda state: state.load(now_s), default=None)
-        if target is None:
-            return
-        work.kv_replica_id = attempt.replica_id
-        self.attempts.announce_cancel(attempt)
-        self._forget(attempt, now_s)
-        self._context.count(RetryReason.UPSTREAM_LEAVING)
-        if not work.live_attempts:
-            self._dispatch(work, target, now_s)
-
     def _choose(self, work: Work, now_s: float) -> ReplicaState | None:
         pool = self.replicas.of_service(work.request.service)
         zone = self._context.identity.zone
