--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/reference.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/reference.py
@@ -14,11 +14,13 @@
 
 
 def _settings() -> list[str]:
-    rows = ["## Settings of `coriandershelfd`", "", "| flag | variable | default | meaning |"]
-    rows.append("|---|---|---|---|")
+    rows = ["## Settings of `coriandershelfd`", ""]
+    rows.append("| name | flag | variable | default | meaning |")
+    rows.append("|---|---|---|---|---|")
     for setting in list_settings():
         default = "required" if setting.default is None else f"`{setting.default}`"
-        rows.append(f"| `{setting.flag}` | `{setting.variable}` | {default} | {setting.doc} |")
+        names = f"`{setting.name}` | `{setting.flag}` | `{setting.variable}`"
+        rows.append(f"| {names} | {default} | {setting.doc} |")
     return rows
 
 
--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from coriandershelf_core import counter_names
 from coriandershelf_rig.internal import experiments, slopes
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, inventory_yaml, rules_yaml
 from coriandershelf_rig.internal.reference import reference_page
@@ -41,6 +42,14 @@
     assert missing == []
 
 
+def test_every_counter_that_an_operators_page_names_exists():
+    pattern = r"`((?:refusal|retry|claims|tickets|jobs|log|stop|purchases|leases|orders)\.[a-z-]+)`"
+    pages = [ROOT / "docs/OPERATING.md", *(ROOT / "docs/operating").glob("*.md")]
+    named = {name for page in pages for name in re.findall(pattern, page.read_text())}
+    assert named
+    assert sorted(named - set(counter_names())) == []
+
+
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
 def test_links_between_pages_lead_somewhere(page):
     for target in re.findall(r"\]\(([^)#:]+?)(?:#[^)]*)?\)", page.read_text()):
