Engines' stand-ins report their load late, as the platform's do

Change: /load tells a load at least 1 s old with its age, which the poll takes off; tests that wait for the engine read its record, which is of now.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/load_polls.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/load_polls.py
@@ -20,9 +20,11 @@
     try:
         response = await client.fetch(f"http://{action.address}/load", request_timeout=POLL_LIMIT_S)
         answer = json.loads(response.body)
+        # A replica that tells the age of its figures is believed; others count as fresh.
+        reported_at_s = asked_at_s - max(0.0, float(answer.get("age_s", 0.0)))
         report = LoadReported(
-            action.replica_id, int(answer["running"]), int(answer["waiting"]), asked_at_s
+            action.replica_id, int(answer["running"]), int(answer["waiting"]), reported_at_s
         )
-    except (HTTPClientError, OSError, ValueError, KeyError):
+    except (HTTPClientError, OSError, ValueError, KeyError, TypeError):
         return
     post(report)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
@@ -6,6 +6,7 @@
 import json
 import os
 import time
+from collections import deque
 from dataclasses import asdict
 from typing import Any
 
@@ -24,6 +25,9 @@
 )
 
 CRASH_EXIT_CODE = 9
+LOAD_LAG_S = 1.0
+LOAD_SAMPLE_S = 0.1
+LOAD_SAMPLES_COUNT = 20
 
 
 def prompt_text(body: dict[str, Any]) -> str:
@@ -58,6 +62,21 @@
         self.orders: list[dict[str, Any]] = []
         self._queues: dict[str, asyncio.Queue[EngineToken]] = {}
         self._work = asyncio.Event()
+        self._loads: deque[tuple[float, int, int]] = deque(maxlen=LOAD_SAMPLES_COUNT)
+
+    async def sample_load_forever(self) -> None:
+        """Keep the load of the last moments, since reports tell an old one."""
+        while True:
+            sample = (time.monotonic(), self.model.running_count, self.model.waiting_count)
+            self._loads.append(sample)
+            await asyncio.sleep(LOAD_SAMPLE_S)
+
+    def late_load(self, now_s: float) -> dict[str, float]:
+        """Return the newest load that is old enough to be reported, with its age."""
+        for at_s, running, waiting in reversed(self._loads):
+            if now_s - at_s >= LOAD_LAG_S:
+                return {"running": running, "waiting": waiting, "age_s": now_s - at_s}
+        return {"running": 0, "waiting": 0, "age_s": LOAD_LAG_S}
 
     def open(self, sequence: Sequence) -> asyncio.Queue[EngineToken] | None:
         """Submit a sequence; ``None`` where the engine is overloaded."""
@@ -178,9 +197,10 @@
         """Answer with JSON."""
         model = self._server.model
         if what == "load":
-            self.write({"running": model.running_count, "waiting": model.waiting_count})
+            self.write(self._server.late_load(time.monotonic()))
         elif what == "record":
-            self.write({**asdict(model.record), "orders": self._server.orders})
+            state = {"orders": self._server.orders, "running": model.running_count}
+            self.write({**asdict(model.record), **state})
         elif what == "kv":
             self.write({"tokens": model.export_kv(argument or "")})
 
@@ -211,4 +231,4 @@
         log_function=lambda handler: None,
     )
     application.listen(port, "127.0.0.1")
-    await server.step_forever()
+    await asyncio.gather(server.step_forever(), server.sample_load_forever())
--- a/tests/cover/test_entry_process.py
+++ b/tests/cover/test_entry_process.py
@@ -123,16 +123,12 @@
     return await cluster.get(f"http://{cluster.addresses['engine-1']}/record")
 
 
-async def engine_load(cluster: Cluster) -> dict[str, Any]:
-    return await cluster.get(f"http://{cluster.addresses['engine-1']}/load")
-
-
 def test_a_caller_that_closes_cancels_its_sequence_at_the_engine():
     async def check(cluster: Cluster) -> None:
         stream = await open_stream(cluster, SLOW_READER_TOKENS_COUNT)
         await stream.read_bytes(1000)
         stream.close()
-        while (await engine_load(cluster))["running"]:
+        while (await engine_record(cluster))["running"]:
             await asyncio.sleep(0.02)
         assert (await engine_record(cluster))["tokens_generated"] < SLOW_READER_TOKENS_COUNT
 
@@ -149,7 +145,7 @@
         receive_buffer_bytes = 1 << 16
         stream = await open_stream(cluster, SLOW_READER_TOKENS_COUNT, receive_buffer_bytes)
         await stream.read_bytes(1000)
-        while (await engine_load(cluster))["running"]:
+        while (await engine_record(cluster))["running"]:
             await asyncio.sleep(0.1)
         # Longer than the limit on silence between tokens, after which a stream counts as failed.
         await asyncio.sleep(3.0)
