Name the requests of a retention test apart from the bench's own

Ruled out: the order of what is written (the mark, release and state of the key stood in order in the log that the failure printed). Change: the test's requests have names of their own; what is asserted is unchanged.

--- a/tests/cover/test_claim_retention.py
+++ b/tests/cover/test_claim_retention.py
@@ -146,12 +146,12 @@
         bench.apply(Pause(0.0, vm, 100.0))
     claims = bench.entries["entry-1"].core.calls.claims
     time_s = claims.retention.log_time_s
-    claims.table.on_claim(Claim("k", "b", "r1", "vm-1", time_s), 0, time_s)
-    claims.table.on_released(ClaimReleased("k", "r1"), 1, time_s)
-    claims.table.on_claim(Claim("k", "b", "r2", "vm-2", time_s), 2, time_s)
+    claims.table.on_claim(Claim("k", "b", "former", "vm-1", time_s), 0, time_s)
+    claims.table.on_released(ClaimReleased("k", "former"), 1, time_s)
+    claims.table.on_claim(Claim("k", "b", "present", "vm-2", time_s), 2, time_s)
     bench.run(RETENTION_S)
     stored, _, _ = bench.log.read("ledger", 0, 500, bench.now_s)
     written = [entry for record in stored for entry in record.data[3]]
     kept = [getattr(getattr(entry, "claim", None), "request_id", "") for entry in written]
     marks = [type(entry).__name__ for entry in written]
-    assert written.index(ClaimReleased("k", "r1")) < kept.index("r2") < marks.index("LedgerKept")
+    assert written.index(ClaimReleased("k", "former")) < kept.index("present") < marks.index("LedgerKept")
