--- a/tests/cover/test_claim_retention.py
+++ b/tests/cover/test_claim_retention.py
@@ -154,4 +154,5 @@
     written = [entry for record in stored for entry in record.data[3]]
     kept = [getattr(getattr(entry, "claim", None), "request_id", "") for entry in written]
     marks = [type(entry).__name__ for entry in written]
-    assert written.index(ClaimReleased("k", "former")) < kept.index("present") < marks.index("LedgerKept")
+    released = written.index(ClaimReleased("k", "former"))
+    assert released < kept.index("present") < marks.index("LedgerKept")
