--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/engine_model.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/engine_model.py
@@ -5,13 +5,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 import xxhash
 
 from coriandershelf_core.internal.prompt import CHARACTERS_PER_TOKEN, PREFIX_BLOCK_CHARACTERS
 
+CACHE_EVENTS_COUNT = 10_000
 BLOCK_TOKENS = PREFIX_BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
 
 
@@ -95,6 +96,15 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A prefix was stored in the cache, or dropped from it; numbers rise by one."""
+
+    number: int
+    prefix: int
+    stored: bool
+
+
 class EngineModel:
     """Batches sequences and makes one token of each a step."""
 
@@ -109,6 +119,8 @@
         self._resident: OrderedDict[str, int] = OrderedDict()
         self._step_ends_at_s: float | None = None
         self._imports: dict[str, int] = {}
+        self.cache_events: deque[CacheEvent] = deque(maxlen=CACHE_EVENTS_COUNT)
+        self._cache_event_number = 0
 
     @property
     def running_count(self) -> int:
@@ -238,10 +250,17 @@
 
     def _remember(self, prefixes: tuple[int, ...]) -> None:
         for prefix in prefixes:
+            if prefix not in self._cache:
+                self._note_cache(prefix, True)
             self._cache[prefix] = BLOCK_TOKENS
             self._cache.move_to_end(prefix)
         while len(self._cache) * BLOCK_TOKENS > self.shape.cache_tokens:
-            self._cache.popitem(last=False)
+            prefix, _ = self._cache.popitem(last=False)
+            self._note_cache(prefix, False)
+
+    def _note_cache(self, prefix: int, stored: bool) -> None:
+        self._cache_event_number += 1
+        self.cache_events.append(CacheEvent(self._cache_event_number, prefix, stored))
 
     def _keep(self, sequence: Sequence) -> None:
         if sequence.to_prefill > 0:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
@@ -16,6 +16,7 @@
 
 from coriandershelf_core.internal.prompt import estimate_tokens, prefix_hashes
 from coriandershelf_rig.internal.engine_model import (
+    CacheEvent,
     EngineModel,
     EngineShape,
     EngineToken,
@@ -25,6 +26,8 @@
 )
 
 CRASH_EXIT_CODE = 9
+CACHE_EVENT_GAP = 7
+CACHE_EVENTS_HELD_BACK = 5
 LOAD_LAG_S = 1.0
 LOAD_SAMPLE_S = 0.1
 LOAD_SAMPLES_COUNT = 20
@@ -53,6 +56,16 @@
     return json.dumps(chunk, separators=(",", ":")).encode()
 
 
+def late_cache_events(model: EngineModel, start: int) -> list[CacheEvent]:
+    """Return cache events from a number on, without the newest ones and with gaps.
+
+    One in ``CACHE_EVENT_GAP`` is never told, as the platform's engines do.
+    """
+    told = [event for event in model.cache_events if event.number % CACHE_EVENT_GAP]
+    late = told[: max(0, len(told) - CACHE_EVENTS_HELD_BACK)]
+    return [event for event in late if event.number >= start]
+
+
 class EngineServer:
     """Owns the model, the task that steps it, and a queue for each open stream."""
 
@@ -186,7 +199,7 @@
 
 
 class EngineAdminHandler(RequestHandler):
-    """``/load``, ``/record``, ``/kv/{request}``, ``/slow`` and ``/orders``."""
+    """``/load``, ``/cache-events``, ``/record``, ``/kv/{request}``, ``/slow`` and ``/orders``."""
 
     def initialize(self, server: EngineServer, checks_fencing: bool) -> None:
         """Take the engine."""
@@ -198,6 +211,10 @@
         model = self._server.model
         if what == "load":
             self.write(self._server.late_load(time.monotonic()))
+        elif what == "cache-events":
+            start = int(self.get_query_argument("from", "1"))
+            events = late_cache_events(self._server.model, start)
+            self.write({"events": [asdict(event) for event in events]})
         elif what == "record":
             state = {"orders": self._server.orders, "running": model.running_count}
             self.write({**asdict(model.record), **state})
@@ -225,7 +242,7 @@
     application = Application(
         [
             (r"/v1/chat/completions", CompletionsHandler, {"server": server}),
-            (r"/(load|record|slow|orders)", EngineAdminHandler, shared),
+            (r"/(load|cache-events|record|slow|orders)", EngineAdminHandler, shared),
             (r"/(kv)/(.+)", EngineAdminHandler, shared),
         ],
         log_function=lambda handler: None,
