--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/actions.py
@@ -76,6 +76,42 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Order an upstream to reach a wanted state.
+
+    :param number: fencing number.
+    :param valid_until_s: the process checks its clock against it right before it sends.
+    """
+
+    order_id: str
+    replica_id: str
+    address: str
+    wanted: str
+    number: int
+    valid_until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StartVm:
+    """Have the cloud start a VM; the token makes a repeat harmless."""
+
+    token: str
+    service: str
+    zone: str
+    machine_class: str
+    purchase: str
+    valid_until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopVm:
+    """Give a VM back to the cloud; a repeat is harmless."""
+
+    token: str
+    valid_until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Count:
     """Raise a counter."""
@@ -104,6 +140,9 @@
     | SendFinal
     | Append
     | TellPeer
+    | SendOrder
+    | StartVm
+    | StopVm
     | Count
     | LogLine
     | Stopped
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
@@ -8,6 +8,7 @@
 from coriandershelf_core.internal.messages import Message
 from coriandershelf_core.internal.records import Record
 from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.spending import Offer
 
 
 class FailureCause(Enum):
@@ -41,7 +42,12 @@
 
 @dataclass(frozen=True, slots=True)
 class VmStatus:
-    """One VM as the platform lists it; ``address`` is where peers or callers reach it."""
+    """One VM as the platform lists it.
+
+    :param address: where peers reach an entry VM, or requests an upstream.
+    :param service: what a bought upstream serves; empty where the inventory says it.
+    :param slots: requests that a bought upstream runs at once.
+    """
 
     vm_id: str
     incarnation: int
@@ -49,6 +55,8 @@
     zone: str
     state: VmState
     address: str
+    service: str = ""
+    slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +221,52 @@
     urgent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An upstream took an order, or refused it for an old fencing number."""
+
+    order_id: str
+    taken: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFailed:
+    """An order's answer was lost, or it was not sent in time."""
+
+    order_id: str
+
+
+class CloudAnswer(Enum):
+    """What the cloud said to a start or stop."""
+
+    TAKEN = "taken"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswered:
+    """The cloud's answer to a start."""
+
+    token: str
+    answer: CloudAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class StopAnswered:
+    """The cloud's answer to a stop."""
+
+    token: str
+    answer: CloudAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class OffersRead:
+    """What the cloud sells now, and at which prices."""
+
+    offers: tuple[Offer, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time passed."""
@@ -237,5 +291,10 @@
     | ReclaimNotice
     | LoadReported
     | StopAsked
+    | OrderAnswered
+    | OrderFailed
+    | StartAnswered
+    | StopAnswered
+    | OffersRead
     | Tick
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/inventory.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/inventory.py
@@ -30,11 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A model or plain service; ``non_idempotent_paths`` are path prefixes."""
+    """A model or plain service.
+
+    :param non_idempotent_paths: path prefixes.
+    :param weights: what its replicas must have loaded; empty to give no orders.
+    :param scaled: whether the system buys and gives back VMs for it.
+    """
 
     name: str
     kind: ServiceKind
     non_idempotent_paths: tuple[str, ...] = ()
+    weights: str = ""
+    scaled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -11,6 +11,7 @@
 from coriandershelf_core.internal.classify import make_work, owner_of
 from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
 from coriandershelf_core.internal.context import Context, VmIdentity
+from coriandershelf_core.internal.control import Control
 from coriandershelf_core.internal.events import (
     AppendAnswered,
     AppendFailed,
@@ -23,10 +24,15 @@
     JobRead,
     LoadReported,
     LogRead,
+    OffersRead,
+    OrderAnswered,
+    OrderFailed,
     PeerMessageArrived,
     PlainAnswered,
     ReclaimNotice,
     RequestArrived,
+    StartAnswered,
+    StopAnswered,
     StopAsked,
     StreamEnded,
     Tick,
@@ -34,6 +40,7 @@
     VmListRead,
     VmState,
 )
+from coriandershelf_core.internal.fleet import Fleet
 from coriandershelf_core.internal.inventory import Inventory
 from coriandershelf_core.internal.jobs import Jobs
 from coriandershelf_core.internal.ledger import Ledger
@@ -48,6 +55,7 @@
 from coriandershelf_core.internal.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.records import (
     CONFIGURATION_STREAM,
+    CONTROL_STREAM,
     Claim,
     ClaimFinished,
     ClaimReleased,
@@ -99,6 +107,8 @@
             self.serving.cancel,
             self._tell,
         )
+        self.fleet = Fleet(self.context, self.membership, self.serving)
+        self.control = Control(self.context, self.ledger, self.fleet.needs, self.fleet.vm_serves)
         self._heartbeat_at_s = 0.0
         self._stopped = False
 
@@ -152,12 +162,15 @@
                 self._on_peer_message(sender, message, now_s)
             case VmListRead(vms):
                 self.membership.on_vm_list(vms, now_s)
+                self._adopt_fleet(now_s)
                 self.serving.limits.set_entry_vms(self._entry_vm_ids())
                 self._mark_replicas()
             case ReclaimNotice(vm_id, at_s):
                 self._on_notice(vm_id, at_s, now_s)
             case LoadReported():
                 self.serving.on_load(event)
+            case OrderAnswered() | OrderFailed() | StartAnswered() | StopAnswered() | OffersRead():
+                self.control.handle(event, now_s)
             case StopAsked(deadline_s, urgent):
                 begin_stop(self.context, deadline_s, urgent, now_s)
 
@@ -208,6 +221,9 @@
         if event.stream == CONFIGURATION_STREAM:
             self.configuration.on_log_read(event, now_s)
             return
+        if event.stream == CONTROL_STREAM:
+            self.control.on_log_read(event, now_s)
+            return
         for record in event.records:
             if self.ledger.is_first(event.stream, record):
                 for entry in record.entries:
@@ -233,7 +249,15 @@
     def _append_snapshot(self, snapshot: ConfigurationSnapshot, now_s: float) -> None:
         self.ledger.add(CONFIGURATION_STREAM, snapshot, now_s)
 
+    def _adopt_fleet(self, now_s: float) -> None:
+        """Route to bought VMs as the platform's list shows them."""
+        inventory = self.fleet.changed_inventory()
+        if inventory is not None:
+            self.context.inventory = inventory
+            self.serving.replicas.adopt(inventory)
+
     def _adopt(self, inventory: Inventory, now_s: float) -> None:
+        inventory = self.fleet.with_bought(inventory)
         self.context.inventory = inventory
         self.serving.replicas.adopt(inventory)
         self._mark_replicas()
@@ -296,6 +320,7 @@
         self.claims.on_tick(now_s)
         self.jobs.on_tick(now_s)
         self.serving.on_tick(now_s)
+        self.control.on_tick(now_s)
         self.configuration.on_tick(now_s)
         if now_s >= self._heartbeat_at_s:
             self._heartbeat_at_s = now_s + self.context.settings.heartbeat_s
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
@@ -68,6 +68,14 @@
             and member.status.vm_id != identity.vm_id
         ]
 
+    def bought(self) -> list[VmStatus]:
+        """Return the upstreams that are not gone and whose service the list names."""
+        return [
+            member.status
+            for member in self._members.values()
+            if member.status.service and member.state is not VmState.GONE
+        ]
+
     def _merge(self, status: VmStatus, now_s: float) -> None:
         member = self._members.get(status.vm_id)
         if member is None or status.incarnation > member.status.incarnation:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/reasons.py
@@ -50,6 +50,8 @@
     UPSTREAM_REFUSED = ("upstream-refused", "The upstream refused the work as overloaded.")
     UPSTREAM_ERROR = ("upstream-error", "The upstream answered with a server error.")
     UPSTREAM_LEAVING = ("upstream-leaving", "The upstream is being reclaimed or drained.")
+    ORDER_UNANSWERED = ("order-unanswered", "An upstream did not answer an order in time.")
+    START_UNANSWERED = ("start-unanswered", "The cloud's answer to a start or stop was lost.")
     HEDGE = ("hedge", "A second attempt ran beside a slow first one.")
 
     def __init__(self, code: str, meaning: str) -> None:
@@ -102,6 +104,14 @@
         "configuration.mismatches",
         "Peers or snapshots that named another change under a known version.",
     )
+    LEASES_ACQUIRED = ("leases.acquired", "Leases that this VM acquired.")
+    LEASES_LAPSED = ("leases.lapsed", "Leases that this VM could not renew in time.")
+    ORDERS_SENT = ("orders.sent", "Orders sent to upstreams.")
+    ORDERS_FENCED = ("orders.fenced", "Orders that an upstream refused for an old number.")
+    PURCHASES_MADE = ("purchases.made", "VMs that the cloud started for this VM's orders.")
+    PURCHASES_REFUSED = ("purchases.refused", "Starts that the cloud refused.")
+    PURCHASES_OVER_BUDGET = ("purchases.over-budget", "Purchases not made for lack of budget.")
+    PURCHASES_ENDED = ("purchases.ended", "VMs given back or reclaimed.")
     PEER_MESSAGES = ("peer.messages", "Messages sent to other entry VMs.")
 
     def __init__(self, code: str, meaning: str) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/records.py
@@ -10,6 +10,7 @@
 
 CONFIGURATION_STREAM = "configuration"
 LEDGER_STREAM = "ledger"
+CONTROL_STREAM = "control"
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +172,83 @@
         return self.history[-1].version
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseTaken:
+    """Asks for a lease, or renews it.
+
+    :param number: fencing number that is renewed; -1 to acquire.
+    :param sent_at_s: the asker's own clock before it sent this.
+    """
+
+    name: str
+    holder: str
+    incarnation: int
+    number: int
+    valid_s: float
+    sent_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseReleased:
+    """Gives a lease back before it expires."""
+
+    name: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PurchaseIntended:
+    """A VM that the holder of the spending lease wants to start.
+
+    :param token: names the VM, so that a start sent twice starts one.
+    :param number: fencing number of the spending lease.
+    :param budget_per_hour: in force at the writer.
+    """
+
+    token: str
+    service: str
+    zone: str
+    machine_class: str
+    purchase: str
+    price_per_hour: float
+    slots: int
+    number: int
+    budget_per_hour: float
+    reason: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PurchaseEnded:
+    """A purchase that costs nothing any more."""
+
+    token: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseState:
+    """A lease inside a snapshot."""
+
+    name: str
+    holder: str
+    incarnation: int
+    number: int
+    expires_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSnapshot:
+    """Leases and open purchases after the record at ``through_offset``.
+
+    Written well before retention passes, so that a reader that starts late misses nothing.
+    """
+
+    through_offset: int
+    leases: tuple[LeaseState, ...]
+    purchases: tuple[PurchaseIntended, ...]
+
+
 Entry = (
     Claim
     | ClaimReleased
@@ -182,6 +260,11 @@
     | ConfigurationProposed
     | ConfigurationSnapshot
     | FormatAllowed
+    | LeaseTaken
+    | LeaseReleased
+    | PurchaseIntended
+    | PurchaseEnded
+    | ControlSnapshot
 )
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/settings.py
@@ -58,6 +58,19 @@
         30.0, "Wait for a snapshot after records were missed, before one is written.", 0.01
     )
     readiness_lag_s: float = documented(3.0, "Wait for the balancer after readiness is lost.", 0.0)
+    lease_valid_s: float = documented(10.0, "How long a lease is valid without renewal.", 0.1)
+    order_limit_s: float = documented(30.0, "Longest wait for an upstream's order answer.", 0.1)
+    orders_max_count: int = documented(2, "Orders under way at once in an availability zone.", 1)
+    spending_period_s: float = documented(5.0, "Period of deciding on purchases.", 0.1)
+    purchases_max_count: int = documented(4, "VMs bought at most in one period.", 1)
+    start_refused_wait_s: float = documented(
+        120.0, "How long an offer is passed over after the cloud refused it.", 0.1
+    )
+    start_resend_s: float = documented(10.0, "Wait before an unanswered start is repeated.", 0.1)
+    start_limit_s: float = documented(900.0, "Longest wait for a started VM to serve.", 1.0)
+    control_snapshot_s: float = documented(
+        3600.0, "Period of writing leases and purchases forward in the log.", 1.0
+    )
     trace_keep_count: int = documented(2000, "Request traces kept for explain.", 1)
 
     def __post_init__(self) -> None:
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -21,15 +21,23 @@
     Count,
     LogLine,
     SendFinal,
+    SendOrder,
     SendTokens,
     StartAttempt,
+    StartVm,
     Stopped,
+    StopVm,
     TellPeer,
 )
 from coriandershelf_core.internal.events import StopAsked
-from coriandershelf_core.internal.records import CONFIGURATION_STREAM, LEDGER_STREAM
+from coriandershelf_core.internal.records import (
+    CONFIGURATION_STREAM,
+    CONTROL_STREAM,
+    LEDGER_STREAM,
+)
 from coriandershelf_entry.internal.callers import Callers, make_application, wait_room
 from coriandershelf_entry.internal.clock import make_clock
+from coriandershelf_entry.internal.cloud import poll_offers, send_order, start_vm, stop_vm
 from coriandershelf_entry.internal.core_task import CoreTask
 from coriandershelf_entry.internal.log_client import LogClient
 from coriandershelf_entry.internal.mailbox import CallerMailbox
@@ -41,6 +49,7 @@
 from coriandershelf_wire import parse_or_none
 
 METRICS_PERIOD_S = 1.0
+OFFERS_PERIOD_S = 30.0
 ANSWER_POLL_S = 0.02
 LAST_REQUESTS_S = 0.2
 
@@ -50,6 +59,7 @@
 
     def __init__(self, settings: EntrySettings, core_settings: CoreSettings, log: Any) -> None:
         self._settings = settings
+        self._core_settings = core_settings
         self._log = log
         self._clock = make_clock()
         incarnation = settings.incarnation or time.time_ns() // 1_000_000
@@ -92,6 +102,8 @@
         address = settings.platform_address
         self._spawn(poll_vm_list(self._client, address, settings.poll_s, post))
         self._spawn(poll_notices(self._client, address, settings.poll_s, post))
+        self._spawn(poll_offers(self._client, address, OFFERS_PERIOD_S, post))
+        self._spawn(self._log_client.read_forever(CONTROL_STREAM, post))
         self._spawn(self._flush_metrics())
         self._log.info("listening", address=settings.listen)
 
@@ -160,6 +172,21 @@
                 task = self._attempts.pop(attempt_id, None)
                 if task is not None:
                     task.cancel()
+            case SendOrder():
+                limit_s = self._core_settings.order_limit_s
+                self._spawn(
+                    send_order(self._client, action, limit_s, self._clock, self._core_task.post)
+                )
+            case StartVm():
+                address = self._settings.platform_address
+                self._spawn(
+                    start_vm(self._client, address, action, self._clock, self._core_task.post)
+                )
+            case StopVm():
+                address = self._settings.platform_address
+                self._spawn(
+                    stop_vm(self._client, address, action, self._clock, self._core_task.post)
+                )
             case Append():
                 self._spawn(self._log_client.append(action, self._core_task.post))
             case TellPeer():
--- /dev/null
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/cloud.py
@@ -0,0 +1,125 @@
+"""Orders to upstreams and to the cloud, over HTTP.
+
+Right before each send the clock is checked against the lease: a process that was paused between
+the decision and here must not act on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from coriandershelf_core.internal.actions import SendOrder, StartVm, StopVm
+from coriandershelf_core.internal.events import (
+    CloudAnswer,
+    OffersRead,
+    OrderAnswered,
+    OrderFailed,
+    StartAnswered,
+    StopAnswered,
+)
+from coriandershelf_core.internal.inventory import Purchase
+from coriandershelf_core.internal.spending import Offer
+from coriandershelf_entry.internal.clock import Clock
+from coriandershelf_entry.internal.core_task import Post
+
+CLOUD_LIMIT_S = 5.0
+FENCED_STATUS = 409
+REFUSED_STATUSES = (409, 429, 503)
+
+
+async def send_order(
+    client: AsyncHTTPClient, action: SendOrder, limit_s: float, clock: Clock, post: Post
+) -> None:
+    """Send one order to an upstream and post what becomes of it."""
+    body = json.dumps(
+        {
+            "order_id": action.order_id,
+            "wanted": action.wanted,
+            "fencing_number": action.number,
+        }
+    )
+    request = HTTPRequest(
+        f"http://{action.address}/orders", method="POST", body=body, request_timeout=limit_s
+    )
+    if clock() >= action.valid_until_s:
+        post(OrderFailed(action.order_id))
+        return
+    try:
+        await client.fetch(request)
+    except HTTPClientError as error:
+        if error.code == FENCED_STATUS:
+            post(OrderAnswered(action.order_id, taken=False))
+        else:
+            post(OrderFailed(action.order_id))
+    except OSError:
+        post(OrderFailed(action.order_id))
+    else:
+        post(OrderAnswered(action.order_id, taken=True))
+
+
+async def _ask_cloud(client: AsyncHTTPClient, url: str, document: dict[str, str]) -> CloudAnswer:
+    request = HTTPRequest(
+        url, method="POST", body=json.dumps(document), request_timeout=CLOUD_LIMIT_S
+    )
+    try:
+        await client.fetch(request)
+    except HTTPClientError as error:
+        refused = error.code in REFUSED_STATUSES
+        return CloudAnswer.REFUSED if refused else CloudAnswer.LOST
+    except OSError:
+        return CloudAnswer.LOST
+    return CloudAnswer.TAKEN
+
+
+async def start_vm(
+    client: AsyncHTTPClient, address: str, action: StartVm, clock: Clock, post: Post
+) -> None:
+    """Have the cloud start a VM and post its answer."""
+    if clock() >= action.valid_until_s:
+        return
+    document = {
+        "token": action.token,
+        "service": action.service,
+        "zone": action.zone,
+        "machine_class": action.machine_class,
+        "purchase": action.purchase,
+    }
+    answer = await _ask_cloud(client, f"http://{address}/cloud/start", document)
+    post(StartAnswered(action.token, answer))
+
+
+async def stop_vm(
+    client: AsyncHTTPClient, address: str, action: StopVm, clock: Clock, post: Post
+) -> None:
+    """Give a VM back to the cloud and post its answer."""
+    if clock() >= action.valid_until_s:
+        return
+    url = f"http://{address}/cloud/stop"
+    answer = await _ask_cloud(client, url, {"token": action.token})
+    post(StopAnswered(action.token, answer))
+
+
+async def poll_offers(client: AsyncHTTPClient, address: str, period_s: float, post: Post) -> None:
+    """Read what the cloud sells every period, across outages."""
+    while True:
+        try:
+            response = await client.fetch(
+                f"http://{address}/cloud/offers", request_timeout=CLOUD_LIMIT_S
+            )
+            offers = tuple(
+                Offer(
+                    item["zone"],
+                    item["machine_class"],
+                    Purchase(item["purchase"]),
+                    float(item["price_per_hour"]),
+                    int(item["slots"]),
+                )
+                for item in json.loads(response.body)["offers"]
+            )
+            post(OffersRead(offers))
+        except (HTTPClientError, OSError, ValueError, KeyError):
+            pass
+        await asyncio.sleep(period_s)
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/platform.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/platform.py
@@ -32,6 +32,8 @@
                     item["zone"],
                     STATES[item["state"]],
                     item["address"],
+                    item.get("service", ""),
+                    item.get("slots", 0),
                 )
                 for item in json.loads(response.body)["vms"]
             )
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -56,6 +56,7 @@
 from coriandershelf_core.internal.inventory import ServiceKind
 from coriandershelf_core.internal.records import (
     CONFIGURATION_STREAM,
+    CONTROL_STREAM,
     LEDGER_STREAM,
     ConfigurationProposed,
     Record,
@@ -342,7 +343,7 @@
         if not entry.alive or self.entries[vm_id] is not entry:
             return
         if not entry.paused and not self.cut(vm_id, "log"):
-            for stream in (CONFIGURATION_STREAM, LEDGER_STREAM):
+            for stream in (CONFIGURATION_STREAM, LEDGER_STREAM, CONTROL_STREAM):
                 start = entry.offsets.get(stream, 0)
                 answer = self.log.read(stream, start, 500, self.now_s)
                 if answer is None:
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet_bench.py
@@ -0,0 +1,247 @@
+"""Leases, orders and purchases of several entry VMs against a fake log and cloud.
+
+Only the core's control part runs, so that a day passes in seconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from coriandershelf_core import CoreSettings, VmIdentity
+from coriandershelf_core.internal.actions import (
+    Action,
+    Append,
+    Count,
+    SendOrder,
+    StartVm,
+    StopVm,
+)
+from coriandershelf_core.internal.buyer import ServiceNeed
+from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.control import Control
+from coriandershelf_core.internal.events import (
+    LogRead,
+    OffersRead,
+    OrderAnswered,
+    StartAnswered,
+    StopAnswered,
+)
+from coriandershelf_core.internal.inventory import (
+    Inventory,
+    Purchase,
+    Replica,
+    Rules,
+    Service,
+    ServiceKind,
+    Zone,
+)
+from coriandershelf_core.internal.ledger import Ledger
+from coriandershelf_core.internal.records import CONTROL_STREAM, Record
+from coriandershelf_core.internal.spending import Need, Offer
+from coriandershelf_rig.internal.cloud_model import CloudModel, CloudVm
+from coriandershelf_rig.internal.log_model import AppendFate, LogModel
+
+SERVICE = "model"
+LIST_LAG_S = 5.0
+READ_MAX_COUNT = 1000
+
+
+@dataclass(slots=True)
+class OrderedUpstream:
+    """An upstream that takes orders; the highest fencing number it saw."""
+
+    checks_fencing: bool
+    number: int = -1
+    state: str = ""
+    stale_orders: int = 0
+
+    def take(self, order: SendOrder) -> bool:
+        """Take an order or refuse it; an old number that is acted on is counted."""
+        if order.number < self.number:
+            if self.checks_fencing:
+                return False
+            self.stale_orders += 1
+        self.number = max(self.number, order.number)
+        self.state = order.wanted
+        return True
+
+
+@dataclass(slots=True)
+class Node:
+    """One entry VM's control part."""
+
+    context: Context
+    ledger: Ledger
+    control: Control
+    offset: int = 0
+    paused: bool = False
+
+
+class FleetBench:
+    """Steps every node through time.
+
+    :param need: slots that the service needs at a time.
+    :param budget_per_hour: of the rules in force.
+    """
+
+    def __init__(
+        self,
+        zones: tuple[str, ...],
+        seed: int,
+        need: Callable[[float], Need],
+        budget_per_hour: float,
+        disabled: frozenset[str] = frozenset(),
+        settings: CoreSettings | None = None,
+        replicas: tuple[Replica, ...] = (),
+        weights: str = "",
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.need = need
+        self.log = LogModel(self.rng)
+        self.cloud = CloudModel(self.rng)
+        self.offers: tuple[Offer, ...] = ()
+        self.prices: dict[str, float] = {}
+        self.counters: dict[str, int] = {}
+        self.upstreams = {
+            replica.replica_id: OrderedUpstream(replica.checks_fencing) for replica in replicas
+        }
+        self.inventory = Inventory(
+            version=1,
+            zones=tuple(Zone(zone, "r") for zone in zones),
+            services=(Service(SERVICE, ServiceKind.MODEL, weights=weights, scaled=True),),
+            replicas=replicas,
+            customers=(),
+            rules=Rules(budget_per_hour=budget_per_hour),
+        )
+        self._settings = settings or CoreSettings()
+        self._disabled = disabled
+        self._incarnation = 0
+        self.nodes: dict[str, Node] = {}
+        for index, zone in enumerate(zones):
+            self.start_node(f"entry-{index + 1}", zone)
+
+    def start_node(self, vm_id: str, zone: str) -> Node:
+        """Start an entry VM, or start it again with nothing kept."""
+        self._incarnation += 1
+        identity = VmIdentity(vm_id, zone, self._incarnation)
+        rng = random.Random(self.rng.getrandbits(63))
+        context = Context(identity, self._settings, rng, self._disabled)
+        context.inventory = self.inventory
+        ledger = Ledger(context)
+        control = Control(context, ledger, self._needs, self._vm_serves)
+        node = Node(context, ledger, control)
+        self.nodes[vm_id] = node
+        return node
+
+    def step(self, duration_s: float) -> None:
+        """Let time pass and every node act once."""
+        self.now_s += duration_s
+        for node in list(self.nodes.values()):
+            if not node.paused:
+                self._step_node(node)
+
+    def holder_of(self, name: str) -> Node | None:
+        """Return the node that holds a lease by its own clock."""
+        for node in self.nodes.values():
+            for holder in (node.control.orders_holder, node.control.spending_holder):
+                if holder.name == name and holder.holds(self.now_s):
+                    return node
+        return None
+
+    def serving(self) -> list[CloudVm]:
+        """Return the VMs that serve now."""
+        return self.cloud.serving(self.now_s)
+
+    def price_per_hour(self) -> float:
+        """Return what the VMs that run now cost an hour; prices are fixed at the start."""
+        return sum(self.prices[vm.token] for vm in self.cloud.running(self.now_s))
+
+    def _price_of(self, zone: str, purchase: str) -> float:
+        return next(
+            offer.price_per_hour
+            for offer in self.offers
+            if (offer.zone, offer.purchase.value) == (zone, purchase)
+        )
+
+    def _needs(self, now_s: float) -> list[ServiceNeed]:
+        return [ServiceNeed(SERVICE, self.need(now_s), ())]
+
+    def _vm_serves(self, token: str) -> bool | None:
+        """Return a VM's state as the lagging list shows it."""
+        vm = self.cloud.vms.get(token)
+        if vm is None:
+            return False
+        seen_at_s = self.now_s - LIST_LAG_S
+        if vm.ended_at_s is not None and vm.ended_at_s <= seen_at_s:
+            return None
+        return vm.started_at_s + self.cloud.start_s <= seen_at_s
+
+    def _step_node(self, node: Node) -> None:
+        start = node.offset
+        answer = self.log.read(CONTROL_STREAM, start, READ_MAX_COUNT, self.now_s)
+        if answer is not None:
+            stored, first, node.offset = answer
+            records = tuple(Record(item.offset, item.time_s, *item.data) for item in stored)
+            event = LogRead(CONTROL_STREAM, records, first, node.offset)
+            node.control.on_log_read(event, self.now_s)
+        node.control.handle(OffersRead(self.offers), self.now_s)
+        node.ledger.on_tick(self.now_s)
+        node.control.on_tick(self.now_s)
+        self._perform_all(node)
+
+    def _perform_all(self, node: Node) -> None:
+        while node.context.outbox:
+            actions, node.context.outbox = node.context.outbox, []
+            for action in actions:
+                self._perform(node, action)
+
+    def _perform(self, node: Node, action: Action) -> None:
+        now_s = self.now_s
+        match action:
+            case Append():
+                self._append(node, action)
+            case Count(name, amount):
+                self.counters[name] = self.counters.get(name, 0) + amount
+            case StartVm(token, service, zone, machine_class, purchase, valid_until_s):
+                if now_s < valid_until_s:
+                    known = token in self.cloud.vms
+                    answer = self.cloud.start(token, service, zone, machine_class, purchase, now_s)
+                    if not known and token in self.cloud.vms:
+                        self.prices[token] = self._price_of(zone, purchase)
+                    node.control.handle(StartAnswered(token, answer), now_s)
+            case StopVm(token, valid_until_s):
+                if now_s < valid_until_s:
+                    answer = self.cloud.stop(token, now_s)
+                    node.control.handle(StopAnswered(token, answer), now_s)
+            case SendOrder():
+                if now_s < action.valid_until_s or not node.context.enabled("check-before-send"):
+                    taken = self.upstreams[action.replica_id].take(action)
+                    node.control.handle(OrderAnswered(action.order_id, taken), now_s)
+            case _:
+                pass
+
+    def _append(self, node: Node, action: Append) -> None:
+        identity = node.context.identity
+        data = (identity.vm_id, identity.incarnation, action.sequence, action.entries)
+        fate, _ = self.log.append(action.stream, data, self.now_s)
+        if fate is AppendFate.TAKEN:
+            node.ledger.on_answered(action.append_id)
+        else:
+            uncertain = fate is not AppendFate.REFUSED
+            node.ledger.on_failed(action.append_id, uncertain, self.now_s)
+
+
+def offers_at(
+    zones: tuple[str, ...], prices: dict[str, float], on_demand_price: float, slots: int
+) -> tuple[Offer, ...]:
+    """Return one reclaimable and one on-demand offer a zone."""
+    reclaimable = [
+        Offer(zone, "standard", Purchase.RECLAIMABLE, prices[zone], slots) for zone in zones
+    ]
+    on_demand = [
+        Offer(zone, "standard", Purchase.ON_DEMAND, on_demand_price, slots) for zone in zones
+    ]
+    return (*reclaimable, *on_demand)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_platform.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_platform.py
@@ -10,10 +10,13 @@
 import json
 import random
 import time
+from dataclasses import asdict
 from typing import Any
 
 from tornado.web import Application, RequestHandler
 
+from coriandershelf_core.internal.events import CloudAnswer
+from coriandershelf_rig.internal.cloud_model import CloudModel
 from coriandershelf_rig.internal.log_model import AppendFate, LogModel
 
 READ_POLL_S = 0.005
@@ -27,8 +30,8 @@
         self.log = LogModel(random.Random(seed))
         self.lag_s = lag_s
         self.notices: list[dict[str, Any]] = []
-        self.starts: list[dict[str, Any]] = []
-        self.refuse_starts = False
+        self.cloud = CloudModel(random.Random(seed + 1), start_s=0.0)
+        self.offers: list[dict[str, Any]] = []
         self.weight_requests_per_s = 2.0
         self._weight_free_at_s = 0.0
         self._vms: dict[str, dict[str, Any]] = {}
@@ -134,23 +137,34 @@
 
 
 class CloudHandler(PlatformHandler):
-    """``POST /cloud/start``: order a VM, idempotent by token; ``GET``: the orders."""
+    """``POST /cloud/start`` and ``/cloud/stop``, idempotent by token; ``GET`` lists."""
 
-    def get(self) -> None:
-        """Answer with every start taken."""
-        self.write({"starts": self.platform.starts})
+    def get(self, what: str) -> None:
+        """Answer with the offers, or with every VM started."""
+        if what == "offers":
+            self.write({"offers": self.platform.offers})
+            return
+        self.write({"vms": [asdict(vm) for vm in self.platform.cloud.vms.values()]})
 
-    def post(self) -> None:
-        """Take or refuse a start."""
+    def post(self, what: str) -> None:
+        """Start or stop a VM."""
         order = json.loads(self.request.body)
-        if self.platform.refuse_starts:
+        cloud = self.platform.cloud
+        if what == "stop":
+            answer = cloud.stop(order["token"], time.time())
+        elif what == "start":
+            answer = cloud.start(**order, now_s=time.time())
+        else:
+            self.platform.offers = order["offers"]
+            return
+        if answer is CloudAnswer.REFUSED:
             self.set_status(503)
             self.write({"error": "no capacity"})
-            return
-        known = next((item for item in self.platform.starts if item == order), None)
-        if known is None:
-            self.platform.starts.append(order)
-        self.write({"taken": True})
+        elif answer is CloudAnswer.LOST:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            self._finished = True
+        else:
+            self.write({"taken": True})
 
 
 class WeightsHandler(PlatformHandler):
@@ -173,7 +187,12 @@
         platform.log.lost_answer_share = faults.get(
             "lost_answer_share", platform.log.lost_answer_share
         )
-        platform.refuse_starts = faults.get("refuse_starts", platform.refuse_starts)
+        platform.cloud.lost_answer_share = faults.get(
+            "lost_start_share", platform.cloud.lost_answer_share
+        )
+        refuse = faults.get("refuse_starts")
+        if refuse is not None:
+            platform.cloud.refuses = lambda zone, purchase: refuse
         self.write({"appends_taken": platform.log.appends_taken})
 
 
@@ -185,7 +204,7 @@
             (r"/streams/([a-z0-9.-]+)", StreamHandler, shared),
             (r"/vms", VmsHandler, shared),
             (r"/notices", NoticesHandler, shared),
-            (r"/cloud/start", CloudHandler, shared),
+            (r"/cloud/(start|stop|offers|vms)", CloudHandler, shared),
             (r"/weights/(.+)", WeightsHandler, shared),
             (r"/faults", FaultsHandler, shared),
         ],
--- a/packages/coriandershelf-wire/src/coriandershelf_wire/internal/inventory_format.py
+++ b/packages/coriandershelf-wire/src/coriandershelf_wire/internal/inventory_format.py
@@ -51,6 +51,8 @@
     name: Name
     kind: Literal["model", "plain"]
     non_idempotent_paths: list[str] = []
+    weights: str = ""
+    scaled: bool = False
 
 
 class ReplicaModel(_Model):
@@ -236,7 +238,13 @@
         version=version,
         zones=tuple(Zone(zone.name, zone.region) for zone in inventory.zones),
         services=tuple(
-            Service(item.name, ServiceKind(item.kind), tuple(item.non_idempotent_paths))
+            Service(
+                item.name,
+                ServiceKind(item.kind),
+                tuple(item.non_idempotent_paths),
+                item.weights,
+                item.scaled,
+            )
             for item in inventory.services
         ),
         replicas=tuple(
