Serve the users' platform: a gateway in the core, its translation in platform/

Change: the core's subpackage gateway decides on requests that pass through unchanged to replicas that register themselves (routes, keys with an age, caps over all VMs, choice of the replica, retries within a budget, suspects, usage counts, lease of the duties, orders of replicas); platform/ translates: settings file, store, registry, configuration, callers' and replicas' HTTP, duties; coriandershelfd chooses its border at the start. Ruled out: the core's claims, tickets and log records (a request's id is one attempt at one VM here, so at most once needs no claim), heartbeats between VMs by gRPC (about 2 ms a call).

--- a/Makefile
+++ b/Makefile
@@ -10,24 +10,24 @@
 
 setup: .venv/ready
 
-.venv/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+.venv/ready: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt setuptools wheel
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt \
-		$(foreach p,$(PACKAGES),-e packages/coriandershelf-$(p)) $(TOOLS)
+		$(foreach p,$(PACKAGES),-e packages/coriandershelf-$(p)) -e platform $(TOOLS)
 	touch $@
 
 test: setup
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/black --check --quiet packages tests
-	$(BIN)/ruff check --quiet packages tests
-	$(BIN)/mypy packages/*/src
+	$(BIN)/black --check --quiet packages platform tests
+	$(BIN)/ruff check --quiet packages platform tests
+	$(BIN)/mypy packages/*/src platform/src
 
 format: setup
-	$(BIN)/ruff check --quiet --fix packages tests
-	$(BIN)/black --quiet packages tests
+	$(BIN)/ruff check --quiet --fix packages platform tests
+	$(BIN)/black --quiet packages platform tests
 
 demo: setup
 	$(BIN)/python -m coriandershelf_rig demo --seed $(SEED)
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests passed through unchanged to replicas that register themselves in a shared store."""
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -0,0 +1,157 @@
+"""Chooses the replica of a request."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from coriandershelf_core.internal.gateway.deployment import Service
+from coriandershelf_core.internal.gateway.pool import ReplicaState
+from coriandershelf_core.internal.gateway.request import Passage, PromptPart
+
+# Time that an engine takes for a prompt token, before its slowness is learnt.
+PROMPT_TOKEN_S = 1.0e-5
+FIRST_EVENT_S = 0.065
+PLAIN_ANSWER_S = 0.03
+# A part is taken to be cached at a replica for this long after its last use there.
+PART_KEEP_S = 30.0
+PARTS_MAX_COUNT = 4096
+# Trust that other VMs have sent a session to the same replica as this one would.
+HOME_TRUST = 0.7
+# Prompt reading delays each stream of the batch a little; weight of running streams in seconds.
+STREAM_WEIGHT_S = 0.004
+ZONE_HOP_S = 0.004
+# Requests beyond the slots that may wait in a replica's own queue, as a share of its slots.
+QUEUE_SHARE = 0.25
+EJECTED_MAX_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """A replica, the prompt tokens it has to read, and the expected time to the first event."""
+
+    state: ReplicaState
+    uncached_tokens: int
+    expected_s: float
+
+
+class PartMemory:
+    """Which replicas have read which parts of prompts lately, by this VM's own requests."""
+
+    def __init__(self) -> None:
+        self._parts: OrderedDict[str, dict[str, float]] = OrderedDict()
+
+    def note(self, parts: Sequence[PromptPart], replica_id: str, now_s: float) -> None:
+        """Remember that a replica reads these parts."""
+        for part in parts:
+            self._parts.setdefault(part.part_id, {})[replica_id] = now_s
+            self._parts.move_to_end(part.part_id)
+        while len(self._parts) > PARTS_MAX_COUNT:
+            self._parts.popitem(last=False)
+
+    def cached_tokens(self, parts: Sequence[PromptPart], replica_id: str, now_s: float) -> int:
+        """Return the tokens of the leading parts that a replica still keeps."""
+        tokens_count = 0
+        for part in parts:
+            read_at_s = self._parts.get(part.part_id, {}).get(replica_id)
+            if read_at_s is None or now_s - read_at_s > PART_KEEP_S:
+                break
+            tokens_count += part.tokens_count
+        return tokens_count
+
+
+def home_of(part_id: str, states: Sequence[ReplicaState]) -> str:
+    """Return the replica where a session belongs: rendezvous hashing (Thaler, Ravishankar 1998).
+
+    Every entry VM finds the same one without a message.
+    """
+    return max(
+        (state.replica.replica_id for state in states),
+        key=lambda name: xxhash.xxh64_intdigest(f"{part_id}/{name}".encode()),
+    )
+
+
+class Chooser:
+    """Chooses by the expected time to the first event, from own and other VMs' counts.
+
+    :param zone: this VM's availability zone.
+    """
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self.parts = PartMemory()
+
+    def choose(
+        self, passage: Passage, service: Service, states: Sequence[ReplicaState], now_s: float
+    ) -> Chosen | None:
+        """Return the best replica with room, or ``None``."""
+        candidates = [
+            state
+            for state in _in_order(states, now_s)
+            if state.replica.replica_id not in passage.tried and _has_room(state, now_s)
+        ]
+        if not candidates:
+            return None
+        if not service.is_engine:
+            return min(
+                (self._plain(state, now_s) for state in candidates),
+                key=lambda chosen: chosen.expected_s,
+            )
+        parts = passage.arrival.parts
+        home = home_of(parts[-1].part_id, candidates) if parts else ""
+        return min(
+            (self._engine(passage, state, home, now_s) for state in candidates),
+            key=lambda chosen: chosen.expected_s,
+        )
+
+    def _plain(self, state: ReplicaState, now_s: float) -> Chosen:
+        load = state.count / max(1, state.replica.slots_count)
+        work_s = PLAIN_ANSWER_S * state.slowness * state.current_pace(now_s)
+        expected_s = work_s * (1.0 + load) + self._hop_s(state)
+        if load >= 1.0:
+            expected_s += work_s * load
+        return Chosen(state, 0, expected_s * (1.0 + 0.05 * self._rng.random()))
+
+    def _engine(self, passage: Passage, state: ReplicaState, home: str, now_s: float) -> Chosen:
+        parts = passage.arrival.parts
+        name = state.replica.replica_id
+        cached = float(self.parts.cached_tokens(parts, name, now_s))
+        if name == home:
+            cached = max(cached, HOME_TRUST * sum(part.tokens_count for part in parts))
+        elif parts:
+            # The first part is the system prompt, which every replica has read.
+            cached = max(cached, float(parts[0].tokens_count))
+        uncached = max(0, passage.arrival.prompt_tokens - int(cached))
+        read_s = (uncached + state.waiting_tokens) * PROMPT_TOKEN_S
+        load = state.count / max(1, state.replica.slots_count)
+        expected_s = (FIRST_EVENT_S + read_s) * state.slowness
+        expected_s += STREAM_WEIGHT_S * state.count * state.slowness
+        if load >= 1.0:
+            expected_s += 0.5 * load
+        expected_s += self._hop_s(state) + 0.003 * self._rng.random()
+        return Chosen(state, uncached, expected_s)
+
+    def _hop_s(self, state: ReplicaState) -> float:
+        return 0.0 if state.replica.zone == self._zone else ZONE_HOP_S
+
+
+def _has_room(state: ReplicaState, now_s: float) -> bool:
+    slots_count = max(1, state.replica.slots_count)
+    limit = slots_count + max(2, int(QUEUE_SHARE * slots_count))
+    return state.count < limit and now_s >= state.full_until_s
+
+
+def _in_order(states: Sequence[ReplicaState], now_s: float) -> Sequence[ReplicaState]:
+    """Return the replicas that are not shut out; all where too many would be.
+
+    When most replicas fail, the cause is not any one of them, and fewer would make it worse.
+    """
+    kept = [state for state in states if now_s >= state.ejected_until_s]
+    if len(kept) < len(states) * (1.0 - EJECTED_MAX_SHARE):
+        return states
+    return kept
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -0,0 +1,385 @@
+"""The gateway of one entry VM: events in, actions out."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from coriandershelf_core.internal.gateway.actions import (
+    Action,
+    CloseIdle,
+    Count,
+    Log,
+    Refusal,
+    Refuse,
+    SendDigest,
+    Stopped,
+)
+from coriandershelf_core.internal.gateway.choice import Chooser
+from coriandershelf_core.internal.gateway.deployment import Customer, Deployment, Route
+from coriandershelf_core.internal.gateway.digest import Digest, HolderSeen
+from coriandershelf_core.internal.gateway.events import (
+    AnswerRead,
+    AttemptFailed,
+    CallerLeft,
+    ConfigurationProved,
+    DeploymentRead,
+    DigestArrived,
+    EntryVmsRead,
+    Event,
+    ReplicasRead,
+    RequestArrived,
+    StopAsked,
+    StreamEnded,
+    StreamOpened,
+    StreamRead,
+    Tick,
+)
+from coriandershelf_core.internal.gateway.peers import Peers
+from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
+from coriandershelf_core.internal.gateway.relay import RETRY_AFTER_SHARE, Relay
+from coriandershelf_core.internal.gateway.request import Arrival, Passage
+from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.route_table import RouteTable, pick_service
+from coriandershelf_core.internal.gateway.settings import RETRY_USE, GatewaySettings
+from coriandershelf_core.internal.gateway.suspects import Suspects
+from coriandershelf_core.internal.gateway.true_time import TrueTime
+from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
+from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
+
+# Time limit where neither the caller nor the route states one.
+DEADLINE_DEFAULT_S = 60.0
+REFUSED_RETRY_S = 0.3
+STOP_RETRY_S = 0.05
+# After the request to stop the balancer may take this long to send callers elsewhere.
+BALANCER_LAG_S = 3.2
+# Before the platform kills the process.
+STOP_MARGIN_S = 0.5
+# Streams accepted late in a stop would be cut.
+STOP_STREAMS_AFTER_S = 3.0
+LOAD_WINDOW_S = 3.0
+
+
+class Gateway:
+    """Every decision on passed-through requests, without socket, clock or global random numbers.
+
+    :param vm_id: this VM's name; ``address`` is where other VMs reach it.
+    :param clock_offset_s: time of day less the steady clock, at the start.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        address: str,
+        zone: str,
+        incarnation: int,
+        settings: GatewaySettings,
+        rng: random.Random,
+        clock_offset_s: float,
+    ) -> None:
+        self.vm_id = vm_id
+        self.settings = settings
+        self.deployment: Deployment | None = None
+        self.pool = Pool()
+        self.peers = Peers(vm_id)
+        self.caps = UsageCaps()
+        self.suspects = Suspects()
+        self.usage = UsageCounts(settings.usage_window_s)
+        self.true_time = TrueTime(clock_offset_s)
+        self.holder: HolderSeen | None = None
+        self.stopping = False
+        self._address = address
+        self._zone = zone
+        self._incarnation = incarnation
+        self._rng = rng
+        self._outbox: list[Action] = []
+        self._routes = RouteTable(())
+        self._proved_at_s = float("-inf")
+        self._registry_read = False
+        self._sequence = 0
+        self._digest_at_s = 0.0
+        self._stop_at_s = 0.0
+        self._stopped = False
+        self._work: dict[str, deque[tuple[float, int]]] = {}
+        self.relay = Relay(
+            self.pool,
+            Chooser(zone, rng),
+            RetryAllowance(
+                settings.retry_ratio * RETRY_USE,
+                settings.retry_slack_count * RETRY_USE,
+                settings.retry_window_s,
+            ),
+            self.suspects,
+            self.caps,
+            self._outbox.append,
+            self._count_begun,
+            rng.random,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self.deployment is not None and self._registry_read and not self.stopping
+
+    def step(self, event: Event, now_s: float, clock_s: float) -> list[Action]:
+        """Apply one event and return what the process has to do.
+
+        :param now_s: a steady clock that counts suspension.
+        :param clock_s: the machine's time of day, which may jump.
+        """
+        self._handle(event, now_s, clock_s)
+        actions = list(self._outbox)
+        self._outbox.clear()
+        return actions
+
+    def configuration_age_s(self, now_s: float) -> float:
+        """Return how long ago the knowledge of the configuration was last proved."""
+        return now_s - self._proved_at_s
+
+    def tokens_per_s(self, service: str, now_s: float) -> float:
+        """Return the prompt tokens a second that all entry VMs are asked for, of late."""
+        own = self._own_work(now_s).get(service, (0.0, 0.0))[1]
+        others = sum(digest.work.get(service, (0.0, 0.0))[1] for digest in self.peers.live(now_s))
+        return own + others
+
+    def _handle(self, event: Event, now_s: float, clock_s: float) -> None:
+        match event:
+            case StreamRead():
+                self.relay.on_read(event, now_s)
+            case RequestArrived(arrival):
+                self._on_request(arrival, now_s)
+            case AnswerRead():
+                self.relay.on_answer(event, now_s)
+            case StreamOpened():
+                self.relay.on_opened(event, now_s)
+            case StreamEnded():
+                self.relay.on_ended(event, now_s)
+            case AttemptFailed():
+                self.relay.on_failed(event, now_s)
+            case CallerLeft(handle):
+                self.relay.on_caller_left(handle, now_s)
+            case DigestArrived(digest):
+                self._on_digest(digest, now_s)
+            case Tick():
+                self._on_tick(now_s, clock_s)
+            case DeploymentRead(deployment):
+                self._on_deployment(deployment, now_s)
+            case ConfigurationProved(at_s):
+                self._proved_at_s = max(self._proved_at_s, at_s)
+            case ReplicasRead():
+                self._on_replicas(event, now_s)
+            case EntryVmsRead(addresses):
+                self.peers.on_registered(addresses, now_s)
+                self._count_entry_vms()
+            case StopAsked():
+                self._on_stop(now_s)
+
+    def _on_request(self, arrival: Arrival, now_s: float) -> None:
+        self._emit_count("requests")
+        deployment = self.deployment
+        if deployment is None or not self._registry_read:
+            self._refuse(arrival, Refusal.NO_CONFIGURATION, REFUSED_RETRY_S, now_s)
+            return
+        age_s = now_s - self._proved_at_s
+        route = self._routes.find(arrival.host, arrival.path)
+        if route is None:
+            self._deny(arrival, Refusal.NO_ROUTE, age_s, now_s)
+            return
+        customer = None
+        if not route.public:
+            customer = deployment.customer_of_key.get(arrival.key or "")
+            if customer is None and deployment.customers:
+                self._deny(arrival, Refusal.UNKNOWN_KEY, age_s, now_s)
+                return
+            if age_s > self.settings.keys_age_max_s and deployment.customers:
+                self._refuse(arrival, Refusal.STALE_KEYS, REFUSED_RETRY_S, now_s)
+                return
+        self._admit(arrival, route, customer, now_s)
+
+    def _admit(
+        self, arrival: Arrival, route: Route, customer: Customer | None, now_s: float
+    ) -> None:
+        passage = _make_passage(arrival, route, customer, now_s)
+        if self.suspects.refuses(arrival.fingerprint):
+            self._refuse(arrival, Refusal.POISON, REFUSED_RETRY_S, now_s)
+            return
+        if self.stopping and now_s - self._stop_at_s > STOP_STREAMS_AFTER_S:
+            self._refuse(arrival, Refusal.STOPPING, STOP_RETRY_S, now_s)
+            return
+        if customer is not None:
+            wait_s = self.caps.wait_s(customer, passage.cost, now_s)
+            if wait_s > 0.0:
+                self._refuse(arrival, Refusal.CAP, wait_s, now_s)
+                return
+        self._note_work(passage.service, arrival.prompt_tokens, now_s)
+        self.relay.begin(passage, now_s)
+
+    def _deny(self, arrival: Arrival, refusal: Refusal, age_s: float, now_s: float) -> None:
+        """Deny what the configuration does not allow, if it is fresh enough to say so."""
+        if age_s > self.settings.denial_age_max_s:
+            self._refuse(arrival, Refusal.NO_CONFIGURATION, REFUSED_RETRY_S, now_s)
+        else:
+            self._refuse(arrival, refusal, None, now_s)
+
+    def _refuse(
+        self, arrival: Arrival, refusal: Refusal, retry_after_s: float | None, now_s: float
+    ) -> None:
+        if retry_after_s is not None and arrival.time_left_s is not None:
+            retry_after_s = min(retry_after_s, arrival.time_left_s * RETRY_AFTER_SHARE)
+        self._outbox.append(Refuse(arrival.handle, refusal, retry_after_s))
+        self._emit_count("refusals", refusal.value)
+        fields = (
+            ("request_id", arrival.request_id),
+            ("reason", refusal.value),
+            ("version", self.deployment.version if self.deployment is not None else None),
+            ("configuration_age_ms", round(min(1e6, (now_s - self._proved_at_s)) * 1e3)),
+        )
+        self._outbox.append(Log("refused", fields))
+
+    def _on_deployment(self, deployment: Deployment, now_s: float) -> None:
+        if self.deployment is not None and deployment.version <= self.deployment.version:
+            return
+        self.deployment = deployment
+        self.relay.deployment = deployment
+        self._routes = RouteTable(deployment.routes)
+        self.caps.adopt(deployment.customers, now_s)
+        fields = (("version", deployment.version), ("routes", len(deployment.routes)))
+        self._outbox.append(Log("configuration in force", fields))
+
+    def _on_replicas(self, event: ReplicasRead, now_s: float) -> None:
+        self._registry_read = True
+        left = self.pool.apply(event.replicas, event.complete, event.after_outage, now_s)
+        self._on_left(left)
+        for name, replica in event.replicas.items():
+            if replica is not None:
+                fields = (
+                    ("replica", name),
+                    ("zone", replica.zone),
+                    ("leaving", int(replica.leaving)),
+                    ("reclaimable", int(replica.reclaimable)),
+                )
+                self._outbox.append(Log("replica registered", fields))
+
+    def _on_left(self, left: list[ReplicaState]) -> None:
+        for state in left:
+            self._outbox.append(CloseIdle(state.replica.address))
+            fields = (("replica", state.replica.replica_id), ("in_flight", len(state.in_flight)))
+            self._outbox.append(Log("replica gone from the registry", fields))
+
+    def _on_digest(self, digest: Digest, now_s: float) -> None:
+        if not self.peers.on_digest(digest, now_s):
+            return
+        self.caps.on_digest(digest, now_s)
+        self.suspects.on_digest(digest, now_s)
+        self.usage.on_digest(digest)
+        self.true_time.on_clock(digest.vm_id, digest.clock_s, now_s)
+        self._count_entry_vms()
+
+    def _on_tick(self, now_s: float, clock_s: float) -> None:
+        self._count_others(now_s)
+        self.relay.on_tick(now_s)
+        self.caps.on_tick(now_s)
+        self.suspects.on_tick(now_s)
+        self.true_time.update(clock_s, now_s)
+        self.usage.expire(self.true_time.at(now_s))
+        self._on_left(self.pool.expire(now_s))
+        if now_s >= self._digest_at_s:
+            self._digest_at_s = now_s + self.settings.digest_period_s
+            self._send_digest(now_s, clock_s)
+        if self.stopping:
+            self._try_to_stop(now_s)
+
+    def _count_others(self, now_s: float) -> None:
+        counts: dict[str, tuple[int, int]] = {}
+        for digest in self.peers.live(now_s):
+            for name, (count, tokens) in digest.running.items():
+                known = counts.get(name, (0, 0))
+                counts[name] = (known[0] + count, known[1] + tokens)
+        for state in self.pool:
+            count, tokens = counts.get(state.replica.replica_id, (0, 0))
+            state.others_count, state.others_tokens = count, tokens
+
+    def _send_digest(self, now_s: float, clock_s: float) -> None:
+        addresses = self.peers.due_addresses(now_s)
+        self._count_entry_vms()
+        if not addresses:
+            return
+        self._sequence += 1
+        running = {
+            state.replica.replica_id: (len(state.in_flight), state.own_tokens)
+            for state in self.pool
+            if state.in_flight
+        }
+        digest = Digest(
+            self.vm_id,
+            self._address,
+            self._zone,
+            self._incarnation,
+            self._sequence,
+            clock_s,
+            self.stopping,
+            self.deployment.version if self.deployment is not None else 0,
+            running,
+            self.caps.spent(),
+            self.caps.demand(now_s),
+            self.usage.told(),
+            self.suspects.own_counts(),
+            self._own_work(now_s),
+            self.holder,
+        )
+        self._outbox.append(SendDigest(addresses, digest))
+
+    def _on_stop(self, now_s: float) -> None:
+        if not self.stopping:
+            self.stopping = True
+            self._stop_at_s = now_s
+            self._outbox.append(Log("stop asked", (("in_flight", len(self.relay.passages)),)))
+
+    def _try_to_stop(self, now_s: float) -> None:
+        since_s = now_s - self._stop_at_s
+        if since_s >= self.settings.grace_s - STOP_MARGIN_S:
+            self.relay.cut_all(now_s)
+        if not self._stopped and since_s >= BALANCER_LAG_S and not self.relay.passages:
+            self._stopped = True
+            self._outbox.append(Stopped())
+
+    def _count_begun(self, customer: str, at_s: float) -> None:
+        self.usage.note(customer, self.true_time.at(at_s))
+
+    def _count_entry_vms(self) -> None:
+        count = 1 + self.peers.count
+        self.relay.entry_vms_count = self.caps.entry_vms_count = count
+
+    def _note_work(self, service: str, tokens: int, now_s: float) -> None:
+        self._work.setdefault(service, deque()).append((now_s, tokens))
+
+    def _own_work(self, now_s: float) -> dict[str, tuple[float, float]]:
+        work = {}
+        for service, arrivals in self._work.items():
+            while arrivals and arrivals[0][0] <= now_s - LOAD_WINDOW_S:
+                arrivals.popleft()
+            tokens = sum(item[1] for item in arrivals)
+            work[service] = (len(arrivals) / LOAD_WINDOW_S, float(round(tokens / LOAD_WINDOW_S)))
+        return work
+
+    def _emit_count(self, name: str, label: str = "") -> None:
+        self._outbox.append(Count(name, label))
+
+
+def _make_passage(
+    arrival: Arrival, route: Route, customer: Customer | None, now_s: float
+) -> Passage:
+    left_s = arrival.time_left_s if arrival.time_left_s is not None else DEADLINE_DEFAULT_S
+    cost = 1.0
+    if customer is not None and customer.by_tokens:
+        tokens = arrival.prompt_tokens + arrival.output_tokens
+        cost = float(tokens or customer.plain_tokens)
+    return Passage(
+        arrival,
+        route,
+        pick_service(route, arrival.request_id),
+        customer,
+        cost,
+        now_s,
+        now_s + min(left_s, route.timeout_s),
+    )
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -0,0 +1,90 @@
+"""The other entry VMs, as their digests and their registration tell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.gateway.digest import Digest
+
+# A VM's counts at replicas are used this long after its last digest.
+COUNTS_KEEP_S = 1.5
+# A VM not heard of is told less often after this, and forgotten after the longer time.
+QUIET_AFTER_S = 4.0
+FORGET_AFTER_S = 30.0
+QUIET_PERIOD_S = 1.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another entry VM."""
+
+    address: str
+    heard_at_s: float
+    told_at_s: float = 0.0
+    digest: Digest | None = None
+
+
+@dataclass(slots=True)
+class Peers:
+    """Other entry VMs by id.
+
+    A VM that starts reads who registered and tells them of itself; so each pair of VMs knows each
+    other, and nobody needs to read the registration again.
+    """
+
+    vm_id: str
+    _peers: dict[str, Peer] = field(default_factory=dict)
+
+    @property
+    def count(self) -> int:
+        """Return the number of other entry VMs known."""
+        return len(self._peers)
+
+    def on_registered(self, addresses: dict[str, str], now_s: float) -> None:
+        """Take VMs from their registration; they may be gone."""
+        for vm_id, address in addresses.items():
+            if vm_id != self.vm_id and vm_id not in self._peers:
+                self._peers[vm_id] = Peer(address, now_s)
+
+    def on_digest(self, digest: Digest, now_s: float) -> bool:
+        """Take a digest; false where a later one of the same process was taken."""
+        if digest.vm_id == self.vm_id:
+            return False
+        peer = self._peers.get(digest.vm_id)
+        if peer is None:
+            peer = self._peers[digest.vm_id] = Peer(digest.address, now_s)
+        known = peer.digest
+        order = (digest.incarnation, digest.sequence)
+        if known is not None and order <= (known.incarnation, known.sequence):
+            return False
+        peer.digest = digest
+        peer.address = digest.address
+        peer.heard_at_s = now_s
+        return True
+
+    def due_addresses(self, now_s: float) -> tuple[str, ...]:
+        """Return whom to send this VM's digest now."""
+        due = []
+        for vm_id, peer in list(self._peers.items()):
+            silent_s = now_s - peer.heard_at_s
+            if silent_s > FORGET_AFTER_S:
+                del self._peers[vm_id]
+                continue
+            if silent_s <= QUIET_AFTER_S or now_s - peer.told_at_s >= QUIET_PERIOD_S:
+                peer.told_at_s = now_s
+                due.append(peer.address)
+        return tuple(due)
+
+    def live(self, now_s: float) -> list[Digest]:
+        """Return the last digests of the VMs that were heard of lately."""
+        return [
+            peer.digest
+            for peer in self._peers.values()
+            if peer.digest is not None and now_s - peer.heard_at_s <= COUNTS_KEEP_S
+        ]
+
+    def rank(self, now_s: float) -> int:
+        """Return this VM's place among those heard of lately, in the order of their ids."""
+        return sum(
+            1 for digest in self.live(now_s) if digest.vm_id < self.vm_id and not digest.stopping
+        )
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -0,0 +1,429 @@
+"""Requests on their way: let in, sent to a replica, watched, sent again, answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.gateway.actions import (
+    Action,
+    BreakStream,
+    CancelAttempt,
+    CloseIdle,
+    Count,
+    Deliver,
+    EndStream,
+    Log,
+    OpenStream,
+    PassEvents,
+    Refusal,
+    Refuse,
+    RetryReason,
+    StartAttempt,
+)
+from coriandershelf_core.internal.gateway.choice import Chooser, Chosen
+from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
+from coriandershelf_core.internal.gateway.events import (
+    AnswerRead,
+    AttemptFailed,
+    FailureCause,
+    StreamEnded,
+    StreamOpened,
+    StreamRead,
+)
+from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
+from coriandershelf_core.internal.gateway.request import Passage
+from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.suspects import Suspects
+from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
+
+# A replica is told this much less than what is left, so that its own answer is in time.
+DEADLINE_MARGIN_S = 0.02
+# After the time limit the replica's answer may still be on its way.
+TIMEOUT_SLACK_S = 0.15
+# A replica that refused is left alone this long.
+FULL_PAUSE_S = 0.15
+# Repeatable work is tried elsewhere when no answer came for this multiple of the expected time.
+SILENT_FACTOR = 6.0
+SILENT_MIN_S = 0.4
+STREAM_SILENT_MIN_S = 1.5
+RETRY_AFTER_MIN_S = 0.05
+RETRY_AFTER_S = 0.3
+RETRY_AFTER_SHARE = 1.0 / 3.0
+URGENCY_MAX = 9
+URGENCY_TIERS = 3
+SERVER_ERROR = 500
+
+CountBegun = Callable[[str, float], None]
+
+
+@dataclass(slots=True)
+class AttemptState:
+    """One attempt at a replica.
+
+    :param silent_at_s: when its silence counts as a failure; ``None`` where it may not be repeated.
+    """
+
+    attempt_id: int
+    passage: Passage
+    state: ReplicaState
+    started_at_s: float
+    expected_s: float
+    silent_at_s: float | None
+    opened: bool = False
+    first_event_at_s: float | None = None
+    last_event_at_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Relay:
+    """Owns the requests in flight of one entry VM.
+
+    :param emit: takes the actions for the process.
+    :param count_begun: told the customer of each request that begins to run, and when.
+    """
+
+    pool: Pool
+    chooser: Chooser
+    retries: RetryAllowance
+    suspects: Suspects
+    caps: UsageCaps
+    emit: Callable[[Action], None]
+    count_begun: CountBegun
+    rng_share: Callable[[], float]
+    entry_vms_count: int = 1
+    deployment: Deployment | None = None
+    passages: dict[int, Passage] = field(default_factory=dict)
+    attempts: dict[int, AttemptState] = field(default_factory=dict)
+    _next_attempt_id: int = 1
+
+    def begin(self, passage: Passage, now_s: float) -> None:
+        """Send a request that was let in to a replica, or refuse it at once."""
+        self.passages[passage.arrival.handle] = passage
+        self.retries.note_request(passage.service, now_s)
+        if passage.customer is not None:
+            self.caps.spend(passage.customer, passage.cost)
+        self._send(passage, now_s)
+
+    def on_caller_left(self, handle: int, now_s: float) -> None:
+        """Free the replica of a request whose answer nobody awaits."""
+        passage = self.passages.get(handle)
+        if passage is None:
+            return
+        self.emit(Count("callers_left"))
+        self._log("caller left", passage, now_s)
+        self._drop_attempt(passage)
+        self._forget(passage)
+
+    def on_answer(self, event: AnswerRead, now_s: float) -> None:
+        """Pass on a replica's answer, or try another replica where that is allowed."""
+        attempt = self.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        passage, state = attempt.passage, attempt.state
+        state.on_load(event.load, now_s)
+        self._end_attempt(attempt)
+        if event.misdirected:
+            self.pool.forget(state.replica.replica_id)
+            self.emit(CloseIdle(state.replica.address))
+            passage.sent_count -= 1
+            self._again(passage, RetryReason.MISDIRECTED, now_s)
+            return
+        if event.not_run:
+            state.full_until_s = now_s + FULL_PAUSE_S
+            self._again(passage, RetryReason.NOT_RUN, now_s)
+            return
+        self._begun(passage, attempt.started_at_s)
+        passage.may_have_run = True
+        taken_s = now_s - attempt.started_at_s
+        if event.status < SERVER_ERROR and event.sealed:
+            state.on_success(now_s)
+            state.on_time(taken_s, attempt.expected_s / state.slowness)
+        elif event.status >= SERVER_ERROR:
+            self._note_failure(state, now_s, weight_plain=passage.route.kind)
+            if passage.route.repeatable and self._may_repeat(passage, now_s):
+                self._again(passage, RetryReason.SERVER_ERROR, now_s, budgeted=True)
+                return
+        if passage.head_sent:
+            # The rest of a stream was refused: what the caller has stays incomplete.
+            self._break(passage, now_s)
+            return
+        self.emit(Deliver(passage.arrival.handle, event.status, event.headers, event.body))
+        self.emit(Count("answers", str(event.status)))
+        self._log("answered", passage, now_s, status=event.status, replica=_name(state))
+        self._forget(passage)
+
+    def on_opened(self, event: StreamOpened, now_s: float) -> None:
+        """Pass on a stream's head; a resumed stream keeps the first replica's."""
+        attempt = self.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        attempt.opened = True
+        attempt.state.on_load(event.load, now_s)
+        passage = attempt.passage
+        passage.may_have_run = True
+        if not passage.head_sent:
+            passage.head_sent = True
+            self.emit(OpenStream(passage.arrival.handle, event.status, event.headers))
+
+    def on_read(self, event: StreamRead, now_s: float) -> None:
+        """Pass on whole events as they come."""
+        attempt = self.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        passage, state = attempt.passage, attempt.state
+        attempt.last_event_at_s = now_s
+        if attempt.first_event_at_s is None:
+            attempt.first_event_at_s = now_s
+            self._begun(passage, now_s)
+            state.on_first_event(attempt.attempt_id)
+            taken_s = now_s - attempt.started_at_s
+            state.on_time(taken_s, attempt.expected_s / state.slowness)
+        if attempt.silent_at_s is not None:
+            attempt.silent_at_s = now_s + self._silence_s(passage, 0.0)
+        if event.last_event_id is not None:
+            passage.last_event_id = event.last_event_id
+        passage.bytes_sent += len(event.payload)
+        self.emit(PassEvents(passage.arrival.handle, event.payload))
+
+    def on_ended(self, event: StreamEnded, now_s: float) -> None:
+        """End a stream that its replica ended."""
+        attempt = self.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        attempt.state.on_success(now_s)
+        self._end_attempt(attempt)
+        passage = attempt.passage
+        self.emit(EndStream(passage.arrival.handle))
+        self.emit(Count("answers", "stream"))
+        self._log("stream ended", passage, now_s, replica=_name(attempt.state))
+        self._forget(passage)
+
+    def on_failed(self, event: AttemptFailed, now_s: float) -> None:
+        """Go on elsewhere where nothing can run twice; say truly what became of the rest."""
+        attempt = self.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        passage, state = attempt.passage, attempt.state
+        self._end_attempt(attempt)
+        if not event.sent:
+            passage.sent_count -= 1
+            if event.cause is FailureCause.CONNECT and state.eject(now_s):
+                self._log_replica("replica unreachable", state)
+            self._again(passage, RetryReason.CONNECT, now_s)
+            return
+        passage.may_have_run = True
+        self._note_failure(state, now_s)
+        if event.cause is FailureCause.CLOSED:
+            passage.crashes_count = self.suspects.on_crash(passage.arrival.fingerprint, now_s)
+        self._failed(passage, RetryReason.FAILED, now_s)
+
+    def on_tick(self, now_s: float) -> None:
+        """Move what is silent, and answer what has reached its time limit."""
+        for attempt in list(self.attempts.values()):
+            passage = attempt.passage
+            if now_s >= passage.deadline_s + TIMEOUT_SLACK_S:
+                self._time_out(attempt, now_s)
+            elif attempt.silent_at_s is not None and now_s >= attempt.silent_at_s:
+                self._on_silent(attempt, now_s)
+
+    def cut_all(self, now_s: float) -> None:
+        """Answer everything in flight because the process must end now."""
+        for passage in list(self.passages.values()):
+            self._drop_attempt(passage)
+            self._conclude(passage, Refusal.UNKNOWN_OUTCOME, now_s)
+
+    def refuse_room(self, passage: Passage, now_s: float) -> None:
+        """Refuse a request for which no replica has room."""
+        self._conclude(passage, Refusal.NO_ROOM, now_s)
+
+    def _send(self, passage: Passage, now_s: float) -> None:
+        deployment = self.deployment
+        assert deployment is not None, "a request was let in without a configuration"
+        service = deployment.services.get(passage.service, Service(passage.service, 0))
+        states = self.pool.usable(passage.service)
+        chosen = self.chooser.choose(passage, service, states, now_s)
+        if chosen is None:
+            refusal = Refusal.NO_ROOM if states else Refusal.NO_REPLICA
+            self._conclude(passage, refusal, now_s)
+            return
+        self._start(passage, service, chosen, now_s)
+
+    def _start(self, passage: Passage, service: Service, chosen: Chosen, now_s: float) -> None:
+        attempt_id = self._next_attempt_id
+        self._next_attempt_id += 1
+        state = chosen.state
+        name = state.replica.replica_id
+        stream = passage.route.kind is RouteKind.STREAM
+        silent_at_s = None
+        if passage.route.repeatable and passage.sent_count + 1 < passage.route.attempts_max_count:
+            silent_at_s = now_s + self._silence_s(passage, chosen.expected_s)
+        attempt = AttemptState(attempt_id, passage, state, now_s, chosen.expected_s, silent_at_s)
+        self.attempts[attempt_id] = attempt
+        passage.attempt_id = attempt_id
+        passage.sent_count += 1
+        passage.tried.add(name)
+        state.start(attempt_id, chosen.uncached_tokens, now_s)
+        if service.is_engine:
+            self.chooser.parts.note(passage.arrival.parts, name, now_s)
+        left_s = max(0.001, passage.deadline_s - now_s - DEADLINE_MARGIN_S)
+        resume_id = passage.last_event_id
+        self.emit(
+            StartAttempt(
+                attempt_id,
+                passage.arrival.handle,
+                name,
+                state.replica.address,
+                left_s,
+                passage.customer.name if passage.customer is not None else None,
+                _urgency(passage) if service.is_engine else None,
+                stream,
+                not passage.route.repeatable,
+                resume_id if resume_id is not None else passage.arrival.last_event_id,
+            )
+        )
+
+    def _silence_s(self, passage: Passage, expected_s: float) -> float:
+        if passage.route.kind is RouteKind.STREAM:
+            gap_s = 2.0 * passage.route.gap_objective_s
+            return max(STREAM_SILENT_MIN_S, gap_s, SILENT_FACTOR * expected_s)
+        return max(SILENT_MIN_S, SILENT_FACTOR * expected_s)
+
+    def _on_silent(self, attempt: AttemptState, now_s: float) -> None:
+        passage = attempt.passage
+        attempt.silent_at_s = None
+        if not self._may_repeat(passage, now_s):
+            return
+        self.emit(CancelAttempt(attempt.attempt_id))
+        self._end_attempt(attempt)
+        passage.may_have_run = True
+        self._note_failure(attempt.state, now_s)
+        self._again(passage, RetryReason.SILENT, now_s, budgeted=True)
+
+    def _again(
+        self, passage: Passage, reason: RetryReason, now_s: float, budgeted: bool = False
+    ) -> None:
+        """Send a request once more, or answer it for good.
+
+        :param budgeted: whether the repeat was taken from the budget already.
+        """
+        never_reached = reason is RetryReason.CONNECT
+        if not (budgeted or never_reached) and not self._may_repeat(passage, now_s):
+            refusal = Refusal.REPLICA_REFUSED
+            self._conclude(passage, refusal, now_s)
+            return
+        if self.suspects.refuses(passage.arrival.fingerprint):
+            self._conclude(passage, Refusal.POISON, now_s)
+            return
+        self.emit(Count("retries", reason.value))
+        self._log("sent again", passage, now_s, reason=reason.value)
+        self._send(passage, now_s)
+
+    def _failed(self, passage: Passage, reason: RetryReason, now_s: float) -> None:
+        """Recover a request whose attempt may have run."""
+        resumable = not passage.head_sent or passage.last_event_id is not None
+        if passage.route.repeatable and resumable and self._may_repeat(passage, now_s):
+            reason = RetryReason.RESUMED if passage.head_sent else reason
+            self._again(passage, reason, now_s, budgeted=True)
+            return
+        self._conclude(passage, Refusal.UNKNOWN_OUTCOME, now_s)
+
+    def _may_repeat(self, passage: Passage, now_s: float) -> bool:
+        """Return whether one more attempt is allowed, and take it from the budget."""
+        if passage.sent_count >= passage.route.attempts_max_count:
+            return False
+        if passage.deadline_s - now_s < RETRY_AFTER_MIN_S:
+            return False
+        if self.suspects.refuses(passage.arrival.fingerprint):
+            return False
+        return self.retries.take(passage.service, self.entry_vms_count, now_s)
+
+    def _time_out(self, attempt: AttemptState, now_s: float) -> None:
+        self.emit(CancelAttempt(attempt.attempt_id))
+        self._end_attempt(attempt)
+        attempt.passage.may_have_run = True
+        if attempt.first_event_at_s is None and not attempt.opened:
+            self._note_failure(attempt.state, now_s)
+        self._conclude(attempt.passage, Refusal.TIMEOUT, now_s)
+
+    def _conclude(self, passage: Passage, refusal: Refusal, now_s: float) -> None:
+        """Give a request its final answer without a replica's."""
+        if passage.head_sent:
+            self._break(passage, now_s)
+            return
+        if passage.may_have_run and refusal is not Refusal.TIMEOUT:
+            refusal = Refusal.UNKNOWN_OUTCOME
+        elif passage.customer is not None:
+            self.caps.spend(passage.customer, -passage.cost)
+        retry_after_s = None
+        if refusal not in (Refusal.TIMEOUT, Refusal.UNKNOWN_OUTCOME):
+            left_s = max(0.0, passage.deadline_s - now_s)
+            wait_s = RETRY_AFTER_S * (0.5 + self.rng_share())
+            retry_after_s = min(wait_s, left_s * RETRY_AFTER_SHARE)
+        self.emit(Refuse(passage.arrival.handle, refusal, retry_after_s))
+        self.emit(Count("refusals", refusal.value))
+        self._log("refused", passage, now_s, reason=refusal.value)
+        self._forget(passage)
+
+    def _break(self, passage: Passage, now_s: float) -> None:
+        self.emit(BreakStream(passage.arrival.handle))
+        self.emit(Count("streams_broken"))
+        self._log("stream broken", passage, now_s)
+        self._forget(passage)
+
+    def _begun(self, passage: Passage, at_s: float) -> None:
+        if not passage.counted and passage.customer is not None:
+            passage.counted = True
+            self.count_begun(passage.customer.name, at_s)
+
+    def _note_failure(
+        self, state: ReplicaState, now_s: float, weight_plain: RouteKind | None = None
+    ) -> None:
+        # Plain idempotent calls fail by themselves now and then, wherever they run.
+        if weight_plain is RouteKind.IDEMPOTENT:
+            return
+        if state.on_failure(now_s):
+            self._log_replica("replica shut out", state)
+
+    def _drop_attempt(self, passage: Passage) -> None:
+        attempt = self.attempts.get(passage.attempt_id)
+        if attempt is not None:
+            self.emit(CancelAttempt(attempt.attempt_id))
+            self._end_attempt(attempt)
+
+    def _end_attempt(self, attempt: AttemptState) -> None:
+        attempt.state.end(attempt.attempt_id)
+        del self.attempts[attempt.attempt_id]
+
+    def _forget(self, passage: Passage) -> None:
+        self.passages.pop(passage.arrival.handle, None)
+
+    def _log(
+        self, event: str, passage: Passage, now_s: float, **fields: str | int | float | None
+    ) -> None:
+        base: tuple[tuple[str, str | int | float | None], ...] = (
+            ("request_id", passage.arrival.request_id),
+            ("route", passage.route.name),
+            ("sent", passage.sent_count),
+            ("age_ms", round((now_s - passage.arrived_at_s) * 1e3)),
+        )
+        self.emit(Log(event, base + tuple(fields.items())))
+
+    def _log_replica(self, event: str, state: ReplicaState) -> None:
+        fields = (
+            ("replica", state.replica.replica_id),
+            ("shut_out_s", state.eject_s),
+            ("in_flight", len(state.in_flight)),
+        )
+        self.emit(Log(event, fields))
+
+
+def _urgency(passage: Passage) -> int:
+    """Return an engine's scheduling class: the customer's rank first, then the route's."""
+    customer = passage.customer
+    rank = customer.rank if customer is not None and customer.rank is not None else 0
+    return min(URGENCY_MAX, URGENCY_TIERS * rank + min(URGENCY_TIERS - 1, passage.route.rank))
+
+
+def _name(state: ReplicaState) -> str:
+    return state.replica.replica_id
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -0,0 +1,152 @@
+"""Usage caps of customers, kept over the sum of all entry VMs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.gateway.deployment import Customer
+from coriandershelf_core.internal.gateway.digest import Digest
+
+# A peer not heard of for this long is taken to use its share until it is heard of again.
+PEER_SILENT_S = 1.0
+# A peer silent for longer than this is taken to be gone; cuts last seconds.
+PEER_GONE_S = 15.0
+# Part of a bucket that a VM may use before it has heard of the others.
+FIRST_LEVEL_SHARE = 0.25
+DEMAND_MEMORY_S = 2.0
+
+
+@dataclass(slots=True)
+class _Peer:
+    incarnation: int
+    heard_at_s: float
+    spent: dict[str, float]
+    demand: dict[str, float]
+    charged_at_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """A token bucket for all entry VMs together, as this one knows it."""
+
+    level: float
+    updated_at_s: float
+    rate_per_s: float
+    burst: float
+    spent: float = 0.0
+    demand_per_s: float = 0.0
+    demand_at_s: float = 0.0
+
+
+@dataclass(slots=True)
+class UsageCaps:
+    """One token bucket a customer, filled once for all VMs and drained by what all VMs spend.
+
+    Each VM tells the others what it has spent. A VM that is not heard of is taken to go on
+    spending its share of the demand, so that two sides of a cut keep within the cap together.
+    """
+
+    entry_vms_count: int = 1
+    _buckets: dict[str, _Bucket] = field(default_factory=dict)
+    _peers: dict[str, _Peer] = field(default_factory=dict)
+
+    def adopt(self, customers: tuple[Customer, ...], now_s: float) -> None:
+        """Take over caps that may have changed."""
+        for customer in customers:
+            bucket = self._buckets.get(customer.name)
+            if bucket is None:
+                level = customer.burst * FIRST_LEVEL_SHARE
+                self._buckets[customer.name] = _Bucket(
+                    level, now_s, customer.rate_per_s, customer.burst
+                )
+                continue
+            self._refill(bucket, now_s)
+            bucket.rate_per_s = customer.rate_per_s
+            bucket.burst = customer.burst
+            bucket.level = min(bucket.level, customer.burst)
+
+    def wait_s(self, customer: Customer, cost: float, now_s: float) -> float:
+        """Return 0 if a request may pass now, else the time until one may.
+
+        A request passes while the level is above zero, whatever it costs: one that is larger than
+        the burst could never pass otherwise.
+        """
+        if customer.rate_per_s <= 0.0:
+            return 0.0
+        bucket = self._buckets[customer.name]
+        self._refill(bucket, now_s)
+        self._note_demand(bucket, cost, now_s)
+        if bucket.level > 0.0:
+            return 0.0
+        return max(0.05, -bucket.level / bucket.rate_per_s)
+
+    def spend(self, customer: Customer, cost: float) -> None:
+        """Charge a request that is sent; a negative cost gives back what did not run."""
+        bucket = self._buckets[customer.name]
+        bucket.level -= cost
+        bucket.spent += cost
+
+    def on_digest(self, digest: Digest, now_s: float) -> None:
+        """Charge what another VM has spent since its last digest."""
+        peer = self._peers.get(digest.vm_id)
+        if peer is None or peer.incarnation != digest.incarnation:
+            base = {} if peer is not None else dict(digest.spent)
+            peer = _Peer(digest.incarnation, now_s, base, digest.demand, now_s)
+            self._peers[digest.vm_id] = peer
+        for name, spent in digest.spent.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level -= spent - peer.spent.get(name, 0.0)
+        peer.spent = dict(digest.spent)
+        peer.demand = digest.demand
+        peer.heard_at_s = peer.charged_at_s = now_s
+        if digest.stopping:
+            peer.demand = {}
+
+    def on_tick(self, now_s: float) -> None:
+        """Charge silent peers their shares; forget those that are gone."""
+        for vm_id, peer in list(self._peers.items()):
+            silent_s = now_s - peer.heard_at_s
+            if silent_s > PEER_GONE_S:
+                del self._peers[vm_id]
+            elif silent_s > PEER_SILENT_S:
+                self._charge_share(peer, now_s)
+
+    def spent(self) -> dict[str, float]:
+        """Return what this VM has spent, by customer."""
+        return {name: bucket.spent for name, bucket in self._buckets.items() if bucket.spent}
+
+    def demand(self, now_s: float) -> dict[str, float]:
+        """Return what was asked of this VM a second, by customer."""
+        demand: dict[str, float] = {}
+        for name, bucket in self._buckets.items():
+            self._note_demand(bucket, 0.0, now_s)
+            if bucket.demand_per_s >= 1.0:
+                demand[name] = round(bucket.demand_per_s)
+        return demand
+
+    def _charge_share(self, peer: _Peer, now_s: float) -> None:
+        elapsed_s, peer.charged_at_s = now_s - peer.charged_at_s, now_s
+        for name, wanted in peer.demand.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                continue
+            others = sum(item.demand.get(name, 0.0) for item in self._peers.values())
+            total = max(others + bucket.demand_per_s, bucket.rate_per_s)
+            charge = bucket.rate_per_s * wanted / total * elapsed_s if total else 0.0
+            bucket.level -= charge
+            # What the peer then reports as spent is already charged up to this.
+            peer.spent[name] = peer.spent.get(name, 0.0) + charge
+
+    @staticmethod
+    def _refill(bucket: _Bucket, now_s: float) -> None:
+        gained = (now_s - bucket.updated_at_s) * bucket.rate_per_s
+        bucket.level = min(bucket.burst, bucket.level + gained)
+        bucket.updated_at_s = now_s
+
+    @staticmethod
+    def _note_demand(bucket: _Bucket, cost: float, now_s: float) -> None:
+        elapsed_s = now_s - bucket.demand_at_s
+        bucket.demand_per_s *= max(0.0, 1.0 - elapsed_s / DEMAND_MEMORY_S)
+        bucket.demand_per_s += cost / DEMAND_MEMORY_S
+        bucket.demand_at_s = now_s
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/__main__.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line as ``python -m coriandershelf_entry``."""
 
-from coriandershelf_entry.internal.cli import main
+from coriandershelf_entry.internal.border import main
 
 main()
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/cli.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/cli.py
@@ -10,6 +10,12 @@
 
 from coriandershelf_core import CoreSettings
 from coriandershelf_entry.internal.application import EntryApplication
+from coriandershelf_entry.internal.border import (
+    BORDER_FLAG,
+    BORDER_VARIABLE,
+    OWN_BORDER,
+    PLATFORM_BORDER,
+)
 from coriandershelf_entry.internal.logs import configure_logs
 from coriandershelf_entry.internal.settings import (
     EntrySettings,
@@ -30,8 +36,11 @@
         await application.stop()
 
 
-def _serve(**values: Any) -> None:
+def _serve(border: str, **values: Any) -> None:
     """Serve callers on this entry VM until a stop signal."""
+    if border != OWN_BORDER:
+        click.echo(f"coriandershelfd: {BORDER_FLAG}: {border!r} is no border", err=True)
+        sys.exit(EXIT_BAD_SETTING)
     given = {name: value for name, value in values.items() if value is not None}
     checked = check_settings(given)
     if isinstance(checked, str):
@@ -53,6 +62,17 @@
         )
         for setting in list_settings()
     ]
+    options.append(
+        click.Option(
+            [BORDER_FLAG],
+            default=OWN_BORDER,
+            envvar=BORDER_VARIABLE,
+            show_envvar=True,
+            show_default=True,
+            help=f"Callers and platform to speak to: {OWN_BORDER} or {PLATFORM_BORDER}; the "
+            "settings of the latter are in the platform's settings file.",
+        )
+    )
     return click.Command("coriandershelfd", callback=_serve, params=options, help=_serve.__doc__)
 
 
