--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -54,6 +54,7 @@
     SERVER_ERROR = "server-error"
     SILENT = "silent"
     RESUMED = "resumed"
+    LEFT = "left"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -107,7 +107,10 @@
         if self.busy or self.stopping:
             return LeaseStep.NONE
         if self.holds(now_s):
-            return LeaseStep.WRITE if now_s >= self.renew_at_s else LeaseStep.NONE
+            if now_s < max(self.renew_at_s, self.read_at_s):
+                return LeaseStep.NONE
+            # Only reading tells where the partition ends after a write whose answer was lost.
+            return LeaseStep.READ if self.end is None else LeaseStep.WRITE
         if now_s - self.heard_at_s < HEARD_KEEP_S + RANK_DELAY_S * rank:
             return LeaseStep.NONE
         if self.end is None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -213,6 +213,10 @@
             self._again(passage, RetryReason.CONNECT, now_s)
             return
         passage.may_have_run = True
+        if state.leaving:
+            # A replica that leaves breaks off what it has not finished; it is not at fault.
+            self._failed(passage, RetryReason.LEFT, now_s)
+            return
         self._note_failure(state, now_s)
         if event.cause is FailureCause.CLOSED:
             passage.crashes_count = self.suspects.on_crash(passage.arrival.fingerprint, now_s)
@@ -321,7 +325,7 @@
 
     def _failed(self, passage: Passage, reason: RetryReason, now_s: float) -> None:
         """Recover a request whose attempt may have run."""
-        resumable = not passage.head_sent or passage.last_event_id is not None
+        resumable = passage.bytes_sent == 0 or passage.last_event_id is not None
         if passage.route.repeatable and resumable and self._may_repeat(passage, now_s):
             reason = RetryReason.RESUMED if passage.head_sent else reason
             self._again(passage, reason, now_s, budgeted=True)
--- /dev/null
+++ b/tests/cover/test_gateway_caps.py
@@ -0,0 +1,100 @@
+"""Usage caps hold over the sum of all entry VMs, in touch or cut off."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coriandershelf_core.internal.gateway.deployment import Customer
+from coriandershelf_core.internal.gateway.digest import Digest
+from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
+
+RATE = 1000.0
+BURST = 1000.0
+CUSTOMER = Customer("customer-1", ("key",), None, RATE, BURST, True)
+STEP_S = 0.05
+DIGEST_PERIOD_S = 0.1
+
+
+def digest_of(name: str, sequence: int, caps: UsageCaps, now_s: float) -> Digest:
+    return Digest(
+        name, "", "zone", 1, sequence, 0.0, spent=dict(caps.spent()), demand=caps.demand(now_s)
+    )
+
+
+def spend_all(vms: int, seconds: float, demand_per_s: list[float], cut_at_s: float | None) -> float:
+    """Let every VM ask for its demand; return what passed in all after a first window."""
+    caps = [UsageCaps() for _ in range(vms)]
+    for item in caps:
+        item.adopt((CUSTOMER,), 0.0)
+    passed = 0.0
+    owed = [0.0] * vms
+    sequence = 0
+    step = 0
+    while (now_s := step * STEP_S) < seconds:
+        step += 1
+        for index, item in enumerate(caps):
+            owed[index] += demand_per_s[index] * STEP_S
+            while owed[index] >= 20.0:
+                owed[index] -= 20.0
+                if item.wait_s(CUSTOMER, 20.0, now_s) == 0.0:
+                    item.spend(CUSTOMER, 20.0)
+                    passed += 20.0 if now_s >= 4.0 else 0.0
+            item.on_tick(now_s)
+        if step % 2 == 0 and (cut_at_s is None or now_s < cut_at_s):
+            sequence += 1
+            digests = [digest_of(f"vm-{i}", sequence, item, now_s) for i, item in enumerate(caps)]
+            for index, item in enumerate(caps):
+                for other, digest in enumerate(digests):
+                    if other != index:
+                        item.on_digest(digest, now_s)
+    return passed
+
+
+@pytest.mark.parametrize("cut_at_s", [None, 6.0])
+@pytest.mark.parametrize("vms", [1, 3, 8])
+def test_all_vms_together_keep_within_the_cap(vms, cut_at_s):
+    window_s = 8.0
+    passed = spend_all(vms, 4.0 + window_s, [7.5 * RATE / vms] * vms, cut_at_s)
+    assert passed <= (RATE * window_s + BURST) * 1.1 + 0.07 * RATE * window_s
+
+
+def test_uneven_demand_still_gets_nearly_the_whole_cap():
+    passed = spend_all(4, 12.0, [2.0 * RATE, 50.0, 50.0, 50.0], None)
+    assert passed >= 0.9 * RATE * 8.0
+
+
+def test_what_did_not_run_is_given_back():
+    caps = UsageCaps()
+    caps.adopt((CUSTOMER,), 0.0)
+    caps.spend(CUSTOMER, 5000.0)
+    assert caps.wait_s(CUSTOMER, 1.0, 0.1) > 0.0
+    caps.spend(CUSTOMER, -5000.0)
+    assert caps.wait_s(CUSTOMER, 1.0, 0.2) == 0.0
+
+
+def test_a_lowered_cap_binds_at_once():
+    caps = UsageCaps()
+    caps.adopt((CUSTOMER,), 0.0)
+    assert caps.wait_s(CUSTOMER, 1.0, 5.0) == 0.0
+    low = Customer("customer-1", ("key",), None, 10.0, 10.0, True)
+    caps.adopt((low,), 5.0)
+    caps.spend(low, 20.0)
+    assert caps.wait_s(low, 1.0, 5.0) >= 0.9
+
+
+@given(st.lists(st.floats(0.0, 500.0), min_size=1, max_size=30))
+def test_a_peers_restart_neither_charges_nor_credits_its_past(amounts):
+    caps = UsageCaps()
+    caps.adopt((CUSTOMER,), 0.0)
+    caps.wait_s(CUSTOMER, 0.0, 60.0)
+    total = 0.0
+    for sequence, amount in enumerate(amounts):
+        total += amount
+        caps.on_digest(Digest("vm", "", "z", 1, sequence, 0.0, spent={"customer-1": total}), 60.0)
+    caps.on_digest(Digest("vm", "", "z", 2, 0, 0.0, spent={"customer-1": 0.0}), 60.0)
+    first = amounts[0]
+    expected = BURST - (total - first)
+    wait_s = caps.wait_s(CUSTOMER, 0.0, 60.0)
+    assert (wait_s == 0.0) == (expected > 0.0)
--- /dev/null
+++ b/tests/cover/test_gateway_relay.py
@@ -0,0 +1,241 @@
+"""What becomes of a request whose attempts fail: nothing runs twice, nothing false is said."""
+
+from __future__ import annotations
+
+import pytest
+from gateway_driver import GatewayDriver, make_deployment
+
+from coriandershelf_core.internal.gateway.actions import (
+    STATUS_OF,
+    BreakStream,
+    CancelAttempt,
+    Deliver,
+    EndStream,
+    OpenStream,
+    PassEvents,
+    Refusal,
+)
+from coriandershelf_core.internal.gateway.deployment import Customer
+from coriandershelf_core.internal.gateway.events import CallerLeft, ReplicasRead, StopAsked
+
+PROMISES = {408, 421, 429, 503}
+
+
+def test_an_answer_is_passed_on_as_the_replica_made_it():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/book/1")
+    (attempt,) = driver.attempts(handle)
+    driver.answer(attempt.attempt_id, 500)
+    assert Deliver(handle, 500, (), b"body") in driver.actions
+    assert not driver.gateway.relay.passages
+
+
+def test_a_booking_that_may_have_run_is_never_sent_again_and_never_called_not_run():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/book/1")
+    (attempt,) = driver.attempts(handle)
+    driver.fail(attempt.attempt_id)
+    assert len(driver.attempts(handle)) == 1
+    (refusal,) = driver.refusals(handle)
+    assert STATUS_OF[refusal.refusal] not in PROMISES
+    assert refusal.retry_after_s is None
+
+
+def test_a_booking_that_could_not_be_sent_goes_to_another_replica():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/book/1")
+    (first,) = driver.attempts(handle)
+    driver.fail(first.attempt_id, sent=False)
+    _, second = driver.attempts(handle)
+    assert second.replica_id != first.replica_id
+
+
+def test_a_booking_that_a_replica_refused_is_told_not_run_with_a_time_to_come_back():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/book/1", time_left_s=0.9)
+    (attempt,) = driver.attempts(handle)
+    driver.answer(attempt.attempt_id, 503, not_run=True)
+    (refusal,) = driver.refusals(handle)
+    assert STATUS_OF[refusal.refusal] == 503
+    assert refusal.retry_after_s is not None and refusal.retry_after_s <= 0.3
+
+
+def test_a_lookup_is_tried_elsewhere_within_its_attempts():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/read/1")
+    (first,) = driver.attempts(handle)
+    driver.fail(first.attempt_id)
+    _, second = driver.attempts(handle)
+    assert second.replica_id != first.replica_id
+    driver.answer(second.attempt_id, 500)
+    assert len(driver.attempts(handle)) == 2
+    assert Deliver(handle, 500, (), b"body") in driver.actions
+
+
+def test_a_silent_lookup_is_cancelled_before_it_is_sent_elsewhere():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/read/1")
+    (first,) = driver.attempts(handle)
+    done = driver.run(0.6)
+    cancel = done.index(CancelAttempt(first.attempt_id))
+    again = next(i for i, a in enumerate(done) if a in driver.attempts(handle))
+    assert cancel < again
+
+
+def test_a_stream_is_resumed_within_one_answer_after_its_last_whole_event():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/plan/1", time_left_s=15.0)
+    (first,) = driver.attempts(handle)
+    driver.open(first.attempt_id)
+    driver.read(first.attempt_id, 1)
+    driver.read(first.attempt_id, 2)
+    driver.fail(first.attempt_id)
+    _, second = driver.attempts(handle)
+    assert second.last_event_id == 2
+    driver.open(second.attempt_id)
+    driver.read(second.attempt_id, 3)
+    driver.end(second.attempt_id)
+    heads = [a for a in driver.actions if isinstance(a, OpenStream)]
+    events = [a.payload for a in driver.actions if isinstance(a, PassEvents)]
+    assert len(heads) == 1
+    assert [payload.split(b"\n")[0] for payload in events] == [b"id: 1", b"id: 2", b"id: 3"]
+    assert EndStream(handle) in driver.actions
+
+
+def test_a_stream_without_events_starts_again_from_its_beginning():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/plan/1", time_left_s=15.0)
+    (first,) = driver.attempts(handle)
+    driver.open(first.attempt_id)
+    driver.fail(first.attempt_id)
+    _, second = driver.attempts(handle)
+    assert second.last_event_id is None
+
+
+def test_a_stream_that_may_not_be_resumed_breaks_rather_than_look_complete():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/ask/1")
+    (first,) = driver.attempts(handle)
+    driver.open(first.attempt_id)
+    driver.read(first.attempt_id, 1)
+    driver.fail(first.attempt_id)
+    assert len(driver.attempts(handle)) == 1
+    assert BreakStream(handle) in driver.actions
+    assert EndStream(handle) not in driver.actions
+
+
+def test_a_caller_that_leaves_frees_its_replica_at_once():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/plan/1", time_left_s=15.0)
+    (attempt,) = driver.attempts(handle)
+    assert CancelAttempt(attempt.attempt_id) in driver.post(CallerLeft(handle))
+    assert not driver.gateway.relay.attempts
+
+
+def test_a_request_at_its_time_limit_is_answered_within_half_a_second():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/book/1", time_left_s=1.0)
+    driver.run(1.4)
+    (refusal,) = driver.refusals(handle)
+    assert refusal.refusal is Refusal.TIMEOUT
+
+
+def test_the_replica_is_told_the_time_that_is_left_also_the_second_time():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/read/1", time_left_s=0.9)
+    driver.run(0.3)
+    (first,) = driver.attempts(handle)
+    driver.fail(first.attempt_id)
+    _, second = driver.attempts(handle)
+    assert first.time_left_s <= 0.9
+    assert second.time_left_s <= 0.61
+
+
+def test_a_request_that_broke_three_replicas_is_sent_to_no_other():
+    driver = GatewayDriver().begin()
+    for _ in range(3):
+        handle = driver.ask("/plan/1", fingerprint=7, time_left_s=15.0)
+        while driver.gateway.relay.passages:
+            attempt = driver.attempts(handle)[-1]
+            driver.fail(attempt.attempt_id)
+            driver.run(10.0)
+    sent = len([a for h in range(1, driver.handles + 1) for a in driver.attempts(h)])
+    assert sent == 3
+    handle = driver.ask("/plan/1", fingerprint=7)
+    assert driver.refusals(handle)[0].refusal is Refusal.POISON
+
+
+def test_a_reclaimed_replica_does_not_make_its_requests_suspects():
+    driver = GatewayDriver().begin()
+    for _ in range(3):
+        handle = driver.ask("/plan/1", fingerprint=7, time_left_s=15.0)
+        (attempt,) = driver.attempts(handle)
+        driver.post(ReplicasRead({attempt.replica_id: None}))
+        driver.fail(attempt.attempt_id)
+        driver.post(CallerLeft(handle))
+        driver.begin()
+    assert not driver.gateway.suspects.refuses(7)
+
+
+def test_keyed_requests_are_refused_when_the_knowledge_of_keys_is_too_old():
+    driver = GatewayDriver().begin()
+    driver.run(driver.settings.keys_age_max_s + 0.1, proved=False)
+    handle = driver.ask("/book/1")
+    assert driver.refusals(handle)[0].refusal is Refusal.STALE_KEYS
+
+
+@pytest.mark.parametrize(
+    ("age_s", "path", "key", "status"),
+    [
+        (0.0, "/none/1", "key-1", 404),
+        (0.0, "/book/1", "other", 401),
+        (4.0, "/none/1", "key-1", 503),
+        (4.0, "/book/1", "other", 503),
+    ],
+)
+def test_only_a_fresh_configuration_denies(age_s, path, key, status):
+    driver = GatewayDriver().begin()
+    driver.run(age_s, proved=False)
+    handle = driver.ask(path, key=key)
+    assert STATUS_OF[driver.refusals(handle)[0].refusal] == status
+
+
+def test_a_vm_without_configuration_answers_not_run():
+    driver = GatewayDriver()
+    handle = driver.ask("/book/1")
+    assert driver.refusals(handle)[0].refusal is Refusal.NO_CONFIGURATION
+    assert not driver.gateway.ready
+
+
+def test_an_older_configuration_never_comes_back():
+    driver = GatewayDriver().begin(make_deployment(5))
+    driver.begin(make_deployment(4, routes=()))
+    assert driver.gateway.deployment is not None
+    assert driver.gateway.deployment.version == 5
+    assert driver.attempts(driver.ask("/book/1"))
+
+
+def test_a_cap_in_tokens_holds_over_a_window_and_lets_the_largest_request_pass():
+    customer = Customer("customer-1", ("key-1",), None, 1000.0, 1000.0, True, 10)
+    driver = GatewayDriver().begin(make_deployment(customers=(customer,)))
+    driver.run(2.0)
+    handle = driver.ask("/ask/1", prompt_tokens=5000, output_tokens=0)
+    assert driver.attempts(handle)
+    refused = driver.ask("/ask/1", prompt_tokens=10, output_tokens=0)
+    assert driver.refusals(refused)[0].refusal is Refusal.CAP
+
+
+def test_a_stopping_vm_finishes_what_it_has_and_takes_streams_no_more():
+    driver = GatewayDriver().begin()
+    early = driver.ask("/plan/1", time_left_s=15.0)
+    (attempt,) = driver.attempts(early)
+    driver.open(attempt.attempt_id)
+    driver.post(StopAsked())
+    assert not driver.gateway.ready
+    for event_id in (1, 2, 3, 4):
+        driver.read(attempt.attempt_id, event_id)
+        driver.run(0.8)
+    late = driver.ask("/plan/1")
+    assert driver.refusals(late)[0].refusal is Refusal.STOPPING
+    driver.end(attempt.attempt_id)
+    assert EndStream(early) in driver.actions
--- /dev/null
+++ b/tests/cover/test_gateway_state.py
@@ -0,0 +1,154 @@
+"""Routes, registry, true time, retries and usage counts of the gateway."""
+
+from __future__ import annotations
+
+import pytest
+from gateway_driver import ENGINE, GatewayDriver, make_replicas
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coriandershelf_core.internal.gateway.deployment import Backend, Replica, Route, RouteKind
+from coriandershelf_core.internal.gateway.digest import Digest
+from coriandershelf_core.internal.gateway.events import DigestArrived, EntryVmsRead, ReplicasRead
+from coriandershelf_core.internal.gateway.pool import RETURN_GRACE_S, Pool
+from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.route_table import RouteTable, pick_service
+from coriandershelf_core.internal.gateway.true_time import TrueTime
+from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
+
+SEGMENTS = st.lists(st.sampled_from(["a", "b", "c"]), max_size=3)
+
+
+def make_route(prefix: str) -> Route:
+    return Route(prefix, "h", prefix, RouteKind.IDEMPOTENT, 1.0, 1.0, 1, 0, (Backend("s", 1.0),))
+
+
+@given(st.lists(SEGMENTS, min_size=1, max_size=8), SEGMENTS, st.sampled_from(["", "x", "x?/a/b/"]))
+def test_the_longest_prefix_of_the_path_wins(prefixes, path_segments, tail):
+    texts = {"/" + "".join(f"{part}/" for part in segments) for segments in prefixes}
+    path = "/" + "".join(f"{part}/" for part in path_segments) + tail
+    found = RouteTable(tuple(make_route(text) for text in texts)).find("h", path)
+    plain = path.partition("?")[0]
+    wanted = max((text for text in texts if plain.startswith(text)), key=len, default=None)
+    assert (found.path_prefix if found else None) == wanted
+
+
+def test_a_split_route_keeps_to_its_weights():
+    route = Route(
+        "r", "h", "/", RouteKind.IDEMPOTENT, 1.0, 1.0, 1, 0,
+        (Backend("a", 90.0), Backend("b", 10.0)),
+    )  # fmt: skip
+    picked = [pick_service(route, f"id-{number}") for number in range(4000)]
+    assert 0.08 < picked.count("b") / len(picked) < 0.12
+
+
+def test_an_entry_that_vanished_in_an_outage_stays_until_it_had_time_to_return():
+    pool = Pool()
+    pool.apply(make_replicas(engines=2, plains=0), True, False, 0.0)
+    pool.apply({"engine-0": None}, False, True, 10.0)
+    assert len(pool.usable(ENGINE)) == 2
+    pool.expire(10.0 + RETURN_GRACE_S - 0.1)
+    assert len(pool.usable(ENGINE)) == 2
+    left = pool.expire(10.01 + RETURN_GRACE_S)
+    assert [state.replica.replica_id for state in left] == ["engine-0"]
+
+
+def test_an_entry_that_is_removed_in_quiet_times_gets_no_more_work_at_once():
+    pool = Pool()
+    pool.apply(make_replicas(engines=2, plains=0), True, False, 0.0)
+    pool.apply({"engine-0": None}, False, False, 10.0)
+    assert [state.replica.replica_id for state in pool.usable(ENGINE)] == ["engine-1"]
+
+
+def test_an_id_that_starts_again_is_another_replica():
+    pool = Pool()
+    first = Replica("r", "s", "10.0.0.1:80", "z", 4, started_at_ms=1)
+    pool.apply({"r": first}, True, False, 0.0)
+    old = pool.get("r")
+    assert old is not None
+    old.start(1, 500, 0.0)
+    pool.apply({"r": Replica("r", "s", "10.0.0.1:80", "z", 4, started_at_ms=2)}, False, False, 1.0)
+    new = pool.get("r")
+    assert new is not None and new is not old
+    assert new.count == 0
+
+
+def test_a_leaving_replica_gets_no_new_request():
+    driver = GatewayDriver().begin(engines=2, plains=1)
+    replicas = make_replicas(engines=2, plains=0)
+    for name, replica in replicas.items():
+        assert replica is not None
+        leaving = Replica(name, ENGINE, replica.address, replica.zone, 8, leaving=True)
+        driver.post(ReplicasRead({name: leaving}))
+    handle = driver.ask("/ask/1")
+    assert not driver.attempts(handle)
+    assert driver.refusals(handle)
+
+
+@pytest.mark.parametrize("jump_s", [-900.0, 3.0, 2400.0])
+def test_true_time_keeps_right_while_fewer_than_half_of_the_clocks_jump(jump_s):
+    true_time = TrueTime(1000.0)
+    for step in range(100):
+        now_s = step * 0.1
+        for peer in range(6):
+            jumped = peer < 2
+            true_time.on_clock(f"vm-{peer}", now_s + 1000.0 + (jump_s if jumped else 0.0), now_s)
+        true_time.update(now_s + 1000.0 + jump_s, now_s)
+    assert true_time.at(50.0) == pytest.approx(1050.0, abs=0.01)
+
+
+def test_true_time_of_a_vm_alone_does_not_follow_its_clock():
+    true_time = TrueTime(1000.0)
+    true_time.update(2400.0, 10.0)
+    assert true_time.at(10.0) == 1010.0
+
+
+@given(
+    st.integers(1, 9),
+    st.lists(st.tuples(st.integers(0, 8), st.booleans()), min_size=1, max_size=400),
+)
+def test_repeats_of_all_vms_keep_within_the_budget_in_every_window(vms, steps):
+    ratio, slack, window_s = 0.2, 20.0, 10.0
+    allowances = [RetryAllowance(ratio, slack, window_s) for _ in range(vms)]
+    requests, repeats = [], []
+    for step, (vm, repeat) in enumerate(steps):
+        now_s = step * 0.11
+        allowance = allowances[vm % vms]
+        if not repeat:
+            allowance.note_request("s", now_s)
+            requests.append(now_s)
+        elif allowance.take("s", vms, now_s):
+            repeats.append(now_s)
+        inside = [at_s for at_s in repeats if at_s > now_s - window_s]
+        asked = [at_s for at_s in requests if at_s > now_s - window_s]
+        assert len(inside) <= ratio * len(asked) + slack
+
+
+def test_usage_of_all_vms_is_summed_by_window():
+    counts = UsageCounts(5.0)
+    counts.note("a", 12.0)
+    counts.note("a", 16.0)
+    counts.on_digest(Digest("vm", "", "z", 1, 1, 0.0, begun={2: {"a": 2, "b": 1}}))
+    counts.on_digest(Digest("vm", "", "z", 1, 2, 0.0, begun={2: {"a": 3, "b": 1}}))
+    counts.on_digest(Digest("vm", "", "z", 2, 1, 0.0, begun={2: {"a": 1}}))
+    assert counts.total(2, ["a", "b", "c"]) == {"a": 5, "b": 1, "c": 0}
+    counts.expire(500.0)
+    assert counts.total(2, ["a"]) == {"a": 0}
+
+
+def test_counts_of_other_vms_at_a_replica_are_forgotten_with_their_silence():
+    driver = GatewayDriver().begin()
+    digest = Digest("vm-2", "vm-2:1", "z", 1, 1, driver.now_s, running={"engine-0": (5, 900)})
+    driver.post(DigestArrived(digest))
+    driver.run(0.1)
+    state = driver.gateway.pool.get("engine-0")
+    assert state is not None and (state.count, state.waiting_tokens) == (5, 900)
+    driver.run(2.0)
+    assert state.count == 0
+
+
+def test_a_vm_tells_those_that_registered_before_it():
+    driver = GatewayDriver().begin()
+    driver.post(EntryVmsRead({"vm-1": "own", "vm-2": "other:7500"}))
+    sent = [a for a in driver.run(0.3) if type(a).__name__ == "SendDigest"]
+    assert sent and sent[0].addresses == ("other:7500",)
--- /dev/null
+++ b/tests/support/gateway_driver.py
@@ -0,0 +1,163 @@
+"""Drives a gateway in virtual time and keeps what it asked its process to do."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+
+from coriandershelf_core.internal.gateway.actions import Action, Refuse, StartAttempt
+from coriandershelf_core.internal.gateway.deployment import (
+    Backend,
+    Customer,
+    Deployment,
+    Replica,
+    Route,
+    RouteKind,
+    Service,
+)
+from coriandershelf_core.internal.gateway.events import (
+    AnswerRead,
+    AttemptFailed,
+    ConfigurationProved,
+    DeploymentRead,
+    Event,
+    FailureCause,
+    ReplicasRead,
+    RequestArrived,
+    StreamEnded,
+    StreamOpened,
+    StreamRead,
+    Tick,
+)
+from coriandershelf_core.internal.gateway.gateway import Gateway
+from coriandershelf_core.internal.gateway.request import Arrival, PromptPart
+from coriandershelf_core.internal.gateway.settings import GatewaySettings
+
+HOST = "site.example"
+KEY = "key-1"
+ENGINE = "engine"
+PLAIN = "plain"
+
+PLAN = Route(
+    "plan", HOST, "/plan/", RouteKind.STREAM, 0.8, 15.0, 2, 1, (Backend(ENGINE, 1.0),),
+    resumable=True, gap_objective_s=0.5,
+)  # fmt: skip
+ASK = Route(
+    "ask", HOST, "/ask/", RouteKind.STREAM, 0.5, 3.0, 1, 0, (Backend(ENGINE, 1.0),),
+    gap_objective_s=0.5,
+)  # fmt: skip
+BOOK = Route(
+    "book", HOST, "/book/", RouteKind.NON_IDEMPOTENT, 0.125, 1.0, 1, 2, (Backend(PLAIN, 1.0),)
+)
+READ = Route("read", HOST, "/read/", RouteKind.IDEMPOTENT, 0.125, 1.0, 2, 2, (Backend(PLAIN, 1.0),))
+
+
+def make_deployment(version: int = 1, **changes: object) -> Deployment:
+    deployment = Deployment(
+        version,
+        (PLAN, ASK, BOOK, READ),
+        {ENGINE: Service(ENGINE, 100, engine_slots_count=8), PLAIN: Service(PLAIN, 100)},
+        (Customer("customer-1", (KEY,)),),
+    )
+    return replace(deployment, **changes)
+
+
+def make_replicas(engines: int = 3, plains: int = 3) -> dict[str, Replica | None]:
+    replicas: dict[str, Replica | None] = {}
+    for service, count, slots in ((ENGINE, engines, 8), (PLAIN, plains, 6)):
+        for index in range(count):
+            name = f"{service}-{index}"
+            address = f"10.0.{len(replicas)}.1:80"
+            replicas[name] = Replica(name, service, address, f"zone-{index}", slots)
+    return replicas
+
+
+@dataclass
+class GatewayDriver:
+    """One gateway with a configuration and replicas, and the time that passes for it."""
+
+    settings: GatewaySettings = field(default_factory=GatewaySettings)
+    vm_id: str = "vm-1"
+    seed: int = 1
+    now_s: float = 100.0
+    clock_offset_s: float = 1_700_000_000.0
+    actions: list[Action] = field(default_factory=list)
+    handles: int = 0
+
+    def __post_init__(self) -> None:
+        self.gateway = Gateway(
+            self.vm_id, f"{self.vm_id}:7500", "zone-0", 1, self.settings,
+            random.Random(self.seed), self.clock_offset_s,
+        )  # fmt: skip
+
+    def begin(self, deployment: Deployment | None = None, **replicas: int) -> GatewayDriver:
+        self.post(DeploymentRead(deployment or make_deployment()))
+        self.post(ReplicasRead(make_replicas(**replicas), complete=True))
+        self.prove()
+        return self
+
+    def prove(self) -> None:
+        self.post(ConfigurationProved(self.now_s))
+
+    def post(self, event: Event) -> list[Action]:
+        fresh = self.gateway.step(event, self.now_s, self.now_s + self.clock_offset_s)
+        self.actions += fresh
+        return fresh
+
+    def run(self, seconds: float, proved: bool = True) -> list[Action]:
+        """Let time pass in ticks; return what was asked meanwhile."""
+        first = len(self.actions)
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.05
+            if proved:
+                self.prove()
+            self.post(Tick())
+        return self.actions[first:]
+
+    def ask(self, path: str, **changes: object) -> int:
+        """Let a request arrive; return its handle."""
+        self.handles += 1
+        arrival = Arrival(
+            self.handles, f"id-{self.handles}", "POST", HOST, path, KEY, 3.0, self.handles,
+            prompt_tokens=1000, output_tokens=50,
+            parts=(PromptPart("system", 300), PromptPart(f"session-{self.handles}", 200)),
+        )  # fmt: skip
+        self.post(RequestArrived(replace(arrival, **changes)))
+        return self.handles
+
+    def attempts(self, handle: int) -> list[StartAttempt]:
+        return [
+            action
+            for action in self.actions
+            if isinstance(action, StartAttempt) and action.handle == handle
+        ]
+
+    def refusals(self, handle: int) -> list[Refuse]:
+        return [
+            action
+            for action in self.actions
+            if isinstance(action, Refuse) and action.handle == handle
+        ]
+
+    def answer(self, attempt_id: int, status: int = 200, not_run: bool = False) -> list[Action]:
+        sealed = not not_run
+        return self.post(
+            AnswerRead(
+                attempt_id, status, (), b"body", not_run or status == 421, sealed, status == 421
+            )
+        )
+
+    def fail(self, attempt_id: int, sent: bool = True) -> list[Action]:
+        cause = FailureCause.CLOSED if sent else FailureCause.CONNECT
+        return self.post(AttemptFailed(attempt_id, cause, sent))
+
+    def open(self, attempt_id: int) -> list[Action]:
+        return self.post(StreamOpened(attempt_id, 200, ()))
+
+    def read(self, attempt_id: int, event_id: int) -> list[Action]:
+        payload = f"id: {event_id}\ndata: x\n\n".encode()
+        return self.post(StreamRead(attempt_id, payload, 1, event_id))
+
+    def end(self, attempt_id: int) -> list[Action]:
+        return self.post(StreamEnded(attempt_id))
