Orders of replicas: keep what a drought would not give back, spread to survive a zone

Ruled out: the cloud (its answers were 409 for more, 200 for fewer). Change: wanted counts follow the load's highest of the last 12 s; spread so that the rest serve when one zone's go; lasting ones make up for what is not there; surplus is given back after 4 s only.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.gateway.deployment import Replica, Service
+from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
 
-# Requests in flight per slot, or waiting prompt time, at which one more replica is worth its price.
-REORDER_S = 3.0
-REFUSED_PAUSE_S = 4.0
-SETTLE_S = 8.0
+# The load that counts is the highest of this time: a replica takes seconds to boot.
+LOAD_MEMORY_S = 12.0
+# After a refusal none of the kind is asked for in the zone for this long.
+REFUSED_PAUSE_S = 3.0
+# Replicas that were ordered count as present for their boot time and this.
+BOOT_SLACK_S = 2.0
+# A surplus is given back once it has lasted this long.
+SURPLUS_S = 4.0
+# Replicas that are wanted before any load was seen.
+FIRST_COUNT = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,101 +30,141 @@
     reclaimable: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Wanted:
-    """The plan for one zone."""
+@dataclass(slots=True)
+class _Kind:
+    """One kind of replica in one zone, as the holder of the duties knows it.
 
-    reclaimable_count: int
-    lasting_count: int
+    :param ordered_count: what was last ordered and taken; ``None`` before the first order.
+    :param surplus_since_s: since when more are there than wanted.
+    """
 
+    present_count: int = 0
+    ordered_count: int | None = None
+    ordered_at_s: float = -math.inf
+    refused_until_s: float = -math.inf
+    surplus_since_s: float | None = None
 
-@dataclass(slots=True)
-class _Sent:
-    count: int
-    at_s: float
+    def expected_count(self, boot_s: float, now_s: float) -> int:
+        """Return the replicas that are there or boot after an order that was taken."""
+        booting = now_s - self.ordered_at_s < boot_s + BOOT_SLACK_S
+        if booting and self.ordered_count is not None:
+            return max(self.present_count, self.ordered_count)
+        return self.present_count
 
 
 @dataclass(slots=True)
 class Scaling:
     """Compares what is there with what the load needs; used by the holder of the duties only.
 
+    Reclaimable replicas are spread so that the rest serve when a zone loses all of its own at once.
+    Where not enough of them are to be had, lasting ones make up for it, at once and dearly, until
+    reclaimable ones are back.
+
     :param rate_per_replica: prompt tokens a second that one replica serves in time.
     """
 
     rate_per_replica: float
-    _sent: dict[tuple[str, str, bool], _Sent] = field(default_factory=dict)
-    _refused_until_s: dict[tuple[str, str, bool], float] = field(default_factory=dict)
+    _kinds: dict[tuple[str, str, bool], _Kind] = field(default_factory=dict)
+    _loads: dict[str, deque[tuple[float, float]]] = field(default_factory=dict)
 
-    def on_refused(self, order: Order, now_s: float) -> None:
-        """Note that none of the kind is to be had in the zone at the moment."""
-        key = (order.service, order.zone, order.reclaimable)
-        self._refused_until_s[key] = now_s + REFUSED_PAUSE_S
-        self._sent.pop(key, None)
+    def on_taken(self, order: Order, now_s: float) -> None:
+        """Note an order that was taken."""
+        kind = self._kind(order.service, order.zone, order.reclaimable)
+        kind.ordered_count = order.count
+        kind.ordered_at_s = now_s
+        kind.surplus_since_s = None
 
-    def on_lost(self, order: Order) -> None:
-        """Forget an order whose answer was lost, so that it is sent again."""
-        self._sent.pop((order.service, order.zone, order.reclaimable), None)
+    def on_refused(self, order: Order, now_s: float) -> None:
+        """Note that none of the kind is to be had in the zone, or that no order is taken now."""
+        kind = self._kind(order.service, order.zone, order.reclaimable)
+        kind.refused_until_s = now_s + REFUSED_PAUSE_S
+        kind.ordered_count = None
 
     def orders(
         self, service: Service, replicas: list[Replica], tokens_per_s: float, now_s: float
     ) -> list[Order]:
-        """Return the orders that bring a service to its plan."""
+        """Return the orders that bring a service to what its load needs."""
         scale = service.scale
         if scale is None or not scale.zone_prices:
             return []
+        self._count(service.name, scale, replicas)
+        needed = self._needed_count(service.name, tokens_per_s, now_s)
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
-        present = _count(service.name, replicas)
-        plan = self._plan(service, zones, tokens_per_s, now_s)
-        ready = sum(1 for item in replicas if item.service == service.name and not item.leaving)
-        planned = sum(item.reclaimable_count + item.lasting_count for item in plan.values())
+        spots = self._wanted_spots(service.name, scale, zones, needed)
+        lasting = self._wanted_lasting(service.name, scale, zones, spots, needed, now_s)
         orders = []
         for zone in zones:
-            for reclaimable in (True, False):
-                wanted = plan[zone]
-                count = wanted.reclaimable_count if reclaimable else wanted.lasting_count
-                have = present.get((zone, reclaimable), 0)
-                if count < have and ready < planned + (have - count):
-                    # Nothing is given back before what takes its place serves.
-                    continue
+            for reclaimable, count in ((True, spots[zone]), (False, lasting[zone])):
                 order = Order(service.name, zone, count, reclaimable)
-                if self._is_due(order, have, now_s):
+                if self._is_due(order, scale, now_s):
                     orders.append(order)
         return orders
 
-    def _plan(
-        self, service: Service, zones: list[str], tokens_per_s: float, now_s: float
-    ) -> dict[str, Wanted]:
-        scale = service.scale
-        assert scale is not None
-        needed = max(1, math.ceil(tokens_per_s / self.rate_per_replica))
-        each = max(1, math.ceil(needed / max(1, len(zones) - 1)))
-        plan = {}
-        for zone in zones:
-            refused_s = self._refused_until_s.get((service.name, zone, True), -math.inf)
-            spots = min(scale.max_count, each) if now_s >= refused_s else 0
-            lasting = 1 if zone == zones[0] else 0
-            lasting = max(lasting, scale.min_count - spots)
-            plan[zone] = Wanted(min(spots, scale.max_count - lasting), lasting)
-        return plan
-
-    def _is_due(self, order: Order, have: int, now_s: float) -> bool:
-        key = (order.service, order.zone, order.reclaimable)
-        sent = self._sent.get(key)
-        if order.count == have:
-            self._sent.pop(key, None)
+    def _needed_count(self, service: str, tokens_per_s: float, now_s: float) -> int:
+        loads = self._loads.setdefault(service, deque())
+        loads.append((now_s, tokens_per_s))
+        while loads[0][0] < now_s - LOAD_MEMORY_S:
+            loads.popleft()
+        highest = max(load for _, load in loads)
+        needed = math.ceil(highest / self.rate_per_replica)
+        return max(1, needed) if highest > 0.0 else FIRST_COUNT
+
+    def _wanted_spots(
+        self, service: str, scale: ScaleLimits, zones: list[str], needed: int
+    ) -> dict[str, int]:
+        """Spread the reclaimable ones so that any one zone's may go."""
+        each = math.ceil(needed / max(1, len(zones) - 1))
+        return {zone: max(scale.min_count, min(scale.max_count, each)) for zone in zones}
+
+    def _wanted_lasting(
+        self,
+        service: str,
+        scale: ScaleLimits,
+        zones: list[str],
+        spots: dict[str, int],
+        needed: int,
+        now_s: float,
+    ) -> dict[str, int]:
+        """Make up for reclaimable ones that are not there, over the zones in turn."""
+        there = {
+            zone: min(
+                spots[zone],
+                self._kind(service, zone, True).expected_count(scale.boot_s, now_s),
+            )
+            for zone in zones
+        }
+        missing = needed - (sum(there.values()) - max(there.values()))
+        lasting = dict.fromkeys(zones, 0)
+        while missing > 0:
+            open_zones = [zone for zone in zones if lasting[zone] + there[zone] < scale.max_count]
+            if not open_zones:
+                break
+            # The zone with the fewest replicas gets the next one, the cheapest of those first.
+            zone = min(open_zones, key=lambda name: lasting[name] + there[name])
+            lasting[zone] += 1
+            missing -= 1
+        return lasting
+
+    def _is_due(self, order: Order, scale: ScaleLimits, now_s: float) -> bool:
+        kind = self._kind(order.service, order.zone, order.reclaimable)
+        expected = kind.expected_count(scale.boot_s, now_s)
+        if order.count > expected:
+            kind.surplus_since_s = None
+            return now_s >= kind.refused_until_s
+        if order.count == kind.present_count or order.count == kind.ordered_count:
+            kind.surplus_since_s = None
             return False
-        if now_s < self._refused_until_s.get(key, -math.inf) and order.count > have:
-            return False
-        if sent is not None and sent.count == order.count and now_s - sent.at_s < SETTLE_S:
-            return False
-        self._sent[key] = _Sent(order.count, now_s)
-        return True
+        if kind.surplus_since_s is None:
+            kind.surplus_since_s = now_s
+        return now_s - kind.surplus_since_s >= SURPLUS_S and now_s >= kind.refused_until_s
 
+    def _count(self, service: str, scale: ScaleLimits, replicas: list[Replica]) -> None:
+        for zone in scale.zone_prices:
+            for reclaimable in (True, False):
+                self._kind(service, zone, reclaimable).present_count = 0
+        for replica in replicas:
+            if replica.service == service and not replica.leaving:
+                self._kind(service, replica.zone, replica.reclaimable).present_count += 1
 
-def _count(service: str, replicas: list[Replica]) -> dict[tuple[str, bool], int]:
-    counts: dict[tuple[str, bool], int] = {}
-    for replica in replicas:
-        if replica.service == service and not replica.leaving:
-            key = (replica.zone, replica.reclaimable)
-            counts[key] = counts.get(key, 0) + 1
-    return counts
+    def _kind(self, service: str, zone: str, reclaimable: bool) -> _Kind:
+        return self._kinds.setdefault((service, zone, reclaimable), _Kind())
--- /dev/null
+++ b/tests/cover/test_gateway_scaling.py
@@ -0,0 +1,120 @@
+"""Replicas follow the load: reclaimable first, spread over zones, lasting ones in a drought."""
+
+from __future__ import annotations
+
+from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
+from coriandershelf_core.internal.gateway.scaling import FIRST_COUNT, Order, Scaling
+
+SCALE = ScaleLimits(1, 6, 4.0, 0.18, {"a": 0.85, "b": 1.0, "c": 1.2})
+SERVICE = Service("engine", 100, engine_slots_count=64, scale=SCALE)
+RATE = 1000.0
+
+
+class Market:
+    """Gives replicas after their boot time; may have no reclaimable ones."""
+
+    def __init__(self) -> None:
+        self.scaling = Scaling(RATE)
+        self.counts = {(zone, kind): 0 for zone in "abc" for kind in (True, False)}
+        self.booting: list[tuple[float, tuple[str, bool], int]] = []
+        self.dry = False
+        self.now_s = 0.0
+        self.orders: list[tuple[float, Order]] = []
+
+    def replicas(self) -> list[Replica]:
+        return [
+            Replica(f"{zone}{kind}{index}", "engine", "x:1", zone, 64, reclaimable=kind)
+            for (zone, kind), count in self.counts.items()
+            for index in range(count)
+        ]
+
+    def run(self, seconds: float, tokens_per_s: float) -> None:
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.5
+            for item in [item for item in self.booting if item[0] <= self.now_s]:
+                self.booting.remove(item)
+                self.counts[item[1]] = max(self.counts[item[1]], item[2])
+            for order in self.scaling.orders(SERVICE, self.replicas(), tokens_per_s, self.now_s):
+                self.take(order)
+
+    def take(self, order: Order) -> None:
+        self.orders.append((self.now_s, order))
+        key = (order.zone, order.reclaimable)
+        if self.dry and order.reclaimable and order.count > self.counts[key]:
+            self.scaling.on_refused(order, self.now_s)
+            return
+        self.scaling.on_taken(order, self.now_s)
+        if order.count < self.counts[key]:
+            self.counts[key] = order.count
+        else:
+            self.booting.append((self.now_s + SCALE.boot_s, key, order.count))
+
+    def reclaim(self, zone: str) -> None:
+        self.counts[(zone, True)] = 0
+
+    def spots(self) -> int:
+        return sum(count for (_, kind), count in self.counts.items() if kind)
+
+    def lasting(self) -> int:
+        return sum(count for (_, kind), count in self.counts.items() if not kind)
+
+
+def test_only_reclaimable_replicas_serve_a_steady_load_that_survives_a_zone():
+    market = Market()
+    market.run(30.0, 4.0 * RATE)
+    assert market.lasting() == 0
+    assert market.spots() - max(market.counts[(zone, True)] for zone in "abc") >= 4
+
+
+def test_replicas_are_there_before_any_load():
+    market = Market()
+    market.run(10.0, 0.0)
+    assert market.spots() >= FIRST_COUNT
+
+
+def test_lasting_replicas_of_the_start_are_kept_until_reclaimable_ones_serve():
+    market = Market()
+    market.counts[("a", False)] = 3
+    market.counts[("b", False)] = 3
+    least = 99
+    for _ in range(60):
+        market.run(0.5, 4.0 * RATE)
+        least = min(least, market.spots() + market.lasting())
+    assert least >= 4
+    assert market.lasting() == 0
+
+
+def test_in_a_drought_what_is_there_is_kept_and_lasting_ones_make_up_for_the_rest():
+    market = Market()
+    market.run(20.0, 4.0 * RATE)
+    market.dry = True
+    market.reclaim("a")
+    market.run(6.0, 4.0 * RATE)
+    assert market.spots() == 4
+    assert market.lasting() >= 2
+    market.reclaim("b")
+    market.run(6.0, 4.0 * RATE)
+    assert market.lasting() >= 4
+    given_back = [o for at_s, o in market.orders if at_s > 20.0 and o.reclaimable and o.count < 2]
+    assert not given_back
+
+
+def test_after_a_drought_lasting_ones_are_given_back():
+    market = Market()
+    market.run(20.0, 4.0 * RATE)
+    market.dry = True
+    market.reclaim("a")
+    market.run(10.0, 4.0 * RATE)
+    market.dry = False
+    market.run(30.0, 4.0 * RATE)
+    assert market.lasting() == 0
+    assert market.spots() == 6
+
+
+def test_a_steady_load_sends_no_further_orders():
+    market = Market()
+    market.run(30.0, 4.0 * RATE)
+    before = len(market.orders)
+    market.run(60.0, 4.0 * RATE)
+    assert len(market.orders) == before
