Log the inputs of a choice with its outcome

Cause: a late stream's log line did not say what the choice of its replica was made from. Change: expected time, tokens to read, waiting tokens, requests there and learnt slowness stand in the line that ends a request. No decision changes.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -61,6 +61,7 @@
 class AttemptState:
     """One attempt at a replica.
 
+    :param inputs: what the choice of the replica was made from, for the log.
     :param silent_at_s: when its silence counts as a failure; ``None`` where it may not be repeated.
     """
 
@@ -68,8 +69,9 @@
     passage: Passage
     state: ReplicaState
     started_at_s: float
-    expected_s: float
+    chosen: Chosen
     silent_at_s: float | None
+    inputs: tuple[tuple[str, str | int | float | None], ...] = ()
     opened: bool = False
     first_event_at_s: float | None = None
     last_event_at_s: float = 0.0
@@ -138,7 +140,7 @@
         taken_s = now_s - attempt.started_at_s
         if event.status < SERVER_ERROR and event.sealed:
             state.on_success(now_s)
-            state.on_time(taken_s, attempt.expected_s / state.slowness)
+            state.on_time(taken_s, attempt.chosen.expected_s / state.slowness)
         elif event.status >= SERVER_ERROR:
             self._note_failure(state, now_s, weight_plain=passage.route.kind)
             if passage.route.repeatable and self._may_repeat(passage, now_s):
@@ -150,7 +152,7 @@
             return
         self.emit(Deliver(passage.arrival.handle, event.status, event.headers, event.body))
         self.emit(Count("answers", str(event.status)))
-        self._log("answered", passage, now_s, status=event.status, replica=_name(state))
+        self._log("answered", passage, now_s, status=event.status, **dict(attempt.inputs))
         self._forget(passage)
 
     def on_opened(self, event: StreamOpened, now_s: float) -> None:
@@ -178,7 +180,7 @@
             self._begun(passage, now_s)
             state.on_first_event(attempt.attempt_id)
             taken_s = now_s - attempt.started_at_s
-            state.on_time(taken_s, attempt.expected_s / state.slowness)
+            state.on_time(taken_s, attempt.chosen.expected_s / state.slowness)
         if attempt.silent_at_s is not None:
             attempt.silent_at_s = now_s + self._silence_s(passage, 0.0)
         if event.last_event_id is not None:
@@ -196,7 +198,9 @@
         passage = attempt.passage
         self.emit(EndStream(passage.arrival.handle))
         self.emit(Count("answers", "stream"))
-        self._log("stream ended", passage, now_s, replica=_name(attempt.state))
+        first_s = attempt.first_event_at_s
+        first_ms = None if first_s is None else round((first_s - attempt.started_at_s) * 1e3)
+        self._log("stream ended", passage, now_s, first_ms=first_ms, **dict(attempt.inputs))
         self._forget(passage)
 
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
@@ -262,7 +266,15 @@
         silent_at_s = None
         if passage.route.repeatable and passage.sent_count + 1 < passage.route.attempts_max_count:
             silent_at_s = now_s + self._silence_s(passage, chosen.expected_s)
-        attempt = AttemptState(attempt_id, passage, state, now_s, chosen.expected_s, silent_at_s)
+        inputs = (
+            ("replica", name),
+            ("expected_ms", round(chosen.expected_s * 1e3)),
+            ("uncached", chosen.uncached_tokens),
+            ("waiting", state.waiting_tokens),
+            ("running", state.count),
+            ("slowness", round(state.slowness, 2)),
+        )
+        attempt = AttemptState(attempt_id, passage, state, now_s, chosen, silent_at_s, inputs)
         self.attempts[attempt_id] = attempt
         passage.attempt_id = attempt_id
         passage.sent_count += 1
@@ -427,7 +439,3 @@
     customer = passage.customer
     rank = customer.rank if customer is not None and customer.rank is not None else 0
     return min(URGENCY_MAX, URGENCY_TIERS * rank + min(URGENCY_TIERS - 1, passage.route.rank))
-
-
-def _name(state: ReplicaState) -> str:
-    return state.replica.replica_id
