--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_replica.py
@@ -0,0 +1,134 @@
+"""A stand-in of the users' replicas that answers by script, byte for byte."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+RESET = struct.pack("ii", 1, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """One request as a replica read it; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Talk:
+    """One connection of a replica."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Write bytes as they are."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        """Close with a reset."""
+        raw = self.writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.writer.close()
+
+    def close(self) -> None:
+        """Close cleanly."""
+        self.writer.close()
+
+
+Script = Callable[[Received, Talk], Awaitable[None]]
+
+
+@dataclass
+class Replica:
+    """A listening stand-in; ``script`` answers each request."""
+
+    script: Script
+    received: list[Received] = field(default_factory=list)
+    connections_count: int = 0
+    gone: asyncio.Event = field(default_factory=asyncio.Event)
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self, host: str = "127.0.0.1") -> Replica:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections_count += 1
+        talk = Talk(reader, writer)
+        try:
+            while not writer.is_closing():
+                request = await _read_request(reader)
+                if request is None:
+                    break
+                self.received.append(request)
+                await self.script(request, talk)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.gone.set()
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Received | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Received(method, target, headers, body)
+
+
+def sealed_head(request: Received, status: int = 200, **extra: str) -> bytes:
+    """Return an answer's head with receipt and echo, open for more headers."""
+    lines = [
+        f"HTTP/1.1 {status} X",
+        f"X-Request-Id: {request.headers.get('x-request-id', '')}",
+        "X-Response-Seal: seal-1",
+    ]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in extra.items()]
+    return ("\r\n".join(lines) + "\r\n").encode()
+
+
+def sealed_answer(request: Received, body: bytes = b"done", status: int = 200) -> bytes:
+    """Return a whole answer with its length."""
+    head = sealed_head(request, status)
+    return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def chunk(data: bytes) -> bytes:
+    """Return data as one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
@@ -0,0 +1,166 @@
+"""A stand-in of the users' platform's store: keyed topics over HTTP, and ways to misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+OPERATOR_TOPIC = "keyed.op"
+REGISTRY_TOPIC = "keyed.servers"
+WAIT_STEP_S = 0.01
+PAGE_KEYS_COUNT = 3
+
+
+@dataclass
+class Topic:
+    """One keyed topic; offsets count from 0, the oldest records may be dropped."""
+
+    first: int = 0
+    records: list[tuple[str, bytes]] = field(default_factory=list)
+    newest: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        """Return the offset after the last record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> int:
+        """Append a record; an empty value drops the key."""
+        offset = self.end
+        self.records.append((key, value))
+        if value:
+            self.newest[key] = (value, offset)
+        else:
+            self.newest.pop(key, None)
+        return offset
+
+    def drop_history(self) -> None:
+        """Forget every record but the newest of each key."""
+        self.first = self.end
+        self.records = []
+
+
+@dataclass
+class StoreState:
+    """What the store holds and how it behaves at the moment.
+
+    :param refuse: answer 503 to every call.
+    :param lose_answers: do what a write asks, then close the connection.
+    :param calls: method and path of each call, in order.
+    """
+
+    topics: dict[str, Topic] = field(default_factory=dict)
+    refuse: bool = False
+    lose_answers: bool = False
+    calls: list[tuple[str, str]] = field(default_factory=list)
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, new on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write a JSON value as the operator or a replica does."""
+        self.topic(topic).append(key, b"" if value is None else json.dumps(value).encode())
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: StoreState) -> None:
+        """Keep the store's state."""
+        self._state = state
+
+    def prepare(self) -> None:
+        """Note the call; refuse it while the store is out of order."""
+        self._state.calls.append((self.request.method or "", self.request.path))
+        if self._state.refuse:
+            self.set_status(503)
+            self.finish()
+
+    def _topic(self) -> Topic:
+        return self._state.topic(self.get_query_argument("topic"))
+
+
+class _Append(_Handler):
+    def post(self) -> None:
+        """Append records if the partition ends where the writer says."""
+        topic = self._topic()
+        at = self.get_query_argument("at", None)
+        if at is not None and int(at) != topic.end:
+            self.set_status(412)
+            self.finish({"end": topic.end})
+            return
+        body, position, first = self.request.body, 0, topic.end
+        while position < len(body):
+            (size,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + size]
+            position += 4 + size
+            key = content[1 : 1 + content[0]].decode()
+            topic.append(key, content[1 + content[0] :])
+        if self._state.lose_answers:
+            assert isinstance(self.request.connection, HTTP1Connection)
+            self.request.connection.close()
+            return
+        self.finish({"offset": first, "end": topic.end})
+
+
+class _Read(_Handler):
+    async def get(self) -> None:
+        """Answer with records from an offset on, as soon as there is one."""
+        topic = self._topic()
+        offset = int(self.get_query_argument("from"))
+        wait_s = float(self.get_query_argument("wait_ms", "0")) / 1e3
+        while topic.end <= offset and wait_s > 0.0 and not self._state.refuse:
+            await asyncio.sleep(WAIT_STEP_S)
+            wait_s -= WAIT_STEP_S
+        if offset < topic.first:
+            self.set_status(410)
+            self.finish({"first": topic.first})
+            return
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for key, value in topic.records[offset - topic.first :]:
+            content = bytes([len(key.encode())]) + key.encode() + value
+            body += struct.pack(">I", len(content)) + content
+        self.finish(body)
+
+
+class _Newest(_Handler):
+    def get(self) -> None:
+        """Answer with the newest record of each key, a few keys a page."""
+        topic = self._topic()
+        after = self.get_query_argument("after", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        page = keys[:PAGE_KEYS_COUNT]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key][0]).decode(),
+                "offset": topic.newest[key][1],
+            }
+            for key in page
+        ]
+        self.finish({"items": items, "more": len(keys) > len(page), "end": topic.end})
+
+
+async def start_store(state: StoreState, host: str = "127.0.0.1") -> tuple[HTTPServer, str]:
+    """Start the store on a free port; return its server and address."""
+    arguments = {"state": state}
+    pages = Application(
+        [
+            ("/log-append", _Append, arguments),
+            ("/log-read", _Read, arguments),
+            ("/log-newest", _Newest, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = HTTPServer(pages)
+    sockets = bind_sockets(0, host)
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    return server, f"{host}:{port}"
--- /dev/null
+++ b/tests/support/platform_site.py
@@ -0,0 +1,182 @@
+"""A small site of the users' platform on loopback: store, replicas, one entry VM's process."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import os
+import socket
+from dataclasses import dataclass, field
+
+from coriandershelf_platform.application import PlatformApplication, steady_s
+from coriandershelf_platform.logs import LogWriter
+from coriandershelf_platform.settings_file import NodeSettings
+from coriandershelf_rig.internal.standin_replica import Replica
+from coriandershelf_rig.internal.standin_store import (
+    OPERATOR_TOPIC,
+    REGISTRY_TOPIC,
+    StoreState,
+    start_store,
+)
+
+HOST_NAME = "site.example"
+KEY = "key-1"
+
+
+def free_port() -> int:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        return taken.getsockname()[1]
+
+
+def make_route(name: str, kind: str, service: str, **extra: object) -> dict[str, object]:
+    return {
+        "name": name, "host": HOST_NAME, "path_prefix": f"/{name}/", "kind": kind,
+        "timeout_ms": 10_000, "target_latency_ms": 500, "priority": 0, "service": service,
+        "max_attempts": 2, "public": False, "gap_target_ms": 500, **extra,
+    }  # fmt: skip
+
+
+def make_configuration(version: int = 1) -> dict[str, object]:
+    return {
+        "version": version,
+        "routes": [
+            make_route("ask", "streaming", "engine", max_attempts=1),
+            make_route("plan", "streaming", "engine", resumable=True),
+            make_route("book", "non_idempotent", "plain", max_attempts=1),
+            make_route("read", "idempotent", "plain"),
+        ],
+        "services": [
+            {"name": "engine", "health_path": "/health", "max_conns": 100, "engine": {"slots": 8}},
+            {"name": "plain", "health_path": "/health", "max_conns": 100},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304},
+        "tenants": [{"name": "customer-1", "api_keys": [KEY]}],
+    }
+
+
+@dataclass
+class Site:
+    """Use as an asynchronous context: ``async with Site() as site``."""
+
+    store: StoreState = field(default_factory=StoreState)
+    replicas: list[Replica] = field(default_factory=list)
+
+    async def __aenter__(self) -> Site:
+        self._store_server, address = await start_store(self.store)
+        self.store.put(OPERATOR_TOPIC, "config", make_configuration())
+        first_port = free_port()
+        self.settings = NodeSettings.model_validate(
+            {
+                "node_name": "vm-1", "ip": "127.0.0.1", "zone": "zone-1",
+                "listen": {
+                    "front": f"127.0.0.1:{free_port()}", "ready": f"127.0.0.1:{free_port()}",
+                },
+                "internal_ports": [first_port, first_port + 15],
+                "provider": {"address": address},
+            }
+        )  # fmt: skip
+        self.log_read, log_write = os.pipe()
+        os.set_blocking(self.log_read, False)
+        self._log_write = log_write
+        self.application = PlatformApplication(self.settings, LogWriter(log_write, steady_s))
+        await self.application.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.application.stop()
+        for replica in self.replicas:
+            await replica.stop()
+        self._store_server.stop()
+        await self._store_server.close_all_connections()
+        os.close(self._log_write)
+        os.close(self.log_read)
+
+    async def add(self, service: str, script, name: str = "") -> Replica:
+        """Start a replica and register it; wait until the entry VM knows it."""
+        replica = await Replica(script).start()
+        self.replicas.append(replica)
+        name = name or f"{service}-{len(self.replicas)}"
+        self.register(name, service, replica.address)
+        gateway = self.application._gateway
+        while gateway.pool.get(name) is None or gateway.deployment is None:
+            await asyncio.sleep(0.01)
+        return replica
+
+    def register(self, name: str, service: str, address: str, **extra: object) -> None:
+        entry = {
+            "service": service, "address": address, "zone": "zone-1", "version": "v1", "slots": 8,
+            "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1, **extra,
+        }  # fmt: skip
+        self.store.put(REGISTRY_TOPIC, name, entry)
+
+    async def connect(self) -> Client:
+        host, _, port = self.settings.listen.front.rpartition(":")
+        return Client(*await asyncio.open_connection(host, int(port)))
+
+    def logs(self) -> list[dict[str, object]]:
+        """Return the log lines written so far."""
+        self.application._writer.flush()
+        data = io.BytesIO()
+        while True:
+            try:
+                data.write(os.read(self.log_read, 65536))
+            except BlockingIOError:
+                return [json.loads(line) for line in data.getvalue().splitlines()]
+
+
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Client:
+    """A caller's connection, byte for byte."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def send_raw(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def send(
+        self, path: str, request_id: str = "id-1", method: str = "POST", body: bytes = b"",
+        **headers: str,
+    ) -> None:  # fmt: skip
+        lines = [
+            f"{method} {path} HTTP/1.1", f"Host: {HOST_NAME}", f"X-Request-Id: {request_id}",
+            f"X-Api-Key: {KEY}", "X-Deadline-Ms: 8000", f"Content-Length: {len(body)}",
+        ]  # fmt: skip
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        self.send_raw(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def read(self) -> Answer:
+        """Read one answer; ``whole`` says whether its framing was kept to."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
+        headers = {}
+        for line in head[1:]:
+            name, colon, value = line.partition(":")
+            if colon:
+                headers[name.lower()] = value.strip()
+        status = int(head[0].split(" ")[1])
+        body = b""
+        try:
+            if "content-length" in headers:
+                body = await self.reader.readexactly(int(headers["content-length"]))
+                return Answer(status, headers, body, True)
+            while True:
+                size = int((await self.reader.readline()).strip(), 16)
+                data = await self.reader.readexactly(size + 2)
+                body += data[:-2]
+                if size == 0:
+                    return Answer(status, headers, body, True)
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            return Answer(status, headers, body, False)
+
+    def close(self) -> None:
+        self.writer.close()
