--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -131,7 +131,7 @@
         if load >= 1.0:
             expected_s += work_s * load
         cost_s = expected_s * (1.0 + TIE_SHARE * self._rng.random())
-        return Chosen(state, 0, expected_s, expected_s / state.slowness, cost_s)
+        return Chosen(state, 0, expected_s, PLAIN_ANSWER_S * (1.0 + load), cost_s)
 
     def _engine(self, passage: Passage, state: ReplicaState, home: str, now_s: float) -> Chosen:
         parts = passage.arrival.parts
@@ -145,7 +145,8 @@
         uncached = max(0, passage.arrival.prompt_tokens - int(cached))
         read_s = (uncached + state.waiting_tokens) * PROMPT_TOKEN_S
         usual_s = FIRST_EVENT_S + read_s
-        expected_s = usual_s * state.slowness
+        pace = state.current_pace(now_s)
+        expected_s = usual_s * state.slowness * pace
         load = state.count / max(1, state.replica.slots_count)
         held_up_s = (UNCACHED_WEIGHT - 1.0) * uncached * PROMPT_TOKEN_S
         held_up_s += STREAM_WEIGHT_S * state.count
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -22,11 +22,15 @@
 
     :param waiting_tokens: prompt tokens of its requests there that are not yet read.
     :param slowness_percent: time that work took there of late ÷ the time expected; 0 if not known.
+    :param pace_percent: time that work takes there at the moment ÷ the usual, as the replica said;
+        0 if it did not of late.
     """
 
     running_count: int
     waiting_tokens: int
     slowness_percent: int = 0
+    pace_percent: int = 0
+    pace_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -309,7 +309,7 @@
             for name, item in digest.replicas.items():
                 told.setdefault(name, []).append(item)
         for state in self.pool:
-            state.on_others(told.get(state.replica.replica_id, ()))
+            state.on_others(told.get(state.replica.replica_id, ()), now_s)
 
     def _send_digests(self, now_s: float, clock_s: float) -> None:
         due = self.peers.due(self._zone, now_s)
@@ -332,7 +332,7 @@
     def _make_digest(self, now_s: float, clock_s: float) -> Digest:
         self._sequence += 1
         replicas = {
-            state.replica.replica_id: state.own_digest()
+            state.replica.replica_id: state.own_digest(now_s)
             for state in self.pool
             if state.in_flight or state.was_timed_since(now_s - TIMES_TOLD_S)
         }
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -25,7 +25,9 @@
 FAILURE_SHARE_MAX = 0.35
 EJECT_FIRST_S = 1.0
 EJECT_MAX_S = 8.0
-PACE_MEMORY_S = 0.5
+PACE_MEMORY_S = 0.4
+# A pace that a replica stated is told to the other entry VMs for this long.
+PACE_TOLD_S = 0.6
 
 
 @dataclass(slots=True)
@@ -48,6 +50,8 @@
     :param own_slowness: time that work takes ÷ the time expected of it, a moving mean.
     :param times_count: how many times that mean is of, up to a limit.
     :param others_slowness: the same mean of the other entry VMs.
+    :param pace: time that work takes there at the moment ÷ the usual, as last heard of.
+    :param stated_pace: the same as the replica last said to this VM itself.
     :param missing_since_s: when its entry vanished during an outage of the store.
     """
 
@@ -62,6 +66,8 @@
     others_slowness: float | None = None
     pace: float = 1.0
     pace_at_s: float = -math.inf
+    stated_pace: float = 1.0
+    stated_at_s: float = -math.inf
     leaving: bool = False
     full_until_s: float = 0.0
     ejected_until_s: float = 0.0
@@ -89,19 +95,30 @@
         trust = self.times_count / (self.times_count + TIMES_OF_OTHERS_COUNT)
         return self.others_slowness + trust * (self.own_slowness - self.others_slowness)
 
-    def on_others(self, told: Sequence[ReplicaDigest]) -> None:
+    def on_others(self, told: Sequence[ReplicaDigest], now_s: float) -> None:
         """Take what the other entry VMs tell of this replica."""
         self.others_count = sum(item.running_count for item in told)
         self.others_tokens = sum(item.waiting_tokens for item in told)
         known = [item.slowness_percent / 100.0 for item in told if item.slowness_percent]
         if known:
             self.others_slowness = sum(known) / len(known)
+        for item in told:
+            at_s = now_s - item.pace_age_ms / 1e3
+            if item.pace_percent and at_s > self.pace_at_s:
+                self.pace, self.pace_at_s = item.pace_percent / 100.0, at_s
 
-    def own_digest(self) -> ReplicaDigest:
+    def own_digest(self, now_s: float) -> ReplicaDigest:
         """Return what this VM tells the others of this replica."""
         known = self.times_count >= TIMES_TOLD_MIN_COUNT
         percent = round(self.own_slowness * 100.0) if known else 0
-        return ReplicaDigest(len(self.in_flight), self.own_tokens, percent)
+        pace_age_s = now_s - self.stated_at_s
+        if pace_age_s > PACE_TOLD_S:
+            return ReplicaDigest(len(self.in_flight), self.own_tokens, percent)
+        pace_percent = round(self.stated_pace * 100.0)
+        pace_age_ms = round(pace_age_s * 1e3)
+        return ReplicaDigest(
+            len(self.in_flight), self.own_tokens, percent, pace_percent, pace_age_ms
+        )
 
     def was_timed_since(self, at_s: float) -> bool:
         """Return whether an own request ended there since a time."""
@@ -142,7 +159,8 @@
     def on_load(self, load: LoadFigures | None, now_s: float) -> None:
         """Take the load that an answer stated."""
         if load is not None:
-            self.pace, self.pace_at_s = load.pace, now_s
+            self.pace = self.stated_pace = load.pace
+            self.pace_at_s = self.stated_at_s = now_s
 
     def on_success(self, now_s: float) -> None:
         """Note an answer; a replica that was shut out is tried again at once."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -141,7 +141,7 @@
         taken_s = now_s - attempt.started_at_s
         if event.status < SERVER_ERROR and event.sealed:
             state.on_success(now_s)
-            state.on_time(taken_s, attempt.usual_s, now_s)
+            state.on_time(taken_s, attempt.usual_s * state.current_pace(now_s), now_s)
         elif event.status >= SERVER_ERROR:
             self._note_failure(state, now_s, weight_plain=passage.route.kind)
             if passage.route.repeatable and self._may_repeat(passage, now_s):
@@ -181,7 +181,7 @@
             self._begun(passage, now_s)
             state.on_first_event(attempt.attempt_id)
             taken_s = now_s - attempt.started_at_s
-            state.on_time(taken_s, attempt.usual_s, now_s)
+            state.on_time(taken_s, attempt.usual_s * state.current_pace(now_s), now_s)
         if attempt.silent_at_s is not None:
             attempt.silent_at_s = now_s + self._silence_s(passage, 0.0)
         if event.last_event_id is not None:
@@ -274,6 +274,7 @@
             ("waiting", state.waiting_tokens),
             ("running", state.count),
             ("slowness", round(state.slowness, 2)),
+            ("pace", round(state.current_pace(now_s), 2)),
         )
         attempt = AttemptState(
             attempt_id, passage, state, now_s, chosen.usual_s, silent_at_s, inputs
--- a/tests/cover/test_gateway_state.py
+++ b/tests/cover/test_gateway_state.py
@@ -10,7 +10,12 @@
 from coriandershelf_core.internal.gateway.actions import SendDigest
 from coriandershelf_core.internal.gateway.deployment import Backend, Replica, Route, RouteKind
 from coriandershelf_core.internal.gateway.digest import Digest, ReplicaDigest
-from coriandershelf_core.internal.gateway.events import DigestArrived, EntryVmsRead, ReplicasRead
+from coriandershelf_core.internal.gateway.events import (
+    DigestArrived,
+    EntryVmsRead,
+    LoadFigures,
+    ReplicasRead,
+)
 from coriandershelf_core.internal.gateway.pool import RETURN_GRACE_S, Pool
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
 from coriandershelf_core.internal.gateway.route_table import RouteTable, pick_service
@@ -162,12 +167,14 @@
     pool.apply(make_replicas(engines=2, plains=0), True, False, 0.0)
     state = pool.get("engine-0")
     assert state is not None
-    state.on_others([ReplicaDigest(1, 0, 200), ReplicaDigest(0, 0, 0), ReplicaDigest(0, 0, 220)])
+    state.on_others(
+        [ReplicaDigest(1, 0, 200), ReplicaDigest(0, 0, 0), ReplicaDigest(0, 0, 220)], 0.0
+    )
     assert state.slowness == pytest.approx(2.1)
     for _ in range(20):
         state.on_time(0.1, 0.1, 1.0)
     assert 1.0 < state.slowness < 1.4
-    assert state.own_digest().slowness_percent == 100
+    assert state.own_digest(2.0).slowness_percent == 100
 
 
 @pytest.mark.parametrize("vms", [8, 86, 400])
@@ -188,3 +195,16 @@
     sent = [action for action in driver.run(0.3) if isinstance(action, SendDigest)]
     told = {address for action in sent if action.digest.begun for address in action.addresses}
     assert told == {"a1", "a2", "a3"}
+
+
+def test_the_freshest_pace_of_a_replica_counts_and_fades():
+    pool = Pool()
+    pool.apply(make_replicas(engines=1, plains=0), True, False, 0.0)
+    state = pool.get("engine-0")
+    assert state is not None
+    state.on_load(LoadFigures(1, 0, 8, 1.0), 9.7)
+    told = [ReplicaDigest(0, 0, 0, 250, 100), ReplicaDigest(0, 0, 0, 130, 500)]
+    state.on_others(told, 10.0)
+    assert state.current_pace(9.9) == pytest.approx(2.5)
+    assert state.current_pace(14.0) == pytest.approx(1.0, abs=0.01)
+    assert state.own_digest(10.0).pace_percent == 100
