--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -150,8 +150,10 @@
         """Return what all entry VMs are asked for of a service, of late."""
         own = self._own_work(now_s).get(service, (0.0, 0.0))[1]
         others = sum(digest.work.get(service, (0.0, 0.0))[1] for digest in self.peers.live(now_s))
-        running = sum(state.count for state in self.pool if state.replica.service == service)
-        return Load(own + others, running)
+        states = self.pool.usable(service)
+        running = sum(state.count for state in states)
+        slowness = sum(state.slowness for state in states) / len(states) if states else 1.0
+        return Load(own + others, running, slowness)
 
     def _handle(self, event: Event, now_s: float, clock_s: float) -> None:
         match event:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -41,10 +41,12 @@
     """What all entry VMs are asked for, of one service.
 
     :param running_count: requests at its replicas.
+    :param slowness: mean of its replicas' time for a prompt ÷ that of a replica of usual speed.
     """
 
     tokens_per_s: float
     running_count: int
+    slowness: float = 1.0
 
 
 @dataclass(slots=True)
@@ -77,7 +79,7 @@
     Where not enough of them are to be had, lasting ones make up for it, at once and dearly, until
     reclaimable ones are back.
 
-    :param rate_per_replica: prompt tokens a second that one replica serves in time.
+    :param rate_per_replica: prompt tokens a second that a replica of usual speed serves in time.
     :param tight_rate_per_replica: the same for lasting ones, which cost several times as much.
     """
 
@@ -131,7 +133,8 @@
             self._first_counts[service.name] = known
             return max(FIRST_COUNT, math.ceil(FIRST_SHARE * known))
         by_slots = load.running_count / (SLOTS_USE_SHARE * max(1, service.engine_slots_count))
-        return max(1, math.ceil(load.tokens_per_s / rate), math.ceil(by_slots))
+        by_tokens = load.tokens_per_s * load.slowness / rate
+        return max(1, math.ceil(by_tokens), math.ceil(by_slots))
 
     def _highest_load(self, service: str, load: Load, now_s: float) -> Load:
         loads = self._loads.setdefault(service, deque())
@@ -141,6 +144,7 @@
         return Load(
             max(item.tokens_per_s for _, item in loads),
             max(item.running_count for _, item in loads),
+            load.slowness,
         )
 
     def _wanted_spots(
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -146,3 +146,12 @@
         market.counts[(zone, False)] = 6
     market.run(10.0, 0.0)
     assert market.left_after_a_loss() >= 11
+
+
+def test_slower_replicas_are_needed_in_larger_numbers():
+    scaling = Scaling(RATE, RATE)
+    usual = scaling.orders(SERVICE, [], Load(4.0 * RATE, 0), 1.0)
+    slow = Scaling(RATE, RATE).orders(SERVICE, [], Load(4.0 * RATE, 0, 2.0), 1.0)
+    assert sum(o.count for o in slow if o.reclaimable) == 2 * sum(
+        o.count for o in usual if o.reclaimable
+    )
