--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -5,6 +5,7 @@
 import random
 from collections import deque
 from dataclasses import replace
+from statistics import median
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
@@ -152,7 +153,7 @@
         others = sum(digest.work.get(service, (0.0, 0.0))[1] for digest in self.peers.live(now_s))
         states = self.pool.usable(service)
         running = sum(state.count for state in states)
-        slowness = sum(state.slowness for state in states) / len(states) if states else 1.0
+        slowness = median(state.slowness for state in states) if states else 1.0
         return Load(own + others, running, slowness)
 
     def _handle(self, event: Event, now_s: float, clock_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -24,6 +24,10 @@
 FIRST_SHARE = 0.6
 # Part of an engine's slots that may be taken on average, so that short work finds one free.
 SLOTS_USE_SHARE = 0.5
+# Queues make replicas look slow; beyond this the cause is the load and not their speed.
+SLOWNESS_MAX = 2.0
+# After a refusal, reclaimable replicas are not given back for this long: they would not come back.
+DROUGHT_S = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +45,7 @@
     """What all entry VMs are asked for, of one service.
 
     :param running_count: requests at its replicas.
-    :param slowness: mean of its replicas' time for a prompt ÷ that of a replica of usual speed.
+    :param slowness: median of its replicas' time for a prompt ÷ that of a replica of usual speed.
     """
 
     tokens_per_s: float
@@ -128,12 +132,14 @@
         self, service: Service, load: Load, rate: float, replicas: list[Replica]
     ) -> int:
         if load.tokens_per_s <= 0.0:
-            present = sum(1 for item in replicas if item.service == service.name)
+            lasting = [item for item in replicas if item.service == service.name]
+            present = sum(1 for item in lasting if not item.reclaimable)
             known = max(self._first_counts.get(service.name, 0), present)
             self._first_counts[service.name] = known
             return max(FIRST_COUNT, math.ceil(FIRST_SHARE * known))
         by_slots = load.running_count / (SLOTS_USE_SHARE * max(1, service.engine_slots_count))
-        by_tokens = load.tokens_per_s * load.slowness / rate
+        slowness = min(SLOWNESS_MAX, load.slowness)
+        by_tokens = load.tokens_per_s * slowness / rate
         return max(1, math.ceil(by_tokens), math.ceil(by_slots))
 
     def _highest_load(self, service: str, load: Load, now_s: float) -> Load:
@@ -194,10 +200,21 @@
         if order.count == kind.present_count or order.count == kind.ordered_count:
             kind.surplus_since_s = None
             return False
+        if order.reclaimable and self._is_drought(order.service, now_s):
+            kind.surplus_since_s = None
+            return False
         if kind.surplus_since_s is None:
             kind.surplus_since_s = now_s
         return now_s - kind.surplus_since_s >= SURPLUS_S and now_s >= kind.refused_until_s
 
+    def _is_drought(self, service: str, now_s: float) -> bool:
+        """Return whether reclaimable replicas were refused of late, in any zone."""
+        return any(
+            now_s < kind.refused_until_s + DROUGHT_S
+            for (name, _, reclaimable), kind in self._kinds.items()
+            if name == service and reclaimable
+        )
+
     def _count(self, service: str, scale: ScaleLimits, replicas: list[Replica]) -> None:
         for zone in scale.zone_prices:
             for reclaimable in (True, False):
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -155,3 +155,25 @@
     assert sum(o.count for o in slow if o.reclaimable) == 2 * sum(
         o.count for o in usual if o.reclaimable
     )
+
+
+def test_a_falling_load_gives_back_no_reclaimable_replica_in_a_drought():
+    market = Market()
+    market.run(20.0, 6.0 * RATE)
+    market.dry = True
+    market.reclaim("a")
+    market.run(8.0, 6.0 * RATE)
+    assert market.spots() == 6
+    market.run(20.0, 2.0 * RATE)
+    assert market.spots() == 6
+    market.dry = False
+    market.run(30.0, 2.0 * RATE)
+    assert market.spots() == 3
+
+
+def test_ordered_replicas_do_not_raise_the_first_count():
+    market = Market()
+    for zone in "abc":
+        market.counts[(zone, False)] = 2
+    market.run(30.0, 0.0)
+    assert market.spots() == 6
