Replica counts follow the speed learnt from quiet answers; slots bind lasting ones less

Change: speed for the count is learnt from requests that met few others; lasting replicas are counted by nine tenths of their slots, reclaimable ones by six.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -60,7 +60,7 @@
 STOP_MARGIN_S = 0.5
 # Streams accepted late in a stop would be cut.
 STOP_STREAMS_AFTER_S = 3.0
-LOAD_WINDOW_S = 3.0
+LOAD_WINDOW_S = 5.0
 # Other VMs' counts are summed this often where so many are known, more often where fewer are.
 COUNT_PERIOD_S = 0.2
 COUNT_PERIOD_PEERS = 80
@@ -153,7 +153,8 @@
         others = sum(digest.work.get(service, (0.0, 0.0))[1] for digest in self.peers.live(now_s))
         states = self.pool.usable(service)
         running = sum(state.count for state in states)
-        slowness = median(state.slowness for state in states) if states else 1.0
+        known = [state.quiet_slowness for state in states if state.quiet_count]
+        slowness = median(known) if known else 1.0
         return Load(own + others, running, slowness)
 
     def _handle(self, event: Event, now_s: float, clock_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -48,6 +48,7 @@
     :param others_count: requests of other entry VMs there, by their digests.
     :param others_tokens: prompt tokens that those still wait for.
     :param own_slowness: time that work takes ÷ the time expected of it, a moving mean.
+    :param quiet_slowness: the same of requests that met few others there, so of its speed alone.
     :param times_count: how many times that mean is of, up to a limit.
     :param others_slowness: the same mean of the other entry VMs.
     :param pace: time that work takes there at the moment ÷ the usual, as last heard of.
@@ -61,6 +62,8 @@
     others_count: int = 0
     others_tokens: int = 0
     own_slowness: float = 1.0
+    quiet_slowness: float = 1.0
+    quiet_count: int = 0
     times_count: int = 0
     timed_at_s: float = -math.inf
     others_slowness: float | None = None
@@ -148,13 +151,20 @@
         if flight is not None:
             self.own_tokens -= flight.waiting_tokens
 
-    def on_time(self, taken_s: float, expected_s: float, now_s: float) -> None:
-        """Learn from the time that an answer or first event took."""
+    def on_time(self, taken_s: float, expected_s: float, now_s: float, quiet: bool) -> None:
+        """Learn from the time that an answer or first event took.
+
+        :param quiet: whether the request met few others there.
+        """
         ratio = min(SLOWNESS_MAX, max(SLOWNESS_MIN, taken_s / expected_s))
         self.times_count = min(TIMES_MAX_COUNT, self.times_count + 1)
         self.timed_at_s = now_s
         weight = max(SLOWNESS_WEIGHT, 1.0 / (1 + self.times_count))
         self.own_slowness += weight * (ratio - self.own_slowness)
+        if quiet:
+            self.quiet_count = min(TIMES_MAX_COUNT, self.quiet_count + 1)
+            weight = max(SLOWNESS_WEIGHT, 1.0 / (1 + self.quiet_count))
+            self.quiet_slowness += weight * (ratio - self.quiet_slowness)
 
     def on_load(self, load: LoadFigures | None, now_s: float) -> None:
         """Take the load that an answer stated."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -50,6 +50,8 @@
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_S = 0.3
 RETRY_AFTER_SHARE = 1.0 / 3.0
+# Part of a replica's slots up to which an answer's time tells of its speed alone.
+QUIET_SHARE = 0.1
 URGENCY_MAX = 9
 URGENCY_TIERS = 3
 SERVER_ERROR = 500
@@ -61,6 +63,7 @@
 class AttemptState:
     """One attempt at a replica.
 
+    :param quiet: whether it met few others there.
     :param inputs: what the choice of the replica was made from, for the log.
     :param usual_s: time to its first event or answer at a replica of usual speed.
     :param silent_at_s: when its silence counts as a failure; ``None`` where it may not be repeated.
@@ -72,6 +75,7 @@
     started_at_s: float
     usual_s: float
     silent_at_s: float | None
+    quiet: bool
     inputs: tuple[tuple[str, str | int | float | None], ...] = ()
     opened: bool = False
     first_event_at_s: float | None = None
@@ -141,7 +145,8 @@
         taken_s = now_s - attempt.started_at_s
         if event.status < SERVER_ERROR and event.sealed:
             state.on_success(now_s)
-            state.on_time(taken_s, attempt.usual_s * state.current_pace(now_s), now_s)
+            usual_s = attempt.usual_s * state.current_pace(now_s)
+            state.on_time(taken_s, usual_s, now_s, attempt.quiet)
         elif event.status >= SERVER_ERROR:
             self._note_failure(state, now_s, weight_plain=passage.route.kind)
             if passage.route.repeatable and self._may_repeat(passage, now_s):
@@ -181,7 +186,8 @@
             self._begun(passage, now_s)
             state.on_first_event(attempt.attempt_id)
             taken_s = now_s - attempt.started_at_s
-            state.on_time(taken_s, attempt.usual_s * state.current_pace(now_s), now_s)
+            usual_s = attempt.usual_s * state.current_pace(now_s)
+            state.on_time(taken_s, usual_s, now_s, attempt.quiet)
         if attempt.silent_at_s is not None:
             attempt.silent_at_s = now_s + self._silence_s(passage, 0.0)
         if event.last_event_id is not None:
@@ -267,6 +273,7 @@
         silent_at_s = None
         if passage.route.repeatable and passage.sent_count + 1 < passage.route.attempts_max_count:
             silent_at_s = now_s + self._silence_s(passage, chosen.expected_s)
+        quiet = state.count <= QUIET_SHARE * state.replica.slots_count
         inputs = (
             ("replica", name),
             ("expected_ms", round(chosen.expected_s * 1e3)),
@@ -277,7 +284,7 @@
             ("pace", round(state.current_pace(now_s), 2)),
         )
         attempt = AttemptState(
-            attempt_id, passage, state, now_s, chosen.usual_s, silent_at_s, inputs
+            attempt_id, passage, state, now_s, chosen.usual_s, silent_at_s, quiet, inputs
         )
         self.attempts[attempt_id] = attempt
         passage.attempt_id = attempt_id
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -9,7 +9,7 @@
 from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
 
 # The load that counts is the highest of this time: a replica takes seconds to boot.
-LOAD_MEMORY_S = 12.0
+LOAD_MEMORY_S = 10.0
 # After a refusal none of the kind is asked for in the zone for this long.
 REFUSED_PAUSE_S = 3.0
 # Replicas that were ordered count as present for their boot time and this.
@@ -17,13 +17,15 @@
 # A surplus is given back once it has lasted this long.
 SURPLUS_S = 4.0
 # Part of the needed replicas that must be left when the largest zone's reclaimable ones go.
-AFTER_LOSS_SHARE = 0.75
+AFTER_LOSS_SHARE = 0.6
 # Replicas that are wanted before any load was seen: at least so many, and this part of those that
 # were there at the start, which the operators sized for the day.
 FIRST_COUNT = 4
 FIRST_SHARE = 0.6
-# Part of an engine's slots that may be taken on average, so that short work finds one free.
-SLOTS_USE_SHARE = 0.5
+# Part of an engine's slots that may be taken on average, so that short work finds one free; and
+# where the replicas are lasting ones, which cost several times as much.
+SLOTS_USE_SHARE = 0.6
+TIGHT_SLOTS_USE_SHARE = 0.9
 # Queues make replicas look slow; beyond this the cause is the load and not their speed.
 SLOWNESS_MAX = 2.0
 # After a refusal, reclaimable replicas are not given back for this long: they would not come back.
@@ -115,8 +117,12 @@
             return []
         self._count(service.name, scale, replicas)
         highest = self._highest_load(service.name, load, now_s)
-        needed = self._needed_count(service, highest, self.rate_per_replica, replicas)
-        tight = self._needed_count(service, highest, self.tight_rate_per_replica, replicas)
+        needed = self._needed_count(
+            service, highest, self.rate_per_replica, SLOTS_USE_SHARE, replicas
+        )
+        tight = self._needed_count(
+            service, highest, self.tight_rate_per_replica, TIGHT_SLOTS_USE_SHARE, replicas
+        )
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
         spots = self._wanted_spots(service.name, scale, zones, needed)
         lasting = self._wanted_lasting(service.name, scale, zones, spots, tight, now_s)
@@ -129,7 +135,12 @@
         return orders
 
     def _needed_count(
-        self, service: Service, load: Load, rate: float, replicas: list[Replica]
+        self,
+        service: Service,
+        load: Load,
+        rate: float,
+        slots_share: float,
+        replicas: list[Replica],
     ) -> int:
         if load.tokens_per_s <= 0.0:
             lasting = [item for item in replicas if item.service == service.name]
@@ -137,7 +148,7 @@
             known = max(self._first_counts.get(service.name, 0), present)
             self._first_counts[service.name] = known
             return max(FIRST_COUNT, math.ceil(FIRST_SHARE * known))
-        by_slots = load.running_count / (SLOTS_USE_SHARE * max(1, service.engine_slots_count))
+        by_slots = load.running_count / (slots_share * max(1, service.engine_slots_count))
         slowness = min(SLOWNESS_MAX, load.slowness)
         by_tokens = load.tokens_per_s * slowness / rate
         return max(1, math.ceil(by_tokens), math.ceil(by_slots))
--- a/tests/cover/test_gateway_state.py
+++ b/tests/cover/test_gateway_state.py
@@ -172,7 +172,7 @@
     )
     assert state.slowness == pytest.approx(2.1)
     for _ in range(20):
-        state.on_time(0.1, 0.1, 1.0)
+        state.on_time(0.1, 0.1, 1.0, True)
     assert 1.0 < state.slowness < 1.4
     assert state.own_digest(2.0).slowness_percent == 100
 
