--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -20,10 +21,12 @@
 # A part is taken to be cached at a replica for this long after its last use there.
 PART_KEEP_S = 30.0
 PARTS_MAX_COUNT = 4096
-# Trust that other VMs have sent a session to the same replica as this one would.
-HOME_TRUST = 0.7
+# Replicas where a session belongs, and the trust that other VMs have sent it there, too.
+HOMES_COUNT = 2
+HOME_TRUSTS = (0.9, 0.5)
+HOME_WEIGHT_STEPS = 2
 # A prompt token that is read again holds up everything behind it, so it weighs more than its time.
-UNCACHED_WEIGHT = 2.5
+UNCACHED_WEIGHT = 4.0
 # Prompt reading delays each stream of the batch a little; weight of running streams in seconds.
 STREAM_WEIGHT_S = 0.004
 ZONE_HOP_S = 0.004
@@ -79,15 +82,24 @@
         return tokens_count
 
 
-def home_of(part_id: str, states: Sequence[ReplicaState]) -> str:
-    """Return the replica where a session belongs: rendezvous hashing (Thaler, Ravishankar 1998).
+def homes_of(part_id: str, states: Sequence[ReplicaState]) -> list[str]:
+    """Return the replicas where a session belongs, the first one before the one it spills to.
 
-    Every entry VM finds the same one without a message.
+    Weighted rendezvous hashing (Thaler and Ravishankar 1998; Schindelhauer and Schomaker 2005):
+    every entry VM finds the same ones without a message, and slow replicas get fewer sessions.
     """
-    return max(
-        (state.replica.replica_id for state in states),
-        key=lambda name: xxhash.xxh64_intdigest(f"{part_id}/{name}".encode()),
+    ranked = sorted(
+        ((_home_score(part_id, state), state.replica.replica_id) for state in states), reverse=True
     )
+    return [name for _, name in ranked[:HOMES_COUNT]]
+
+
+def _home_score(part_id: str, state: ReplicaState) -> float:
+    name = f"{part_id}/{state.replica.replica_id}"
+    point = (xxhash.xxh64_intdigest(name.encode()) + 1) / 2.0**64
+    # In coarse steps, so that VMs that learnt slightly different speeds still agree.
+    weight = 1.0 / max(1.0, round(state.slowness * HOME_WEIGHT_STEPS) / HOME_WEIGHT_STEPS)
+    return -weight / math.log(min(point, 1.0 - 1e-12))
 
 
 class Chooser:
@@ -118,9 +130,9 @@
                 key=lambda chosen: chosen.cost_s,
             )
         parts = passage.arrival.parts
-        home = home_of(parts[-1].part_id, candidates) if parts else ""
+        homes = homes_of(parts[-1].part_id, candidates) if parts else []
         return min(
-            (self._engine(passage, state, home, now_s) for state in candidates),
+            (self._engine(passage, state, homes, now_s) for state in candidates),
             key=lambda chosen: chosen.cost_s,
         )
 
@@ -133,12 +145,15 @@
         cost_s = expected_s * (1.0 + TIE_SHARE * self._rng.random())
         return Chosen(state, 0, expected_s, PLAIN_ANSWER_S * (1.0 + load), cost_s)
 
-    def _engine(self, passage: Passage, state: ReplicaState, home: str, now_s: float) -> Chosen:
+    def _engine(
+        self, passage: Passage, state: ReplicaState, homes: list[str], now_s: float
+    ) -> Chosen:
         parts = passage.arrival.parts
         name = state.replica.replica_id
         cached = float(self.parts.cached_tokens(parts, name, now_s))
-        if name == home:
-            cached = max(cached, HOME_TRUST * sum(part.tokens_count for part in parts))
+        if name in homes:
+            trust = HOME_TRUSTS[homes.index(name)]
+            cached = max(cached, trust * sum(part.tokens_count for part in parts))
         elif parts:
             # The first part is the system prompt, which every replica has read.
             cached = max(cached, float(parts[0].tokens_count))
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -21,7 +21,7 @@
 # Replicas that are wanted before any load was seen: at least so many, and this part of those that
 # were there at the start, which the operators sized for the day.
 FIRST_COUNT = 4
-FIRST_SHARE = 0.6
+FIRST_SHARE = 0.9
 # Part of an engine's slots that may be taken on average, so that short work finds one free; and
 # where the replicas are lasting ones, which cost several times as much.
 SLOTS_USE_SHARE = 0.6
