Choose the least reading within an easy part of the objective, the least delay beyond it

Cause: homes were keyed by a prompt's last part, which is the request's own; so sessions were spread by chance (24 of 100 repeats within 9.3 s met the replica of the time before). Change: homes by the last part that other requests share, learnt by route; three homes; the cost weighs reading saved within 0.35 of the objective and delay beyond.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -21,14 +20,20 @@
 # A part is taken to be cached at a replica for this long after its last use there.
 PART_KEEP_S = 30.0
 PARTS_MAX_COUNT = 4096
+# Part of a route's requests whose last part was seen before, from which on it counts as shared.
+SEEN_SHARE_MIN = 0.2
+SEEN_WEIGHT = 0.05
 # Replicas where a session belongs, and the trust that other VMs have sent it there, too.
-HOMES_COUNT = 2
-HOME_TRUSTS = (0.9, 0.5)
-HOME_WEIGHT_STEPS = 2
-# A prompt token that is read again holds up everything behind it, so it weighs more than its time.
-UNCACHED_WEIGHT = 4.0
-# Prompt reading delays each stream of the batch a little; weight of running streams in seconds.
-STREAM_WEIGHT_S = 0.004
+HOMES_COUNT = 3
+HOME_TRUSTS = (0.8, 0.6, 0.4)
+# What a choice weighs: the time to the first event, the reading that it costs the replica and so
+# everything behind it, and the time beyond an easy part of the route's objective.
+LATENCY_WEIGHT = 0.3
+WORK_WEIGHT = 1.5
+LATE_WEIGHT = 4.0
+EASY_SHARE = 0.35
+# Each running stream delays a first event by its part of a step.
+STREAM_WEIGHT_S = 0.002
 ZONE_HOP_S = 0.004
 # A request beyond the slots waits for one to end.
 FULL_S = 0.5
@@ -71,6 +76,10 @@
         while len(self._parts) > PARTS_MAX_COUNT:
             self._parts.popitem(last=False)
 
+    def knows(self, part_id: str) -> bool:
+        """Return whether any replica was seen to read a part."""
+        return part_id in self._parts
+
     def cached_tokens(self, parts: Sequence[PromptPart], replica_id: str, now_s: float) -> int:
         """Return the tokens of the leading parts that a replica still keeps."""
         tokens_count = 0
@@ -82,26 +91,41 @@
         return tokens_count
 
 
+class SharedParts:
+    """Learns, by route, whether the last part of a prompt comes again or is the request's own."""
+
+    def __init__(self) -> None:
+        self._seen_shares: dict[str, float] = {}
+
+    def shared_parts(self, passage: Passage, memory: PartMemory) -> tuple[PromptPart, ...]:
+        """Return the leading parts that other requests of the route have, too."""
+        parts = passage.arrival.parts
+        if not parts:
+            return ()
+        name = passage.route.name
+        share = self._seen_shares.get(name, 0.0)
+        seen = memory.knows(parts[-1].part_id)
+        share += SEEN_WEIGHT * ((1.0 if seen else 0.0) - share)
+        self._seen_shares[name] = share
+        if share > SEEN_SHARE_MIN or len(parts) == 1:
+            return parts
+        return parts[:-1]
+
+
 def homes_of(part_id: str, states: Sequence[ReplicaState]) -> list[str]:
     """Return the replicas where a session belongs, the first one before the one it spills to.
 
-    Weighted rendezvous hashing (Thaler and Ravishankar 1998; Schindelhauer and Schomaker 2005):
-    every entry VM finds the same ones without a message, and slow replicas get fewer sessions.
+    Rendezvous hashing (Thaler and Ravishankar 1998): every entry VM finds the same ones without a
+    message. What is learnt of replicas stays out of it, since each VM learns it at other times.
     """
+    names = (state.replica.replica_id for state in states)
     ranked = sorted(
-        ((_home_score(part_id, state), state.replica.replica_id) for state in states), reverse=True
+        ((xxhash.xxh64_intdigest(f"{part_id}/{name}".encode()), name) for name in names),
+        reverse=True,
     )
     return [name for _, name in ranked[:HOMES_COUNT]]
 
 
-def _home_score(part_id: str, state: ReplicaState) -> float:
-    name = f"{part_id}/{state.replica.replica_id}"
-    point = (xxhash.xxh64_intdigest(name.encode()) + 1) / 2.0**64
-    # In coarse steps, so that VMs that learnt slightly different speeds still agree.
-    weight = 1.0 / max(1.0, round(state.slowness * HOME_WEIGHT_STEPS) / HOME_WEIGHT_STEPS)
-    return -weight / math.log(min(point, 1.0 - 1e-12))
-
-
 class Chooser:
     """Chooses by the expected time to the first event, from own and other VMs' counts.
 
@@ -112,6 +136,7 @@
         self._zone = zone
         self._rng = rng
         self.parts = PartMemory()
+        self.shares = SharedParts()
 
     def choose(
         self, passage: Passage, service: Service, states: Sequence[ReplicaState], now_s: float
@@ -129,10 +154,11 @@
                 (self._plain(state, now_s) for state in candidates),
                 key=lambda chosen: chosen.cost_s,
             )
-        parts = passage.arrival.parts
-        homes = homes_of(parts[-1].part_id, candidates) if parts else []
+        shared = self.shares.shared_parts(passage, self.parts)
+        homes = homes_of(shared[-1].part_id, states) if shared else []
+        shared_tokens = sum(part.tokens_count for part in shared)
         return min(
-            (self._engine(passage, state, homes, now_s) for state in candidates),
+            (self._engine(passage, state, homes, shared_tokens, now_s) for state in candidates),
             key=lambda chosen: chosen.cost_s,
         )
 
@@ -146,26 +172,33 @@
         return Chosen(state, 0, expected_s, PLAIN_ANSWER_S * (1.0 + load), cost_s)
 
     def _engine(
-        self, passage: Passage, state: ReplicaState, homes: list[str], now_s: float
+        self,
+        passage: Passage,
+        state: ReplicaState,
+        homes: list[str],
+        shared_tokens: int,
+        now_s: float,
     ) -> Chosen:
         parts = passage.arrival.parts
         name = state.replica.replica_id
         cached = float(self.parts.cached_tokens(parts, name, now_s))
         if name in homes:
             trust = HOME_TRUSTS[homes.index(name)]
-            cached = max(cached, trust * sum(part.tokens_count for part in parts))
+            cached = max(cached, trust * shared_tokens)
         elif parts:
             # The first part is the system prompt, which every replica has read.
             cached = max(cached, float(parts[0].tokens_count))
         uncached = max(0, passage.arrival.prompt_tokens - int(cached))
         read_s = (uncached + state.waiting_tokens) * PROMPT_TOKEN_S
-        usual_s = FIRST_EVENT_S + read_s
+        usual_s = FIRST_EVENT_S + read_s + STREAM_WEIGHT_S * state.count
         pace = state.current_pace(now_s)
         expected_s = usual_s * state.slowness * pace
         load = state.count / max(1, state.replica.slots_count)
-        held_up_s = (UNCACHED_WEIGHT - 1.0) * uncached * PROMPT_TOKEN_S
-        held_up_s += STREAM_WEIGHT_S * state.count
-        cost_s = expected_s + held_up_s * state.slowness + self._hop_s(state)
+        # Within an easy part of the objective the work that is saved counts, beyond it the delay.
+        work_s = uncached * PROMPT_TOKEN_S * state.slowness
+        easy_s = EASY_SHARE * passage.route.objective_s
+        cost_s = LATENCY_WEIGHT * expected_s + WORK_WEIGHT * work_s + self._hop_s(state)
+        cost_s += LATE_WEIGHT * max(0.0, expected_s - easy_s)
         if load >= 1.0:
             cost_s += FULL_S * load
         return Chosen(state, uncached, expected_s, usual_s, cost_s + TIE_S * self._rng.random())
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -274,6 +274,7 @@
         if passage.route.repeatable and passage.sent_count + 1 < passage.route.attempts_max_count:
             silent_at_s = now_s + self._silence_s(passage, chosen.expected_s)
         quiet = state.count <= QUIET_SHARE * state.replica.slots_count
+        parts = passage.arrival.parts
         inputs = (
             ("replica", name),
             ("expected_ms", round(chosen.expected_s * 1e3)),
@@ -282,6 +283,7 @@
             ("running", state.count),
             ("slowness", round(state.slowness, 2)),
             ("pace", round(state.current_pace(now_s), 2)),
+            ("session", parts[-2].part_id if len(parts) > 1 else None),
         )
         attempt = AttemptState(
             attempt_id, passage, state, now_s, chosen.usual_s, silent_at_s, quiet, inputs
