--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -52,6 +52,7 @@
     :param uncached_tokens: prompt tokens that it has to read.
     :param expected_s: expected time to the whole answer, or to a stream's first event.
     :param usual_s: the same at a replica of usual speed.
+    :param home_rank: its place among the homes of the request's session, if it is one.
     :param cost_s: what the choice weighs: the expected time and what others are held up.
     """
 
@@ -60,6 +61,7 @@
     expected_s: float
     usual_s: float
     cost_s: float
+    home_rank: int | None = None
 
 
 class PartMemory:
@@ -201,7 +203,9 @@
         cost_s += LATE_WEIGHT * max(0.0, expected_s - easy_s)
         if load >= 1.0:
             cost_s += FULL_S * load
-        return Chosen(state, uncached, expected_s, usual_s, cost_s + TIE_S * self._rng.random())
+        cost_s += TIE_S * self._rng.random()
+        home_rank = homes.index(name) if name in homes else None
+        return Chosen(state, uncached, expected_s, usual_s, cost_s, home_rank)
 
     def _hop_s(self, state: ReplicaState) -> float:
         return 0.0 if state.replica.zone == self._zone else ZONE_HOP_S
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -269,6 +269,7 @@
             if replica is not None:
                 fields = (
                     ("replica", name),
+                    ("service", replica.service),
                     ("zone", replica.zone),
                     ("leaving", int(replica.leaving)),
                     ("reclaimable", int(replica.reclaimable)),
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -283,6 +283,7 @@
             ("running", state.count),
             ("slowness", round(state.slowness, 2)),
             ("pace", round(state.current_pace(now_s), 2)),
+            ("home_rank", chosen.home_rank),
             ("session", parts[-2].part_id if len(parts) > 1 else None),
         )
         attempt = AttemptState(
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -16,8 +16,10 @@
 BOOT_SLACK_S = 2.0
 # A surplus is given back once it has lasted this long.
 SURPLUS_S = 4.0
-# Part of the needed replicas that must be left when the largest zone's reclaimable ones go.
+# Part of the needed replicas that must be left when the largest zone's reclaimable ones go; more in
+# a drought, when none would come in their place.
 AFTER_LOSS_SHARE = 0.6
+DROUGHT_AFTER_LOSS_SHARE = 0.85
 # Replicas that are wanted before any load was seen: at least so many, and this part of those that
 # were there at the start, which the operators sized for the day.
 FIRST_COUNT = 4
@@ -190,7 +192,9 @@
         }
         total, largest = sum(there.values()), max(there.values())
         # With one zone's gone, the rest must serve most of the load until lasting ones have booted.
-        missing = max(needed - total, math.ceil(AFTER_LOSS_SHARE * needed) - (total - largest))
+        drought = self._is_drought(service, now_s)
+        share = DROUGHT_AFTER_LOSS_SHARE if drought else AFTER_LOSS_SHARE
+        missing = max(needed - total, math.ceil(share * needed) - (total - largest))
         lasting = dict.fromkeys(zones, 0)
         while missing > 0:
             open_zones = [zone for zone in zones if lasting[zone] + there[zone] < scale.max_count]
