--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -290,6 +290,9 @@
         self.usage.on_digest(digest)
         if digest.holder is not None:
             self.holder_seen = digest.holder
+        for state in self.pool.on_left(digest.left):
+            fields = (("replica", state.replica.replica_id), ("told_by", digest.vm_id))
+            self._outbox.append(Log("replica leaves, as another VM read", fields))
         self.true_time.on_clock(digest.vm_id, digest.clock_s, now_s)
         self._count_entry_vms()
 
@@ -356,6 +359,7 @@
             {},
             self.suspects.own_counts(),
             self._own_work(now_s),
+            self.pool.left_lately(now_s),
             self.holder,
         )
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -26,6 +26,8 @@
 EJECT_FIRST_S = 1.0
 EJECT_MAX_S = 8.0
 PACE_MEMORY_S = 0.4
+# A replica's leave is told to the other entry VMs for this long, several periods of digests.
+LEFT_TOLD_S = 6.0
 # A pace that a replica stated is told to the other entry VMs for this long.
 PACE_TOLD_S = 0.6
 
@@ -210,6 +212,7 @@
     def __init__(self) -> None:
         self._states: dict[str, ReplicaState] = {}
         self._departed: dict[str, ReplicaState] = {}
+        self._left: dict[str, tuple[int, float]] = {}
 
     def __iter__(self) -> Iterator[ReplicaState]:
         return iter(self._states.values())
@@ -240,6 +243,8 @@
         for name, replica in replicas.items():
             if replica is not None:
                 self._put(name, replica)
+                if replica.leaving:
+                    self._left.setdefault(name, (replica.started_at_ms, now_s))
         left = []
         for name in gone:
             state = self._states.get(name)
@@ -249,6 +254,7 @@
                 if state.missing_since_s is None:
                     state.missing_since_s = now_s
                 continue
+            self._left.setdefault(name, (state.replica.started_at_ms, now_s))
             left.append(self._remove(name))
         return left
 
@@ -262,6 +268,31 @@
         self._departed = {name: state for name, state in self._departed.items() if state.in_flight}
         return [self._remove(name) for name in due]
 
+    def left_lately(self, now_s: float) -> dict[str, int]:
+        """Return the replicas that this VM read of as leaving or gone a moment ago."""
+        self._left = {
+            name: item for name, item in self._left.items() if now_s - item[1] <= LEFT_TOLD_S
+        }
+        return {
+            name: started_at_ms
+            for name, (started_at_ms, _) in self._left.items()
+            if name not in self._states or self._states[name].leaving
+        }
+
+    def on_left(self, left: dict[str, int]) -> list[ReplicaState]:
+        """Give no more work to replicas that another VM read of as leaving; return them.
+
+        A VM's own long read may stay silent although the store has news.
+        """
+        marked = []
+        for name, started_at_ms in left.items():
+            state = self._states.get(name)
+            same = state is not None and state.replica.started_at_ms == started_at_ms
+            if state is not None and same and not state.leaving:
+                state.leaving = True
+                marked.append(state)
+        return marked
+
     def forget(self, replica_id: str) -> None:
         """Give a replica no more work because its address serves another one."""
         state = self._states.get(replica_id)
--- a/tests/cover/test_gateway_state.py
+++ b/tests/cover/test_gateway_state.py
@@ -208,3 +208,28 @@
     assert state.current_pace(9.9) == pytest.approx(2.5)
     assert state.current_pace(14.0) == pytest.approx(1.0, abs=0.01)
     assert state.own_digest(10.0).pace_percent == 100
+
+
+def test_a_leave_that_another_vm_read_binds_a_vm_whose_own_read_is_silent():
+    driver = GatewayDriver().begin(engines=1, plains=1)
+    replica = make_replicas(engines=1)["engine-0"]
+    assert replica is not None
+    left = {"engine-0": replica.started_at_ms}
+    driver.post(DigestArrived(Digest("vm-2", "a", "z", 1, 1, 0.0, left=left)))
+    assert not driver.attempts(driver.ask("/ask/1"))
+
+
+def test_a_leave_of_an_earlier_start_does_not_bind_the_replica_that_started_again():
+    driver = GatewayDriver().begin(engines=1, plains=1)
+    left = {"engine-0": -5}
+    driver.post(DigestArrived(Digest("vm-2", "a", "z", 1, 1, 0.0, left=left)))
+    assert driver.attempts(driver.ask("/ask/1"))
+
+
+def test_leaves_are_told_for_a_while_but_not_those_of_an_outage():
+    pool = Pool()
+    pool.apply(make_replicas(engines=3, plains=0), True, False, 0.0)
+    pool.apply({"engine-0": None}, False, False, 10.0)
+    pool.apply({"engine-1": None}, False, True, 10.0)
+    assert set(pool.left_lately(10.5)) == {"engine-0"}
+    assert pool.left_lately(20.0) == {}
