--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -25,6 +25,11 @@
 SEEN_WEIGHT = 0.05
 # Replicas where a session belongs, and the trust that other VMs have sent it there, too.
 HOMES_COUNT = 3
+# From so many replicas on, long routes prefer one half of them and the others the other half.
+GROUPS_MIN_COUNT = 16
+OTHER_GROUP_S = 0.06
+LONG_ROUTE_FACTOR = 1.5
+LENGTH_WEIGHT = 0.02
 HOME_TRUSTS = (0.8, 0.6, 0.4)
 # What a choice weighs: the time to the first event, the reading that it costs the replica and so
 # everything behind it, and the time beyond an easy part of the route's objective.
@@ -114,6 +119,43 @@
         return parts[:-1]
 
 
+class RouteLengths:
+    """Learns which routes' prompts are long beside the other prompts of their service."""
+
+    def __init__(self) -> None:
+        self._route_means: dict[str, float] = {}
+        self._service_means: dict[str, float] = {}
+
+    def is_long(self, passage: Passage) -> bool:
+        """Take a request's prompt into account; return whether its route is a long one."""
+        tokens = float(passage.arrival.prompt_tokens)
+        route_mean = _learn(self._route_means, passage.route.name, tokens)
+        service_mean = _learn(self._service_means, passage.service, tokens)
+        return route_mean > LONG_ROUTE_FACTOR * service_mean
+
+
+def _learn(means: dict[str, float], name: str, value: float) -> float:
+    mean = means.get(name, value)
+    mean += LENGTH_WEIGHT * (value - mean)
+    means[name] = mean
+    return mean
+
+
+def _group(states: Sequence[ReplicaState], long_route: bool) -> Sequence[ReplicaState]:
+    """Return the half of the replicas that long, or other, routes prefer.
+
+    A long prompt holds up every stream beside it for as long as it is read. Where replicas are few,
+    all take everything: a half could be lost with one zone.
+    """
+    if len(states) < GROUPS_MIN_COUNT:
+        return states
+    return [
+        state
+        for state in states
+        if (xxhash.xxh64_intdigest(state.replica.replica_id.encode()) % 2 == 0) is long_route
+    ]
+
+
 def homes_of(part_id: str, states: Sequence[ReplicaState]) -> list[str]:
     """Return the replicas where a session belongs, the first one before the one it spills to.
 
@@ -139,6 +181,7 @@
         self._rng = rng
         self.parts = PartMemory()
         self.shares = SharedParts()
+        self.lengths = RouteLengths()
 
     def choose(
         self, passage: Passage, service: Service, states: Sequence[ReplicaState], now_s: float
@@ -157,10 +200,15 @@
                 key=lambda chosen: chosen.cost_s,
             )
         shared = self.shares.shared_parts(passage, self.parts)
-        homes = homes_of(shared[-1].part_id, states) if shared else []
+        long_route = self.lengths.is_long(passage)
+        group = _group(states, long_route)
+        homes = homes_of(shared[-1].part_id, group) if shared else []
         shared_tokens = sum(part.tokens_count for part in shared)
         return min(
-            (self._engine(passage, state, homes, shared_tokens, now_s) for state in candidates),
+            (
+                self._engine(passage, state, homes, shared_tokens, state not in group, now_s)
+                for state in candidates
+            ),
             key=lambda chosen: chosen.cost_s,
         )
 
@@ -179,6 +227,7 @@
         state: ReplicaState,
         homes: list[str],
         shared_tokens: int,
+        other_group: bool,
         now_s: float,
     ) -> Chosen:
         parts = passage.arrival.parts
@@ -203,6 +252,8 @@
         cost_s += LATE_WEIGHT * max(0.0, expected_s - easy_s)
         if load >= 1.0:
             cost_s += FULL_S * load
+        if other_group:
+            cost_s += OTHER_GROUP_S * state.slowness
         cost_s += TIE_S * self._rng.random()
         home_rank = homes.index(name) if name in homes else None
         return Chosen(state, uncached, expected_s, usual_s, cost_s, home_rank)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -20,6 +20,9 @@
 # a drought, when none would come in their place.
 AFTER_LOSS_SHARE = 0.6
 DROUGHT_AFTER_LOSS_SHARE = 0.85
+# Reclaimable replicas are cheap beside the work that waits for others' prompts: so many times the
+# needed ones are ordered, where that is more than surviving a zone asks for.
+AMPLE_FACTOR = 1.7
 # Replicas that are wanted before any load was seen: at least so many, and this part of those that
 # were there at the start, which the operators sized for the day.
 FIRST_COUNT = 4
@@ -171,6 +174,7 @@
     ) -> dict[str, int]:
         """Spread the reclaimable ones so that any one zone's may go."""
         each = math.ceil(needed / max(1, len(zones) - 1))
+        each = max(each, round(AMPLE_FACTOR * needed / len(zones)))
         return {zone: max(scale.min_count, min(scale.max_count, each)) for zone in zones}
 
     def _wanted_lasting(
--- a/tests/cover/test_gateway_caps.py
+++ b/tests/cover/test_gateway_caps.py
@@ -118,7 +118,7 @@
     passed: list[tuple[float, float]] = []
     for step in range(1, 440):
         now_s = step * STEP_S
-        for index, item in enumerate(caps):
+        for item in caps:
             owed = demand_factor * rate / vms * STEP_S / cost
             asks = now_s >= first_s and (step * owed) // 1 > ((step - 1) * owed) // 1
             if asks and item.wait_s(customer, cost, now_s) == 0.0:
--- a/tests/cover/test_gateway_choice.py
+++ b/tests/cover/test_gateway_choice.py
@@ -6,9 +6,9 @@
 import random
 from dataclasses import replace
 
-from gateway_driver import ENGINE, PLAN, make_replicas
+from gateway_driver import ASK, ENGINE, PLAN, make_replicas
 
-from coriandershelf_core.internal.gateway.choice import Chooser, homes_of
+from coriandershelf_core.internal.gateway.choice import Chooser, _group, homes_of
 from coriandershelf_core.internal.gateway.deployment import Service
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
@@ -122,3 +122,38 @@
         shared = chooser.shares.shared_parts(again, memory)
         memory.note(parts, states[0].replica.replica_id, 1.0)
     assert shared == parts
+
+
+def make_question(number: int) -> Passage:
+    passage = make_passage(f"q{number}", 1200)
+    return replace(passage, route=ASK)
+
+
+def test_questions_and_plans_keep_apart_where_replicas_are_many():
+    states = make_states(20)
+    chooser = Chooser("zone", random.Random(1))
+    taken: dict[str, set[str]] = {"plan": set(), "ask": set()}
+    for number in range(200):
+        for passage in (make_question(number), make_passage(f"p{number}", 12_000)):
+            chosen = chooser.choose(passage, SERVICE, states, 1.0)
+            assert chosen is not None
+            if number > 100:
+                taken[passage.route.name].add(chosen.state.replica.replica_id)
+    assert taken["plan"] and taken["ask"]
+    assert not taken["plan"] & taken["ask"]
+
+
+def test_a_question_goes_to_a_plans_replica_when_its_own_are_behind():
+    states = make_states(20)
+    chooser = Chooser("zone", random.Random(1))
+    for number in range(100):
+        for passage in (make_question(number), make_passage(f"p{number}", 12_000)):
+            chosen = chooser.choose(passage, SERVICE, states, 1.0)
+    chosen = chooser.choose(make_question(1), SERVICE, states, 1.0)
+    assert chosen is not None
+    usual = {chosen.state.replica.replica_id}
+    for state in states:
+        if _group([*states], False).count(state):
+            state.on_others([ReplicaDigest(4, 40_000)], 1.0)
+    chosen = chooser.choose(make_question(1), SERVICE, states, 1.0)
+    assert chosen is not None and chosen.state.replica.replica_id not in usual
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -148,13 +148,10 @@
     assert market.left_after_a_loss() >= 11
 
 
-def test_slower_replicas_are_needed_in_larger_numbers():
-    scaling = Scaling(RATE, RATE)
-    usual = scaling.orders(SERVICE, [], Load(4.0 * RATE, 0), 1.0)
+def test_replicas_of_half_the_speed_are_needed_as_for_twice_the_load():
+    twice = Scaling(RATE, RATE).orders(SERVICE, [], Load(8.0 * RATE, 0), 1.0)
     slow = Scaling(RATE, RATE).orders(SERVICE, [], Load(4.0 * RATE, 0, 2.0), 1.0)
-    assert sum(o.count for o in slow if o.reclaimable) == 2 * sum(
-        o.count for o in usual if o.reclaimable
-    )
+    assert slow == twice
 
 
 def test_a_falling_load_gives_back_no_reclaimable_replica_in_a_drought():
