Order nothing before replicas had time to register; see a load that has just begun

Change: no order in the first 3.5 s, nothing given back in the first 8; the last 1.5 s count where they exceed the 5 s by 1.3.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -61,6 +61,8 @@
 # Streams accepted late in a stop would be cut.
 STOP_STREAMS_AFTER_S = 3.0
 LOAD_WINDOW_S = 5.0
+LOAD_STEP_WINDOW_S = 1.5
+LOAD_STEP_FACTOR = 1.3
 # Other VMs' counts are summed this often where so many are known, more often where fewer are.
 COUNT_PERIOD_S = 0.2
 COUNT_PERIOD_PEERS = 80
@@ -404,7 +406,12 @@
             while arrivals and arrivals[0][0] <= now_s - LOAD_WINDOW_S:
                 arrivals.popleft()
             tokens = sum(item[1] for item in arrivals)
-            work[service] = (len(arrivals) / LOAD_WINDOW_S, float(round(tokens / LOAD_WINDOW_S)))
+            late = sum(item[1] for item in arrivals if item[0] > now_s - LOAD_STEP_WINDOW_S)
+            rate, late_rate = tokens / LOAD_WINDOW_S, late / LOAD_STEP_WINDOW_S
+            if late_rate > LOAD_STEP_FACTOR * rate:
+                # The load has just begun or jumped; the long window would show it seconds later.
+                rate = late_rate
+            work[service] = (len(arrivals) / LOAD_WINDOW_S, float(round(rate)))
         return work
 
     def _emit_count(self, name: str, label: str = "") -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -12,6 +12,10 @@
 LOAD_MEMORY_S = 10.0
 # After a refusal none of the kind is asked for in the zone for this long.
 REFUSED_PAUSE_S = 3.0
+# Replicas register one after the other, and load shows only after some seconds: nothing is ordered
+# for the first time, and nothing given back for the second, after a VM first looks.
+SETTLE_S = 3.5
+HOLD_S = 8.0
 # Replicas that were ordered count as present for their boot time and this.
 BOOT_SLACK_S = 2.0
 # A surplus is given back once it has lasted this long.
@@ -99,6 +103,7 @@
     _kinds: dict[tuple[str, str, bool], _Kind] = field(default_factory=dict)
     _loads: dict[str, deque[tuple[float, Load]]] = field(default_factory=dict)
     _first_counts: dict[str, int] = field(default_factory=dict)
+    _began_at_s: dict[str, float] = field(default_factory=dict)
 
     def on_taken(self, order: Order, now_s: float) -> None:
         """Note an order that was taken."""
@@ -128,6 +133,8 @@
         tight = self._needed_count(
             service, highest, self.tight_rate_per_replica, TIGHT_SLOTS_USE_SHARE, replicas
         )
+        if now_s - self._began_at_s.setdefault(service.name, now_s) < SETTLE_S:
+            return []
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
         spots = self._wanted_spots(service.name, scale, zones, needed)
         lasting = self._wanted_lasting(service.name, scale, zones, spots, tight, now_s)
@@ -219,6 +226,8 @@
         if order.count == kind.present_count or order.count == kind.ordered_count:
             kind.surplus_since_s = None
             return False
+        if now_s - self._began_at_s[order.service] < HOLD_S:
+            return False
         if order.reclaimable and self._is_drought(order.service, now_s):
             kind.surplus_since_s = None
             return False
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -6,6 +6,7 @@
 from coriandershelf_core.internal.gateway.scaling import (
     AFTER_LOSS_SHARE,
     FIRST_COUNT,
+    SETTLE_S,
     Load,
     Order,
     Scaling,
@@ -140,6 +141,20 @@
     assert market.left_after_a_loss() >= 10
 
 
+def test_replicas_that_register_late_are_not_given_back_at_the_start():
+    market = Market()
+    market.counts[("a", False)] = 2
+    market.run(2.0, 0.0)
+    for zone in "abc":
+        market.counts[(zone, False)] = 10
+    least = 99
+    for _ in range(40):
+        market.run(0.5, 0.0)
+        least = min(least, market.spots() + market.lasting())
+    assert least >= 18
+    assert market.left_after_a_loss() >= 12
+
+
 def test_what_was_there_at_the_start_sets_the_first_count():
     market = Market()
     for zone in "abc":
@@ -149,9 +164,12 @@
 
 
 def test_replicas_of_half_the_speed_are_needed_as_for_twice_the_load():
-    twice = Scaling(RATE, RATE).orders(SERVICE, [], Load(8.0 * RATE, 0), 1.0)
-    slow = Scaling(RATE, RATE).orders(SERVICE, [], Load(4.0 * RATE, 0, 2.0), 1.0)
-    assert slow == twice
+    twice, slow = Scaling(RATE, RATE), Scaling(RATE, RATE)
+    for now_s in (1.0, 1.0 + SETTLE_S):
+        wanted_twice = twice.orders(SERVICE, [], Load(8.0 * RATE, 0), now_s)
+        wanted_slow = slow.orders(SERVICE, [], Load(4.0 * RATE, 0, 2.0), now_s)
+        assert wanted_slow == wanted_twice
+    assert wanted_slow
 
 
 def test_a_falling_load_gives_back_no_reclaimable_replica_in_a_drought():
--- a/tests/cover/test_gateway_state.py
+++ b/tests/cover/test_gateway_state.py
@@ -233,3 +233,11 @@
     pool.apply({"engine-1": None}, False, True, 10.0)
     assert set(pool.left_lately(10.5)) == {"engine-0"}
     assert pool.left_lately(20.0) == {}
+
+
+def test_load_is_not_underestimated_in_the_first_seconds():
+    driver = GatewayDriver().begin()
+    for _ in range(20):
+        driver.ask("/ask/1", prompt_tokens=1000)
+        driver.run(0.1)
+    assert driver.gateway.load_of(ENGINE, driver.now_s).tokens_per_s >= 8_000.0
