--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -62,7 +62,7 @@
 STOP_STREAMS_AFTER_S = 3.0
 LOAD_WINDOW_S = 5.0
 LOAD_STEP_WINDOW_S = 1.5
-LOAD_STEP_FACTOR = 1.3
+LOAD_BEGUN_SHARE = 0.7
 # Other VMs' counts are summed this often where so many are known, more often where fewer are.
 COUNT_PERIOD_S = 0.2
 COUNT_PERIOD_PEERS = 80
@@ -407,10 +407,10 @@
                 arrivals.popleft()
             tokens = sum(item[1] for item in arrivals)
             late = sum(item[1] for item in arrivals if item[0] > now_s - LOAD_STEP_WINDOW_S)
-            rate, late_rate = tokens / LOAD_WINDOW_S, late / LOAD_STEP_WINDOW_S
-            if late_rate > LOAD_STEP_FACTOR * rate:
-                # The load has just begun or jumped; the long window would show it seconds later.
-                rate = late_rate
+            rate = tokens / LOAD_WINDOW_S
+            if late > LOAD_BEGUN_SHARE * tokens:
+                # The load has just begun; the long window would show it seconds later.
+                rate = late / LOAD_STEP_WINDOW_S
             work[service] = (len(arrivals) / LOAD_WINDOW_S, float(round(rate)))
         return work
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -30,7 +30,7 @@
 # Replicas that are wanted before any load was seen: at least so many, and this part of those that
 # were there at the start, which the operators sized for the day.
 FIRST_COUNT = 4
-FIRST_SHARE = 0.9
+FIRST_SHARE = 0.6
 # Part of an engine's slots that may be taken on average, so that short work finds one free; and
 # where the replicas are lasting ones, which cost several times as much.
 SLOTS_USE_SHARE = 0.6
@@ -226,14 +226,14 @@
         if order.count == kind.present_count or order.count == kind.ordered_count:
             kind.surplus_since_s = None
             return False
-        if now_s - self._began_at_s[order.service] < HOLD_S:
-            return False
         if order.reclaimable and self._is_drought(order.service, now_s):
             kind.surplus_since_s = None
             return False
         if kind.surplus_since_s is None:
             kind.surplus_since_s = now_s
-        return now_s - kind.surplus_since_s >= SURPLUS_S and now_s >= kind.refused_until_s
+        held = now_s - self._began_at_s[order.service] < HOLD_S
+        lasted = now_s - kind.surplus_since_s >= SURPLUS_S
+        return lasted and not held and now_s >= kind.refused_until_s
 
     def _is_drought(self, service: str, now_s: float) -> bool:
         """Return whether reclaimable replicas were refused of late, in any zone."""
