--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -22,7 +22,6 @@
     REPLICA_REFUSED = "replica-refused"
     POISON = "poison"
     STOPPING = "stopping"
-    TIMEOUT_NOT_RUN = "timeout-not-run"
     TIMEOUT = "timeout"
     UNKNOWN_OUTCOME = "unknown-outcome"
 
@@ -38,7 +37,6 @@
     Refusal.REPLICA_REFUSED: 503,
     Refusal.POISON: 503,
     Refusal.STOPPING: 503,
-    Refusal.TIMEOUT_NOT_RUN: 503,
     Refusal.TIMEOUT: 504,
     Refusal.UNKNOWN_OUTCOME: 502,
 }
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -148,7 +148,7 @@
             usual_s = attempt.usual_s * state.current_pace(now_s)
             state.on_time(taken_s, usual_s, now_s, attempt.quiet)
         elif event.status >= SERVER_ERROR:
-            self._note_failure(state, now_s, weight_plain=passage.route.kind)
+            self._note_failure(state, now_s, passage.route.kind)
             if passage.route.repeatable and self._may_repeat(passage, now_s):
                 self._again(passage, RetryReason.SERVER_ERROR, now_s, budgeted=True)
                 return
@@ -248,10 +248,6 @@
             self._drop_attempt(passage)
             self._conclude(passage, Refusal.UNKNOWN_OUTCOME, now_s)
 
-    def refuse_room(self, passage: Passage, now_s: float) -> None:
-        """Refuse a request for which no replica has room."""
-        self._conclude(passage, Refusal.NO_ROOM, now_s)
-
     def _send(self, passage: Passage, now_s: float) -> None:
         deployment = self.deployment
         assert deployment is not None, "a request was let in without a configuration"
@@ -407,10 +403,10 @@
             self.count_begun(passage.customer.name, at_s)
 
     def _note_failure(
-        self, state: ReplicaState, now_s: float, weight_plain: RouteKind | None = None
+        self, state: ReplicaState, now_s: float, answered_kind: RouteKind | None = None
     ) -> None:
-        # Plain idempotent calls fail by themselves now and then, wherever they run.
-        if weight_plain is RouteKind.IDEMPOTENT:
+        # An error that a replica answers to a lookup says little: some fail wherever they run.
+        if answered_kind is RouteKind.IDEMPOTENT:
             return
         if state.on_failure(now_s):
             self._log_replica("replica shut out", state)
