--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/log_outage.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/log_outage.py
@@ -11,7 +11,7 @@
 from coriandershelf_core import Done
 from coriandershelf_rig.internal.bench import Call
 from coriandershelf_rig.internal.report import Report
-from coriandershelf_rig.internal.soak_bench import SOAK_SETTINGS, SoakBench
+from coriandershelf_rig.internal.soak_bench import SoakBench
 from coriandershelf_rig.internal.soak_plan import (
     VM_COUNT,
     Book,
@@ -22,6 +22,7 @@
     entry_name,
     upstream_name,
 )
+from coriandershelf_rig.internal.soak_site import SOAK_SETTINGS
 
 NAME = "log-outage"
 TICKETS_PER_VM = 100
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
@@ -41,24 +41,18 @@
     APPEND_LIMIT_S,
     LOG_LATENCY_S,
     LOG_READ_MAX_COUNT,
-    PLAIN_DURATION_S,
     Bench,
     BenchEntry,
     BenchUpstream,
     Call,
 )
-from coriandershelf_rig.internal.deployments import (
-    CustomerShape,
-    Deployment,
-    ReplicaShape,
-    hash_of,
-)
+from coriandershelf_rig.internal.bench_upstreams import PLAIN_DURATION_S
+from coriandershelf_rig.internal.deployments import hash_of
 from coriandershelf_rig.internal.log_model import AppendFate
 from coriandershelf_rig.internal.soak_plan import (
     TICKET_PREFIX,
     TICKET_STRIDE,
     TICKETS_PER_TAKE,
-    UPSTREAM_COUNT,
     VM_COUNT,
     BadAppends,
     BadPeers,
@@ -75,50 +69,12 @@
     entry_name,
     upstream_name,
 )
+from coriandershelf_rig.internal.soak_site import CUSTOMER, PATH, SOAK_SETTINGS, soak_deployment
 
-CUSTOMER = "depot"
-PATH = "orders/new"
-RETENTION_S = 20.0
 LATE_APPEND_MAX_S = 12.0
 LATE_ATTEMPT_MAX_S = 12.0
 LATE_MESSAGE_MAX_S = 5.0
 READ_PERIOD_S = 0.03
-SOAK_SETTINGS = CoreSettings(
-    plain_answer_limit_s=4.0,
-    claim_wait_s=1.0,
-    append_resend_s=0.4,
-    claim_late_s=3.0,
-    claim_open_max_s=8.0,
-    key_window_s=30.0,
-    key_refuse_s=600.0,
-    repeat_wait_s=2.0,
-    ledger_fresh_s=1.0,
-    log_retention_s=RETENTION_S,
-)
-
-
-def soak_deployment() -> Deployment:
-    """Return two zones with two entry VMs and a plain service each."""
-    zones = ("zone-a", "zone-b")
-    replicas = tuple(
-        ReplicaShape(
-            upstream_name(index), "orders", zones[index], None, "plain", "on-demand", 0.3, False
-        )
-        for index in range(UPSTREAM_COUNT)
-    )
-    return Deployment(
-        name="soak",
-        region="soak",
-        zones=zones,
-        entries=tuple((entry_name(vm), zones[vm % 2]) for vm in range(VM_COUNT)),
-        model="model",
-        plain="orders",
-        non_idempotent_paths=("orders",),
-        replicas=replicas,
-        customers=(CustomerShape(CUSTOMER, 1.0, 0),),
-        zone_latency_s=0.001,
-        budget_per_hour=0.0,
-    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cover/test_claim_retention.py
+++ b/tests/cover/test_claim_retention.py
@@ -8,8 +8,9 @@
 from coriandershelf_core.internal.claims.claim_table import ClaimTable
 from coriandershelf_core.internal.vocabulary.records import Claim, ClaimKept, ClaimReleased
 from coriandershelf_rig.internal.bench import Call
-from coriandershelf_rig.internal.soak_bench import RETENTION_S, SOAK_SETTINGS, SoakBench
+from coriandershelf_rig.internal.soak_bench import SoakBench
 from coriandershelf_rig.internal.soak_plan import Book, Cut, Kill, LogOutage, Pause
+from coriandershelf_rig.internal.soak_site import RETENTION_S, SOAK_SETTINGS
 
 
 def make_bench(*disabled: str) -> SoakBench:
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -9,7 +9,7 @@
 from coriandershelf_core import Done, NotRun, RefusalReason, Unknown
 from coriandershelf_core.internal.claims.claim_keys import key_made_at_s
 from coriandershelf_rig.internal.bench import Call
-from coriandershelf_rig.internal.soak_bench import SOAK_SETTINGS, SoakBench
+from coriandershelf_rig.internal.soak_bench import SoakBench
 from coriandershelf_rig.internal.soak_plan import (
     BadAppends,
     BadUpstreams,
@@ -20,6 +20,7 @@
     Pause,
     Stop,
 )
+from coriandershelf_rig.internal.soak_site import SOAK_SETTINGS
 
 
 def make_bench(*disabled: str, seed: int = 3, **changes: float) -> SoakBench:
--- a/tests/cover/test_tickets.py
+++ b/tests/cover/test_tickets.py
@@ -10,7 +10,7 @@
 from coriandershelf_core.internal.vocabulary.messages import TicketCall
 from coriandershelf_core.internal.vocabulary.records import TicketsGranted
 from coriandershelf_rig.internal.bench import Call
-from coriandershelf_rig.internal.soak_bench import SOAK_SETTINGS, SoakBench
+from coriandershelf_rig.internal.soak_bench import SoakBench
 from coriandershelf_rig.internal.soak_plan import (
     TICKET_STRIDE,
     BadUpstreams,
@@ -21,6 +21,7 @@
     Pause,
     Stop,
 )
+from coriandershelf_rig.internal.soak_site import SOAK_SETTINGS
 
 OWNER = 0
 
