Configuration reads end within the time in which a version must be in force; old versions deny nothing

An unknown route was denied up to 3.3 s after the last proof, and a read that stays silent ended after 2.5 s only. A test ties the three figures together. More tests of the border's parts.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
@@ -20,7 +20,7 @@
     retry_slack_count: float = 56.0
     retry_window_s: float = 10.0
     keys_age_max_s: float = 4.4
-    denial_age_max_s: float = 3.5
+    denial_age_max_s: float = 1.6
     usage_window_s: float = 5.0
     grace_s: float = 8.0
 
--- /dev/null
+++ b/tests/cover/test_platform_parts.py
@@ -0,0 +1,231 @@
+"""Settings, registry, configuration, store and logs of the platform border."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+
+import pytest
+import structlog
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_site import make_configuration
+
+from coriandershelf_core.internal.gateway.deployment import RouteKind
+from coriandershelf_core.internal.gateway.settings import GatewaySettings
+from coriandershelf_entry.internal.border import border_of
+from coriandershelf_platform.configuration import decode_configuration
+from coriandershelf_platform.events_of_stream import EventCutter
+from coriandershelf_platform.feeds import AFTER_NEWS_WAIT_S, CONFIGURATION_WAIT_S
+from coriandershelf_platform.logs import KIND_MAX_COUNT, QUEUE_MAX_COUNT, LogWriter
+from coriandershelf_platform.registry import decode_replica
+from coriandershelf_platform.settings_file import Bounds, read_settings
+from coriandershelf_platform.store import (
+    READ_SLACK_S,
+    Appended,
+    Newest,
+    Read,
+    StoreClient,
+    StoreFailure,
+)
+from coriandershelf_rig.internal.standin_store import StoreState, start_store
+
+SETTINGS = {
+    "node_name": "edge-1",
+    "ip": "10.0.0.1",
+    "zone": "zone-1",
+    "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "internal_ports": [7500, 7515],
+    "provider": {"address": "10.9.0.1:80"},
+    "bounds": {"revoke_ms": 5000, "grace_s": 8},
+    "a_field_to_come": 1,
+}
+ENTRY = {
+    "service": "s", "address": "10.0.0.1:80", "zone": "z", "version": "v1", "slots": 8,
+    "state": "ready", "cold_left_ms": 0, "seq": 4, "born": 17,
+}  # fmt: skip
+
+
+def write(tmp_path, fields) -> str:
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(fields))
+    return str(path)
+
+
+def test_settings_are_read_and_fields_to_come_are_ignored(tmp_path):
+    settings = read_settings(write(tmp_path, SETTINGS))
+    assert not isinstance(settings, str)
+    assert settings.vm_id == "edge-1@10.0.0.1"
+    assert settings.gateway_settings().keys_age_max_s < 5.0
+
+
+@pytest.mark.parametrize("missing", ["node_name", "ip", "zone", "listen", "provider"])
+def test_a_missing_setting_is_named_in_one_line(tmp_path, missing):
+    fields = {name: value for name, value in SETTINGS.items() if name != missing}
+    message = read_settings(write(tmp_path, fields))
+    assert isinstance(message, str)
+    assert missing in message and "\n" not in message
+
+
+def test_a_wrong_border_ends_the_start_with_code_2():
+    from coriandershelf_entry.internal.cli import main
+
+    result = CliRunner().invoke(main, ["--border", "nowhere"])
+    assert result.exit_code == 2
+    assert "'nowhere' is no border" in result.output
+
+
+@pytest.mark.parametrize(
+    ("arguments", "environment", "border"),
+    [
+        ([], {}, "own"),
+        (["--border", "platform"], {}, "platform"),
+        (["--border=platform"], {"CORIANDERSHELF_BORDER": "own"}, "platform"),
+        ([], {"CORIANDERSHELF_BORDER": "platform"}, "platform"),
+    ],
+)
+def test_the_border_is_chosen_by_flag_before_environment(arguments, environment, border):
+    assert border_of(arguments, environment) == border
+
+
+def test_a_registered_replica_is_decoded():
+    replica = decode_replica("i-1", json.dumps({**ENTRY, "spot": True, "leaves_ms": 900}).encode())
+    assert replica is not None
+    assert replica.reclaimable and replica.leaves_in_s == 0.9 and replica.started_at_ms == 17
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "here"}, {"slots": "8"}, {"slots": 0}, {"state": "asleep"}, {"service": None},
+        {"zone": 3}, {"born": "now"}, {"spot": 1},
+    ],
+)  # fmt: skip
+def test_an_entry_of_another_writer_names_no_replica(change):
+    assert decode_replica("i-1", json.dumps({**ENTRY, **change}).encode()) is None
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_cannot_be_read_name_no_replica_and_no_configuration(data):
+    assert decode_replica("i-1", data) is None
+    assert isinstance(decode_configuration(data), str)
+
+
+def test_a_configuration_is_decoded_with_split_routes():
+    fields = make_configuration(7)
+    fields["routes"][0]["backends"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    del fields["routes"][0]["service"]
+    deployment = decode_configuration(json.dumps(fields).encode())
+    assert not isinstance(deployment, str)
+    assert deployment.version == 7
+    assert [backend.service for backend in deployment.routes[0].backends] == ["a", "b"]
+    assert deployment.routes[1].kind is RouteKind.STREAM and deployment.routes[1].resumable
+    assert deployment.customer_of_key["key-1"].name == "customer-1"
+
+
+@given(st.lists(st.integers(1, 40), min_size=1, max_size=30))
+def test_events_are_passed_on_whole_however_the_bytes_are_cut(sizes):
+    stream = b"".join(f"id: {n}\ndata: {'x' * (n % 7)}\n\n".encode() for n in range(1, 9))
+    cutter, passed, last, position = EventCutter(), b"", None, 0
+    for size in [*sizes, len(stream)]:
+        events = cutter.feed(stream[position : position + size])
+        position += size
+        if events is not None:
+            assert events.payload.endswith(b"\n\n")
+            passed += events.payload
+            last = events.last_event_id
+    assert passed == stream and last == 8 and not cutter.mid_event
+
+
+def test_a_stuck_reader_never_delays_and_what_is_dropped_is_counted():
+    read_end, write_end = os.pipe()
+    writer = LogWriter(write_end, lambda: 0.0)
+    line = "x" * 1000
+    for _ in range(3 * QUEUE_MAX_COUNT):
+        writer.msg(line)
+        writer.flush()
+    assert writer.dropped_count > 0
+    os.close(read_end)
+    writer.flush()
+    os.close(write_end)
+
+
+def test_lines_of_one_kind_are_bounded_a_second():
+    read_end, write_end = os.pipe()
+    now = [0.0]
+    writer = LogWriter(write_end, lambda: now[0])
+    passed = 0
+    for _ in range(3 * KIND_MAX_COUNT):
+        try:
+            writer.allow(None, "info", {"event": "refused"})
+            passed += 1
+        except structlog.DropEvent:
+            pass
+    assert passed == KIND_MAX_COUNT
+    now[0] = 1.5
+    writer.allow(None, "info", {"event": "refused"})
+    writer.flush()
+    told = json.loads(os.read(read_end, 4096).splitlines()[0])
+    assert told == {"event": "lines dropped", "kind": "refused", "count": 2 * KIND_MAX_COUNT}
+    os.close(read_end)
+    os.close(write_end)
+
+
+def with_store(work) -> None:
+    async def run() -> None:
+        state = StoreState()
+        server, address = await start_store(state)
+        client = StoreClient(lambda: address, lambda: 0.0)
+        try:
+            await work(state, client)
+        finally:
+            client.close()
+            server.stop()
+            await server.close_all_connections()
+
+    asyncio.run(run())
+
+
+def test_records_are_appended_read_and_paged_through():
+    async def work(state, client) -> None:
+        for number in range(8):
+            done = await client.append("keyed.t", f"key-{number}", b"v", at=number)
+            assert isinstance(done, Appended) and done.end == number + 1
+        read = await client.read("keyed.t", 5, 0.0)
+        assert isinstance(read, Read)
+        assert [record.key for record in read.records] == ["key-5", "key-6", "key-7"]
+        newest = await client.newest("keyed.t")
+        assert isinstance(newest, Newest)
+        assert len(newest.records) == 8 and newest.end == 8
+
+    with_store(work)
+
+
+def test_each_failure_of_the_store_has_its_own_value():
+    async def work(state, client) -> None:
+        await client.append("keyed.t", "key", b"v")
+        assert await client.append("keyed.t", "key", b"v", at=0) is StoreFailure.CONFLICT
+        state.topic("keyed.t").drop_history()
+        assert await client.read("keyed.t", 0, 0.0) is StoreFailure.DELETED
+        state.refuse = True
+        assert await client.append("keyed.t", "key", b"v") is StoreFailure.REFUSED
+        state.refuse = False
+        state.lose_answers = True
+        end = state.topic("keyed.t").end
+        assert await client.append("keyed.t", "key", b"v") is StoreFailure.LOST
+        assert state.topic("keyed.t").end == end + 1
+
+    with_store(work)
+
+
+def test_reads_end_before_a_version_or_a_leave_must_be_known():
+    bounds = Bounds()
+    gateway = GatewaySettings()
+    assert bounds.config_apply_ms / 1e3 >= CONFIGURATION_WAIT_S + READ_SLACK_S
+    assert gateway.denial_age_max_s < bounds.config_apply_ms / 1e3
+    assert gateway.denial_age_max_s > CONFIGURATION_WAIT_S + AFTER_NEWS_WAIT_S
