Fill the latency histograms, by kind of route and service

Cause: the histogram was declared and shown, but nothing observed it. Change: an action for each whole answer; a test reads the page of a running process.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -156,6 +156,15 @@
     label: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Observe:
+    """Note the time that a whole answer took, for the latency histograms."""
+
+    kind: str
+    service: str
+    taken_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     """Write a log line; no field holds a key or a prompt."""
@@ -181,6 +190,7 @@
     | SendDigest
     | CloseIdle
     | Count
+    | Observe
     | Log
     | Stopped
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -14,6 +14,7 @@
     Deliver,
     EndStream,
     Log,
+    Observe,
     OpenStream,
     PassEvents,
     Refusal,
@@ -158,6 +159,7 @@
             return
         self.emit(Deliver(passage.arrival.handle, event.status, event.headers, event.body))
         self.emit(Count("answers", str(event.status)))
+        self._observe(passage, now_s)
         self._log("answered", passage, now_s, status=event.status, **dict(attempt.inputs))
         self._forget(passage)
 
@@ -205,6 +207,7 @@
         passage = attempt.passage
         self.emit(EndStream(passage.arrival.handle))
         self.emit(Count("answers", "stream"))
+        self._observe(passage, now_s)
         first_s = attempt.first_event_at_s
         first_ms = None if first_s is None else round((first_s - attempt.started_at_s) * 1e3)
         self._log("stream ended", passage, now_s, first_ms=first_ms, **dict(attempt.inputs))
@@ -397,6 +400,10 @@
         self._log("stream broken", passage, now_s)
         self._forget(passage)
 
+    def _observe(self, passage: Passage, now_s: float) -> None:
+        taken_s = now_s - passage.arrived_at_s
+        self.emit(Observe(passage.route.kind.value, passage.service, taken_s))
+
     def _begun(self, passage: Passage, at_s: float) -> None:
         if not passage.counted and passage.customer is not None:
             passage.counted = True
--- a/tests/cover/test_platform_borders.py
+++ b/tests/cover/test_platform_borders.py
@@ -365,3 +365,23 @@
             assert [line["request_id"] for line in lines] == ["id-1", "id-2"]
 
     run(work)
+
+
+def test_the_metrics_page_counts_answers_and_their_latency():
+    async def work() -> None:
+        async with Site() as site:
+            await site.add("plain", answer_done)
+            client = await site.connect()
+            client.send("/book/1")
+            assert (await client.read()).status == 200
+            port = site.settings.metrics_port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /metrics HTTP/1.0\r\nHost: x\r\n\r\n")
+            page = (await reader.read()).decode()
+            writer.close()
+            assert 'coriandershelf_events_total{kind="answers",reason="200"} 1.0' in page
+            labels = '{kind="non-idempotent",service="plain"}'
+            assert f"coriandershelf_answer_seconds_count{labels} 1.0" in page
+            assert 'coriandershelf_age_seconds{belief="configuration"}' in page
+
+    run(work)
