--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may enter, in which order works wait, and how much runs at once."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/admit.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/admit.py
@@ -4,13 +4,13 @@
 
 import random
 
-from coriandershelf_core.internal.inventory import Inventory, Rules
-from coriandershelf_core.internal.outcome import NotRun
-from coriandershelf_core.internal.queue import WorkQueue
-from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.request import Request
-from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.work import Work, WorkClass
+from coriandershelf_core.internal.admission.queue import WorkQueue
+from coriandershelf_core.internal.vocabulary.inventory import Inventory, Rules
+from coriandershelf_core.internal.vocabulary.outcome import NotRun
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.request import Request
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.work import Work, WorkClass
 
 # What is left of the first-token target is for the way to the engine and the prompt.
 QUEUE_SHARE_OF_TARGET = 0.1
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/authenticate.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/authenticate.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.inventory import Customer, Inventory
-from coriandershelf_core.internal.outcome import NotRun
-from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.inventory import Customer, Inventory
+from coriandershelf_core.internal.vocabulary.outcome import NotRun
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
 
 
 def authenticate(inventory: Inventory | None, credential_hash: str) -> Customer | NotRun:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/classify.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/classify.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.inventory import Customer, Inventory
-from coriandershelf_core.internal.lengths import LengthEstimator
-from coriandershelf_core.internal.request import Request, RequestKind
-from coriandershelf_core.internal.work import Work, WorkClass, WorkOwner
+from coriandershelf_core.internal.admission.lengths import LengthEstimator
+from coriandershelf_core.internal.vocabulary.inventory import Customer, Inventory
+from coriandershelf_core.internal.vocabulary.request import Request, RequestKind
+from coriandershelf_core.internal.vocabulary.work import Work, WorkClass, WorkOwner
 
 LONG_TOKENS_COUNT = 512
 # A prompt's token costs about a tenth of a generated one: prompts are computed in parallel.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/fairness.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/fairness.py
@@ -14,7 +14,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.work import Work
+from coriandershelf_core.internal.vocabulary.work import Work
 
 ACTIVE_USAGE_SHARE = 0.01
 SHARE_TOLERANCE = 1.001
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/lengths.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/lengths.py
@@ -6,8 +6,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.messages import LengthObserved
-from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.vocabulary.messages import LengthObserved
+from coriandershelf_core.internal.vocabulary.request import Request
 
 GROUPS_MAX_COUNT = 4096
 SAMPLE_WEIGHT = 0.1
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/limits.py
@@ -19,9 +19,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.replicas import ReplicaState
-from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.work import Attempt, AttemptPurpose, Work, WorkClass
 
 LIMIT_MIN_COUNT = 1.0
 INCREASE_COUNT = 0.5
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/preempt.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/preempt.py
@@ -11,12 +11,12 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.attempts import Attempts
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.replicas import ReplicaState
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.routing.attempts import Attempts
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.work import Attempt, AttemptPurpose, Work, WorkClass
 
 PREEMPTIONS_MAX_COUNT = 2
 WAIT_ALLOWED_S = 5.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/queue.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/queue.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.fairness import FairQueue
-from coriandershelf_core.internal.replicas import ReplicaState
-from coriandershelf_core.internal.work import Work, WorkClass
+from coriandershelf_core.internal.admission.fairness import FairQueue
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.vocabulary.work import Work, WorkClass
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ranking.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/ranking.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.work import Work, WorkClass
+from coriandershelf_core.internal.vocabulary.work import Work, WorkClass
 
 PRIORITIES_MAX_COUNT = 10
 BEYOND_SHARE = 10
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/room.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/room.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.attempts import kind_of
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.preempt import Preemption
-from coriandershelf_core.internal.queue import WorkQueue
-from coriandershelf_core.internal.replicas import ReplicaState
-from coriandershelf_core.internal.work import Attempt, Work, WorkClass
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.admission.preempt import Preemption
+from coriandershelf_core.internal.admission.queue import WorkQueue
+from coriandershelf_core.internal.routing.attempts import kind_of
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.work import Attempt, Work, WorkClass
 
 
 class Room:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stopping.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/admission/stopping.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.inventory import Rules
-from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.request import Request, RequestKind
-from coriandershelf_core.internal.work import Work
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.inventory import Rules
+from coriandershelf_core.internal.vocabulary.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.request import Request, RequestKind
+from coriandershelf_core.internal.vocabulary.work import Work
 
 LAST_ANSWERS_S = 0.25
 PLAIN_EXPECTED_S = 1.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/calls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/calls.py
@@ -4,20 +4,20 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.claims import Claims
-from coriandershelf_core.internal.classify import make_work, owner_of
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import LogRead, TicketsAsked
-from coriandershelf_core.internal.inventory import Customer, Inventory
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import Message, TicketCall, TicketResult
-from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
-from coriandershelf_core.internal.records import ClaimEntry, Entry, Record, TicketEntry
-from coriandershelf_core.internal.request import Request, RequestKind
-from coriandershelf_core.internal.ticket_table import parse_ticket
-from coriandershelf_core.internal.tickets import Tickets
-from coriandershelf_core.internal.work import Work, WorkOwner
+from coriandershelf_core.internal.admission.classify import make_work, owner_of
+from coriandershelf_core.internal.claims.claims import Claims
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.claims.ticket_table import parse_ticket
+from coriandershelf_core.internal.claims.tickets import Tickets
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import LogRead, TicketsAsked
+from coriandershelf_core.internal.vocabulary.inventory import Customer, Inventory
+from coriandershelf_core.internal.vocabulary.messages import Message, TicketCall, TicketResult
+from coriandershelf_core.internal.vocabulary.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.records import ClaimEntry, Entry, Record, TicketEntry
+from coriandershelf_core.internal.vocabulary.request import Request, RequestKind
+from coriandershelf_core.internal.vocabulary.work import Work, WorkOwner
 
 
 class Calls:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claim_answers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/claim_answers.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.claim_table import ClaimState
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.records import ClaimFinished
+from coriandershelf_core.internal.claims.claim_table import ClaimState
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.records import ClaimFinished
 
 IN_PROGRESS_RETRY_S = 2.0
 LOST_RETRY_S = 30.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claim_keys.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/claim_keys.py
@@ -5,7 +5,7 @@
 import hashlib
 import uuid
 
-from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.vocabulary.request import Request
 
 UUID_TIME_VERSION = 7
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claim_table.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/claim_table.py
@@ -12,7 +12,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
-from coriandershelf_core.internal.records import Claim, ClaimFinished, ClaimKept, ClaimReleased
+from coriandershelf_core.internal.vocabulary.records import (
+    Claim,
+    ClaimFinished,
+    ClaimKept,
+    ClaimReleased,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/claims.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/claims.py
@@ -12,18 +12,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.claim_answers import (
+from coriandershelf_core.internal.claims.claim_answers import (
     outcome_of_state,
     result_entry,
     unfinished_outcome,
 )
-from coriandershelf_core.internal.claim_keys import body_hash, claim_key, key_made_at_s
-from coriandershelf_core.internal.claim_table import ClaimState, ClaimTable
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.claims.claim_keys import body_hash, claim_key, key_made_at_s
+from coriandershelf_core.internal.claims.claim_table import ClaimState, ClaimTable
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.claims.retention import Retention
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.records import (
     LEDGER_STREAM,
     Claim,
     ClaimEntry,
@@ -33,8 +34,7 @@
     LedgerKept,
     Record,
 )
-from coriandershelf_core.internal.retention import Retention
-from coriandershelf_core.internal.work import Work
+from coriandershelf_core.internal.vocabulary.work import Work
 
 LOG_RETRY_S = 5.0
 # A read may have been under way when a call arrived; the one after it began later.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ledger.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/ledger.py
@@ -4,11 +4,11 @@
 
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.actions import Append
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import LogRead
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.actions import Append
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import LogRead
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.records import (
     ClaimFinished,
     ClaimKept,
     ConfigurationProposed,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/retention.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/retention.py
@@ -10,11 +10,11 @@
 
 from collections import deque
 
-from coriandershelf_core.internal.claim_table import ClaimState, ClaimTable
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.claims.claim_table import ClaimState, ClaimTable
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.records import (
     LEDGER_STREAM,
     ClaimKept,
     ClaimReleased,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ticket_messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/ticket_messages.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.claim_answers import outcome_of_result
-from coriandershelf_core.internal.claim_keys import body_hash
-from coriandershelf_core.internal.classify import make_work
-from coriandershelf_core.internal.inventory import Inventory
-from coriandershelf_core.internal.messages import TicketCall, TicketResult
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.records import TicketUsed
-from coriandershelf_core.internal.request import Request, RequestKind
-from coriandershelf_core.internal.work import Work, WorkOwner
+from coriandershelf_core.internal.admission.classify import make_work
+from coriandershelf_core.internal.claims.claim_answers import outcome_of_result
+from coriandershelf_core.internal.claims.claim_keys import body_hash
+from coriandershelf_core.internal.vocabulary.inventory import Inventory
+from coriandershelf_core.internal.vocabulary.messages import TicketCall, TicketResult
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.records import TicketUsed
+from coriandershelf_core.internal.vocabulary.request import Request, RequestKind
+from coriandershelf_core.internal.vocabulary.work import Work, WorkOwner
 
 
 def work_of_call(call: TicketCall, inventory: Inventory | None, now_s: float) -> Work | None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/ticket_table.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/ticket_table.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.records import TicketsGranted, TicketUsed
+from coriandershelf_core.internal.vocabulary.records import TicketsGranted, TicketUsed
 
 TICKET_MARK = "ticket"
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/tickets.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/claims/tickets.py
@@ -14,20 +14,32 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.authenticate import authenticate
-from coriandershelf_core.internal.claim_answers import (
+from coriandershelf_core.internal.admission.authenticate import authenticate
+from coriandershelf_core.internal.claims.claim_answers import (
     LOST_RETRY_S,
     outcome_of_result,
     result_entry,
 )
-from coriandershelf_core.internal.claim_keys import body_hash, claim_key
-from coriandershelf_core.internal.context import Context, VmIdentity
-from coriandershelf_core.internal.events import TicketsAsked
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.messages import Message, TicketCall, TicketResult
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.claims.claim_keys import body_hash, claim_key
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.claims.ticket_messages import (
+    from_message,
+    result_of,
+    to_message,
+    work_of_call,
+)
+from coriandershelf_core.internal.claims.ticket_table import (
+    Grant,
+    TicketTable,
+    parse_ticket,
+    ticket_key,
+)
+from coriandershelf_core.internal.vocabulary.context import Context, VmIdentity
+from coriandershelf_core.internal.vocabulary.events import TicketsAsked
+from coriandershelf_core.internal.vocabulary.messages import Message, TicketCall, TicketResult
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.records import (
     LEDGER_STREAM,
     ClaimFinished,
     TicketEntry,
@@ -35,14 +47,7 @@
     TicketsReleased,
     TicketUsed,
 )
-from coriandershelf_core.internal.ticket_messages import (
-    from_message,
-    result_of,
-    to_message,
-    work_of_call,
-)
-from coriandershelf_core.internal.ticket_table import Grant, TicketTable, parse_ticket, ticket_key
-from coriandershelf_core.internal.work import Work, WorkOwner
+from coriandershelf_core.internal.vocabulary.work import Work, WorkOwner
 
 RETRY_S = 2.0
 GRANT_ID_LENGTH = 24
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The inventory and rules in force."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/configuration.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/configuration/configuration.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.configuration_log import AcceptedTexts, ConfigurationLog
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import LogRead
-from coriandershelf_core.internal.inventory import Inventory
-from coriandershelf_core.internal.messages import ConfigurationQuery, ConfigurationReply
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.records import ConfigurationSnapshot
+from coriandershelf_core.internal.configuration.configuration_log import (
+    AcceptedTexts,
+    ConfigurationLog,
+)
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import LogRead
+from coriandershelf_core.internal.vocabulary.inventory import Inventory
+from coriandershelf_core.internal.vocabulary.messages import ConfigurationQuery, ConfigurationReply
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.records import ConfigurationSnapshot
 
 ParseConfiguration = Callable[[str, str, int], Inventory | None]
 Adopt = Callable[[Inventory, float], None]
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/configuration_log.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/configuration/configuration_log.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.records import (
     AcceptedChange,
     ConfigurationProposed,
     ConfigurationSnapshot,
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, orders to upstreams and spending."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/bought.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/bought.py
@@ -4,13 +4,13 @@
 
 from dataclasses import replace
 
-from coriandershelf_core.internal.buyer import ServiceNeed
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import VmState
-from coriandershelf_core.internal.inventory import Inventory, Replica
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.serving import Serving
-from coriandershelf_core.internal.spending import FleetVm, Need
+from coriandershelf_core.internal.control.buyer import ServiceNeed
+from coriandershelf_core.internal.control.spending import FleetVm, Need
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.routing.serving import Serving
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import VmState
+from coriandershelf_core.internal.vocabulary.inventory import Inventory, Replica
 
 
 class BoughtVms:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/buyer.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/buyer.py
@@ -5,20 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.actions import StartVm, StopVm
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import CloudAnswer
-from coriandershelf_core.internal.inventory import Purchase
-from coriandershelf_core.internal.leases import LeaseHolder
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.purchases import Purchases
-from coriandershelf_core.internal.reasons import Counter, RetryReason
-from coriandershelf_core.internal.records import (
-    CONTROL_STREAM,
-    PurchaseEnded,
-    PurchaseIntended,
-)
-from coriandershelf_core.internal.spending import (
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.control.leases import LeaseHolder
+from coriandershelf_core.internal.control.purchases import Purchases
+from coriandershelf_core.internal.control.spending import (
     Buy,
     FleetVm,
     Need,
@@ -26,6 +16,16 @@
     plan_give_back,
     plan_purchase,
 )
+from coriandershelf_core.internal.vocabulary.actions import StartVm, StopVm
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import CloudAnswer
+from coriandershelf_core.internal.vocabulary.inventory import Purchase
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RetryReason
+from coriandershelf_core.internal.vocabulary.records import (
+    CONTROL_STREAM,
+    PurchaseEnded,
+    PurchaseIntended,
+)
 
 
 @dataclass(slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/control.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.buyer import Buyer, Needs, VmKnown
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.control.buyer import Buyer, Needs, VmKnown
+from coriandershelf_core.internal.control.leases import Lease, LeaseHolder, Leases
+from coriandershelf_core.internal.control.orders import Orders
+from coriandershelf_core.internal.control.purchases import SPENDING_LEASE, Purchases
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import (
     LogRead,
     OffersRead,
     OrderAnswered,
@@ -14,11 +18,7 @@
     StartAnswered,
     StopAnswered,
 )
-from coriandershelf_core.internal.leases import Lease, LeaseHolder, Leases
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.orders import Orders
-from coriandershelf_core.internal.purchases import SPENDING_LEASE, Purchases
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.records import (
     CONTROL_STREAM,
     ControlSnapshot,
     Entry,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/leases.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/leases.py
@@ -8,10 +8,14 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.records import CONTROL_STREAM, LeaseReleased, LeaseTaken
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.records import (
+    CONTROL_STREAM,
+    LeaseReleased,
+    LeaseTaken,
+)
 
 RENEW_SHARE = 0.4
 CLOCK_MARGIN_SHARE = 0.2
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/orders.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/orders.py
@@ -9,11 +9,11 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.actions import SendOrder
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.inventory import Inventory, Replica, ServiceKind
-from coriandershelf_core.internal.leases import LeaseHolder
-from coriandershelf_core.internal.reasons import Counter, RetryReason
+from coriandershelf_core.internal.control.leases import LeaseHolder
+from coriandershelf_core.internal.vocabulary.actions import SendOrder
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.inventory import Inventory, Replica, ServiceKind
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RetryReason
 
 RETRY_FIRST_S = 1.0
 RETRY_MAX_S = 30.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/purchases.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/purchases.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.leases import Leases
-from coriandershelf_core.internal.records import PurchaseEnded, PurchaseIntended
+from coriandershelf_core.internal.control.leases import Leases
+from coriandershelf_core.internal.vocabulary.records import PurchaseEnded, PurchaseIntended
 
 SPENDING_LEASE = "spending"
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/spending.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/control/spending.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.inventory import Purchase
+from coriandershelf_core.internal.vocabulary.inventory import Purchase
 
 UTILIZATION_TARGET = 0.85
 GIVE_BACK_HYSTERESIS = 1.15
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted long work that outlives its entry VM."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/copies.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/copies.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.job_table import DONE, Job, JobTable, VmRef
-from coriandershelf_core.internal.messages import JobCopied, JobCopy, JobHandover
+from coriandershelf_core.internal.jobs.job_table import DONE, Job, JobTable, VmRef
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.messages import JobCopied, JobCopy, JobHandover
 
 FORGET_AFTER_S = 60.0
 PAUSE_S = 1.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/job_reads.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/job_reads.py
@@ -6,13 +6,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.copies import Copies
-from coriandershelf_core.internal.job_table import FAILED, RUNNING, Job, JobTable, VmRef
-from coriandershelf_core.internal.messages import JobQuery, JobReply
-from coriandershelf_core.internal.outcome import Done, NotRun
-from coriandershelf_core.internal.reasons import RefusalReason
-from coriandershelf_core.internal.replication import Replication, Tell
+from coriandershelf_core.internal.jobs.copies import Copies
+from coriandershelf_core.internal.jobs.job_table import FAILED, RUNNING, Job, JobTable, VmRef
+from coriandershelf_core.internal.jobs.replication import Replication, Tell
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.messages import JobQuery, JobReply
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
 
 READ_MAX_COUNT = 2000
 HOLDER_SHARE = 0.5
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/job_table.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/job_table.py
@@ -9,13 +9,13 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.records import (
     JobAccepted,
     JobFinished,
     JobMoved,
     JobSnapshot,
 )
-from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
 
 RUNNING = "running"
 DONE = "done"
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/jobs.py
@@ -9,16 +9,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from coriandershelf_core.internal.claim_keys import body_hash, claim_key
-from coriandershelf_core.internal.classify import make_work
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.copies import Copies
-from coriandershelf_core.internal.inventory import Customer
-from coriandershelf_core.internal.job_reads import JobReads, job_document
-from coriandershelf_core.internal.job_table import RUNNING, Job, JobTable, VmRef
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import (
+from coriandershelf_core.internal.admission.classify import make_work
+from coriandershelf_core.internal.claims.claim_keys import body_hash, claim_key
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.jobs.copies import Copies
+from coriandershelf_core.internal.jobs.job_reads import JobReads, job_document
+from coriandershelf_core.internal.jobs.job_table import RUNNING, Job, JobTable, VmRef
+from coriandershelf_core.internal.jobs.placement import choose_copy_keeper
+from coriandershelf_core.internal.jobs.replication import HeldJob, Replication, Tell
+from coriandershelf_core.internal.jobs.takeover import Takeover
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.inventory import Customer
+from coriandershelf_core.internal.vocabulary.messages import (
     Heartbeat,
     JobCopied,
     JobCopy,
@@ -29,20 +32,17 @@
     JobSought,
     Message,
 )
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.placement import choose_copy_keeper
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.records import (
     LEDGER_STREAM,
     JobAccepted,
     JobFinished,
     JobMoved,
     JobSnapshot,
 )
-from coriandershelf_core.internal.replication import HeldJob, Replication, Tell
-from coriandershelf_core.internal.request import Request, RequestKind
-from coriandershelf_core.internal.takeover import Takeover
-from coriandershelf_core.internal.work import Work, WorkOwner
+from coriandershelf_core.internal.vocabulary.request import Request, RequestKind
+from coriandershelf_core.internal.vocabulary.work import Work, WorkOwner
 
 NO_DEADLINE_S = 1e9
 RETRY_MAX_S = 30.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/placement.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/placement.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
-from coriandershelf_core.internal.events import VmStatus
-from coriandershelf_core.internal.job_table import VmRef
+from coriandershelf_core.internal.jobs.job_table import VmRef
+from coriandershelf_core.internal.vocabulary.events import VmStatus
 
 
 def weight(job_id: str, vm_id: str) -> int:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replication.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/replication.py
@@ -11,22 +11,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ending import is_whole
-from coriandershelf_core.internal.events import VmState, VmStatus
-from coriandershelf_core.internal.job_table import DONE, RUNNING, Job, VmRef
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import (
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.jobs.job_table import DONE, RUNNING, Job, VmRef
+from coriandershelf_core.internal.jobs.placement import choose_copy_keeper
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.routing.ending import is_whole
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import VmState, VmStatus
+from coriandershelf_core.internal.vocabulary.messages import (
     Heartbeat,
     JobCopied,
     JobCopy,
     JobHandover,
     Message,
 )
-from coriandershelf_core.internal.placement import choose_copy_keeper
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.records import LEDGER_STREAM, JobFinished, JobMoved
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.records import LEDGER_STREAM, JobFinished, JobMoved
 
 COPY_MAX_COUNT = 500
 AVOID_S = 10.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/takeover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/jobs/takeover.py
@@ -9,16 +9,16 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.copies import Copies
-from coriandershelf_core.internal.events import VmState
-from coriandershelf_core.internal.job_table import FAILED, Job, JobTable, VmRef
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import JobFound, JobHandover, JobSought
-from coriandershelf_core.internal.placement import restart_rank
-from coriandershelf_core.internal.records import LEDGER_STREAM, JobMoved
-from coriandershelf_core.internal.replication import Tell
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.jobs.copies import Copies
+from coriandershelf_core.internal.jobs.job_table import FAILED, Job, JobTable, VmRef
+from coriandershelf_core.internal.jobs.placement import restart_rank
+from coriandershelf_core.internal.jobs.replication import Tell
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import VmState
+from coriandershelf_core.internal.vocabulary.messages import JobFound, JobHandover, JobSought
+from coriandershelf_core.internal.vocabulary.records import LEDGER_STREAM, JobMoved
 
 SCAN_PERIOD_S = 0.25
 ABSENT_LIMIT_S = 30.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/machine.py
@@ -4,16 +4,30 @@
 
 import random
 
-from coriandershelf_core.internal.actions import Action, SendTokens, Stopped, TellPeer
-from coriandershelf_core.internal.admit import admit
-from coriandershelf_core.internal.authenticate import authenticate
-from coriandershelf_core.internal.bought import BoughtVms
-from coriandershelf_core.internal.calls import Calls
-from coriandershelf_core.internal.classify import make_work, owner_of
-from coriandershelf_core.internal.configuration import Configuration, ParseConfiguration
-from coriandershelf_core.internal.context import Context, VmIdentity
-from coriandershelf_core.internal.control import Control
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.admission.admit import admit
+from coriandershelf_core.internal.admission.authenticate import authenticate
+from coriandershelf_core.internal.admission.classify import make_work, owner_of
+from coriandershelf_core.internal.admission.stopping import (
+    begin_stop,
+    cut_outcome,
+    must_cut,
+    refuses,
+)
+from coriandershelf_core.internal.claims.calls import Calls
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.configuration.configuration import (
+    Configuration,
+    ParseConfiguration,
+)
+from coriandershelf_core.internal.control.bought import BoughtVms
+from coriandershelf_core.internal.control.control import Control
+from coriandershelf_core.internal.jobs.jobs import Jobs
+from coriandershelf_core.internal.membership.fleet_view import FleetView
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.routing.serving import Serving
+from coriandershelf_core.internal.vocabulary.actions import Action, SendTokens, Stopped, TellPeer
+from coriandershelf_core.internal.vocabulary.context import Context, VmIdentity
+from coriandershelf_core.internal.vocabulary.events import (
     AppendAnswered,
     AppendFailed,
     AttemptFailed,
@@ -43,12 +57,8 @@
     TokensArrived,
     VmListRead,
 )
-from coriandershelf_core.internal.fleet_view import FleetView
-from coriandershelf_core.internal.inventory import Inventory
-from coriandershelf_core.internal.jobs import Jobs
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import (
+from coriandershelf_core.internal.vocabulary.inventory import Inventory
+from coriandershelf_core.internal.vocabulary.messages import (
     ConfigurationQuery,
     ConfigurationReply,
     CrashSeen,
@@ -59,9 +69,9 @@
     SuspectVerdict,
     TrialStarted,
 )
-from coriandershelf_core.internal.outcome import NotRun, Outcome
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.outcome import NotRun, Outcome
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     CONTROL_STREAM,
     ConfigurationSnapshot,
@@ -71,11 +81,9 @@
     JobMoved,
     JobSnapshot,
 )
-from coriandershelf_core.internal.request import Request
-from coriandershelf_core.internal.serving import Serving
-from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.stopping import begin_stop, cut_outcome, must_cut, refuses
-from coriandershelf_core.internal.work import Work, WorkOwner
+from coriandershelf_core.internal.vocabulary.request import Request
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.work import Work, WorkOwner
 
 
 class EntryCore:
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are live, leaving or gone."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/fleet_view.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership/fleet_view.py
@@ -4,22 +4,22 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import LoadReported, VmState, VmStatus
-from coriandershelf_core.internal.evidence import Evidence
-from coriandershelf_core.internal.gossip import Gossip, Tell
-from coriandershelf_core.internal.loads import LoadDigest, Loads
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.messages import (
+from coriandershelf_core.internal.admission.stopping import begin_stop
+from coriandershelf_core.internal.membership.gossip import Gossip, Tell
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.routing.evidence import Evidence
+from coriandershelf_core.internal.routing.loads import LoadDigest, Loads
+from coriandershelf_core.internal.routing.serving import Serving
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import LoadReported, VmState, VmStatus
+from coriandershelf_core.internal.vocabulary.messages import (
     Heartbeat,
     LeavingNotices,
     LeavingQuery,
     Message,
     ZoneSum,
 )
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.serving import Serving
-from coriandershelf_core.internal.stopping import begin_stop
+from coriandershelf_core.internal.vocabulary.reasons import Counter
 
 OnPeerVersion = Callable[[str, int, float], None]
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gossip.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership/gossip.py
@@ -11,20 +11,20 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.actions import TellPeer
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import VmRole, VmState, VmStatus
-from coriandershelf_core.internal.inventory import Inventory
-from coriandershelf_core.internal.loads import Loads
-from coriandershelf_core.internal.membership import Membership, member_key
-from coriandershelf_core.internal.messages import (
+from coriandershelf_core.internal.membership.membership import Membership, member_key
+from coriandershelf_core.internal.routing.loads import Loads
+from coriandershelf_core.internal.routing.rendezvous import ring_neighbours, ring_of
+from coriandershelf_core.internal.vocabulary.actions import TellPeer
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import VmRole, VmState, VmStatus
+from coriandershelf_core.internal.vocabulary.inventory import Inventory
+from coriandershelf_core.internal.vocabulary.messages import (
     Heartbeat,
     LeavingNotices,
     LeavingQuery,
     Message,
     ZoneSum,
 )
-from coriandershelf_core.internal.rendezvous import ring_neighbours, ring_of
 
 AGE_STEP_S = 0.1
 SILENCE_FACTOR = 3.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/membership.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/membership/membership.py
@@ -7,9 +7,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.context import Context, VmIdentity
-from coriandershelf_core.internal.events import VmRole, VmState, VmStatus
-from coriandershelf_core.internal.reasons import Counter
+from coriandershelf_core.internal.vocabulary.context import Context, VmIdentity
+from coriandershelf_core.internal.vocabulary.events import VmRole, VmState, VmStatus
+from coriandershelf_core.internal.vocabulary.reasons import Counter
 
 LIST_LAG_S = 10.0
 TOMBSTONES_MAX_COUNT = 10_000
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/affinity.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/affinity.py
@@ -7,7 +7,10 @@
 
 import xxhash
 
-from coriandershelf_core.internal.prompt import CHARACTERS_PER_TOKEN, PREFIX_BLOCK_CHARACTERS
+from coriandershelf_core.internal.routing.prompt import (
+    CHARACTERS_PER_TOKEN,
+    PREFIX_BLOCK_CHARACTERS,
+)
 
 BLOCK_TOKENS = PREFIX_BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
 HASH_RANGE = 2.0**64 + 2.0**12
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/attempts.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.actions import CancelAttempt, StartAttempt
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.routing.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.vocabulary.actions import CancelAttempt, StartAttempt
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.work import Attempt, AttemptPurpose, Work
 
 
 def kind_of(work: Work) -> ServiceKind:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/budget.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/budget.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
 
 KEYS_MAX_COUNT = 1000
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/digests.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/digests.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.messages import InFlightDigest
-from coriandershelf_core.internal.occupancy import Occupancy
-from coriandershelf_core.internal.replicas import ReplicaTable
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.routing.occupancy import Occupancy
+from coriandershelf_core.internal.routing.replicas import ReplicaTable
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.messages import InFlightDigest
 
 
 class Digests:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/eject.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/eject.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.work import Attempt, Work
+from coriandershelf_core.internal.routing.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.reasons import Counter
+from coriandershelf_core.internal.vocabulary.work import Attempt, Work
 
 PROBE_TOKENS_MAX = 100.0
 PROBE_ANY_AFTER_S = 2.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/evidence.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/evidence.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.actions import RefreshNotices
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.reasons import Counter
+from coriandershelf_core.internal.vocabulary.actions import RefreshNotices
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.reasons import Counter
 
 
 class Evidence:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/hedge.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/hedge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
 
 START_TOKENS = 200.0
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/leaving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/leaving.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.attempts import Attempts
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ending import is_whole
-from coriandershelf_core.internal.reasons import RetryReason
-from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.work import Attempt, Work
+from coriandershelf_core.internal.routing.attempts import Attempts
+from coriandershelf_core.internal.routing.ending import is_whole
+from coriandershelf_core.internal.routing.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.reasons import RetryReason
+from coriandershelf_core.internal.vocabulary.work import Attempt, Work
 
 
 class Leaving:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/loads.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/loads.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.actions import PollLoad
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import LoadReported, VmRole, VmState
-from coriandershelf_core.internal.inventory import Replica
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.reasons import Counter
-from coriandershelf_core.internal.rendezvous import spread
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.routing.rendezvous import spread
+from coriandershelf_core.internal.vocabulary.actions import PollLoad
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import LoadReported, VmRole, VmState
+from coriandershelf_core.internal.vocabulary.inventory import Replica
+from coriandershelf_core.internal.vocabulary.reasons import Counter
 
 AGE_STEP_S = 0.1
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/occupancy.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/occupancy.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.messages import InFlightDigest
+from coriandershelf_core.internal.vocabulary.messages import InFlightDigest
 
 DIGEST_KEEP_S = 1.0
 DIGEST_RESEND_S = 0.4
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/quarantine.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/quarantine.py
@@ -4,19 +4,19 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.attempts import Attempts
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.messages import (
+from coriandershelf_core.internal.routing.attempts import Attempts
+from coriandershelf_core.internal.routing.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.routing.suspects import Suspects, identity_of
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.messages import (
     CrashSeen,
     Message,
     SuspectVerdict,
     TrialStarted,
 )
-from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.suspects import Suspects, identity_of
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
+from coriandershelf_core.internal.vocabulary.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.work import Attempt, AttemptPurpose, Work
 
 TRIAL_SPREAD_S = 0.2
 TRIAL_PASS_TOKENS_COUNT = 8
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/recover.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/recover.py
@@ -5,11 +5,11 @@
 import random
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.events import FailureCause
-from coriandershelf_core.internal.outcome import NotRun, Unknown
-from coriandershelf_core.internal.reasons import RefusalReason, RetryReason
-from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.work import Work
+from coriandershelf_core.internal.vocabulary.events import FailureCause
+from coriandershelf_core.internal.vocabulary.outcome import NotRun, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason, RetryReason
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.work import Work
 
 RETRY_REASONS = {
     FailureCause.CONNECT: RetryReason.CONNECT_FAILED,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/replicas.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/replicas.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.health import Health
-from coriandershelf_core.internal.inventory import Inventory, Replica
+from coriandershelf_core.internal.routing.health import Health
+from coriandershelf_core.internal.vocabulary.inventory import Inventory, Replica
 
 HISTORY_SAMPLES_COUNT = 64
 REPORT_AGE_SCALE_S = 2.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/retries.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/retries.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.budget import RetryBudget
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import FailureCause
-from coriandershelf_core.internal.outcome import NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.recover import Retry, backoff_s, decide_recovery
-from coriandershelf_core.internal.work import Attempt, Work
+from coriandershelf_core.internal.routing.budget import RetryBudget
+from coriandershelf_core.internal.routing.recover import Retry, backoff_s, decide_recovery
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import FailureCause
+from coriandershelf_core.internal.vocabulary.outcome import NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.work import Attempt, Work
 
 
 class Retries:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/route.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/route.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Sequence
 
-from coriandershelf_core.internal.affinity import Affinity, home_of
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.replicas import ReplicaState
-from coriandershelf_core.internal.work import Work
+from coriandershelf_core.internal.routing.affinity import Affinity, home_of
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.work import Work
 
 SAMPLES_COUNT = 2
 BUSY_LOAD = 0.7
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/serving.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/serving.py
@@ -4,14 +4,28 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.admit import admit_work
-from coriandershelf_core.internal.attempts import Attempts, kind_of
-from coriandershelf_core.internal.classify import LONG_TOKENS_COUNT, cost_tokens
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.digests import Digests
-from coriandershelf_core.internal.eject import Ejector
-from coriandershelf_core.internal.ending import is_whole
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.admission.admit import admit_work
+from coriandershelf_core.internal.admission.classify import LONG_TOKENS_COUNT, cost_tokens
+from coriandershelf_core.internal.admission.lengths import LengthEstimator, observe
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.admission.preempt import Preemption
+from coriandershelf_core.internal.admission.queue import WorkQueue
+from coriandershelf_core.internal.admission.ranking import engine_priority
+from coriandershelf_core.internal.admission.room import Room
+from coriandershelf_core.internal.routing.attempts import Attempts, kind_of
+from coriandershelf_core.internal.routing.digests import Digests
+from coriandershelf_core.internal.routing.eject import Ejector
+from coriandershelf_core.internal.routing.ending import is_whole
+from coriandershelf_core.internal.routing.leaving import Leaving
+from coriandershelf_core.internal.routing.quarantine import Broadcast, Quarantine
+from coriandershelf_core.internal.routing.recover import late_outcome
+from coriandershelf_core.internal.routing.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.routing.retries import Retries
+from coriandershelf_core.internal.routing.route import Router
+from coriandershelf_core.internal.routing.stalls import Stalls
+from coriandershelf_core.internal.routing.watch import overdue
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import (
     AttemptFailed,
     AttemptOpened,
     FailureCause,
@@ -20,25 +34,11 @@
     StreamEnded,
     TokensArrived,
 )
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.leaving import Leaving
-from coriandershelf_core.internal.lengths import LengthEstimator, observe
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.messages import InFlightDigest, Message, ReplicaVerdict
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome
-from coriandershelf_core.internal.preempt import Preemption
-from coriandershelf_core.internal.quarantine import Broadcast, Quarantine
-from coriandershelf_core.internal.queue import WorkQueue
-from coriandershelf_core.internal.ranking import engine_priority
-from coriandershelf_core.internal.reasons import Counter, RefusalReason
-from coriandershelf_core.internal.recover import late_outcome
-from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.retries import Retries
-from coriandershelf_core.internal.room import Room
-from coriandershelf_core.internal.route import Router
-from coriandershelf_core.internal.stalls import Stalls
-from coriandershelf_core.internal.watch import overdue
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work, WorkClass
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.messages import InFlightDigest, Message, ReplicaVerdict
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
+from coriandershelf_core.internal.vocabulary.work import Attempt, AttemptPurpose, Work, WorkClass
 
 UNREACHABLE_S = 1.0
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/stalls.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/stalls.py
@@ -4,16 +4,16 @@
 
 from collections.abc import Callable
 
-from coriandershelf_core.internal.attempts import Attempts, kind_of
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.eject import Ejector
-from coriandershelf_core.internal.hedge import HedgeBudget
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.reasons import Counter, RetryReason
-from coriandershelf_core.internal.replicas import ReplicaState, ReplicaTable
-from coriandershelf_core.internal.route import Router
-from coriandershelf_core.internal.work import Attempt, AttemptPurpose, Work
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.routing.attempts import Attempts, kind_of
+from coriandershelf_core.internal.routing.eject import Ejector
+from coriandershelf_core.internal.routing.hedge import HedgeBudget
+from coriandershelf_core.internal.routing.replicas import ReplicaState, ReplicaTable
+from coriandershelf_core.internal.routing.route import Router
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RetryReason
+from coriandershelf_core.internal.vocabulary.work import Attempt, AttemptPurpose, Work
 
 CHECK_PERIOD_S = 0.01
 MOVES_MAX_COUNT = 8
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/suspects.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/suspects.py
@@ -12,7 +12,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.vocabulary.request import Request
 
 SUSPECTS_MAX_COUNT = 5000
 SAME_CRASH_S = 1.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/watch.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/watch.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.events import FailureCause
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.settings import CoreSettings
-from coriandershelf_core.internal.work import Attempt
+from coriandershelf_core.internal.vocabulary.events import FailureCause
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.work import Attempt
 
 
 def overdue(
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/actions.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.messages import Message
-from coriandershelf_core.internal.outcome import Outcome
-from coriandershelf_core.internal.records import Entry
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.messages import Message
+from coriandershelf_core.internal.vocabulary.outcome import Outcome
+from coriandershelf_core.internal.vocabulary.records import Entry
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/context.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/context.py
@@ -6,11 +6,11 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.actions import Action, Count, LogLine, SendFinal
-from coriandershelf_core.internal.inventory import Inventory
-from coriandershelf_core.internal.outcome import Done, NotRun, Outcome, Unknown
-from coriandershelf_core.internal.reasons import Counter, RefusalReason, RetryReason
-from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.vocabulary.actions import Action, Count, LogLine, SendFinal
+from coriandershelf_core.internal.vocabulary.inventory import Inventory
+from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome, Unknown
+from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason, RetryReason
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/events.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from coriandershelf_core.internal.messages import Message
-from coriandershelf_core.internal.records import Record
-from coriandershelf_core.internal.request import Request
-from coriandershelf_core.internal.spending import Offer
+from coriandershelf_core.internal.control.spending import Offer
+from coriandershelf_core.internal.vocabulary.messages import Message
+from coriandershelf_core.internal.vocabulary.records import Record
+from coriandershelf_core.internal.vocabulary.request import Request
 
 
 class FailureCause(Enum):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/messages.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.records import ConfigurationSnapshot
+from coriandershelf_core.internal.vocabulary.records import ConfigurationSnapshot
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/outcome.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/outcome.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/work.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/work.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from coriandershelf_core.internal.request import Request
+from coriandershelf_core.internal.vocabulary.request import Request
 
 
 class WorkOwner(Enum):
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -14,7 +14,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from coriandershelf_core import CoreSettings, EntryCore, VmIdentity
-from coriandershelf_core.internal.actions import (
+from coriandershelf_core.internal.vocabulary.actions import (
     Action,
     Append,
     CancelAttempt,
@@ -31,8 +31,8 @@
     StopVm,
     TellPeer,
 )
-from coriandershelf_core.internal.events import SeedsGiven, StopAsked
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.events import SeedsGiven, StopAsked
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     CONTROL_STREAM,
     LEDGER_STREAM,
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/bodies.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/bodies.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from coriandershelf_core import Request, RequestKind
-from coriandershelf_core.internal.prompt import estimate_tokens, prefix_hashes
+from coriandershelf_core.internal.routing.prompt import estimate_tokens, prefix_hashes
 
 DEADLINE_HEADER = "X-Request-Deadline-Ms"
 DEFAULT_MAX_TOKENS = 256
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/callers.py
@@ -12,8 +12,8 @@
 from tornado.web import stream_request_body
 
 from coriandershelf_core import Done, NotRun, Outcome, Request, RequestKind, Unknown
-from coriandershelf_core.internal.events import CallerGone, JobRead, RequestArrived
-from coriandershelf_core.internal.reasons import RefusalReason
+from coriandershelf_core.internal.vocabulary.events import CallerGone, JobRead, RequestArrived
+from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
 from coriandershelf_entry.internal.answers import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/cloud.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/cloud.py
@@ -11,8 +11,9 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
-from coriandershelf_core.internal.actions import SendOrder, StartVm, StopVm
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.control.spending import Offer
+from coriandershelf_core.internal.vocabulary.actions import SendOrder, StartVm, StopVm
+from coriandershelf_core.internal.vocabulary.events import (
     CloudAnswer,
     OffersRead,
     OrderAnswered,
@@ -20,8 +21,7 @@
     StartAnswered,
     StopAnswered,
 )
-from coriandershelf_core.internal.inventory import Purchase
-from coriandershelf_core.internal.spending import Offer
+from coriandershelf_core.internal.vocabulary.inventory import Purchase
 from coriandershelf_entry.internal.clock import Clock
 from coriandershelf_entry.internal.core_task import Post
 
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/core_task.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/core_task.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from coriandershelf_core import EntryCore
-from coriandershelf_core.internal.actions import Action
-from coriandershelf_core.internal.events import Event, Tick
+from coriandershelf_core.internal.vocabulary.actions import Action
+from coriandershelf_core.internal.vocabulary.events import Event, Tick
 from coriandershelf_entry.internal.clock import Clock
 
 Post = Callable[[Event], None]
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/handlers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/handlers.py
@@ -7,7 +7,7 @@
 
 from tornado.web import RequestHandler
 
-from coriandershelf_core.internal.context import Context
+from coriandershelf_core.internal.vocabulary.context import Context
 from coriandershelf_entry.internal.clock import Clock
 from coriandershelf_entry.internal.core_task import CoreTask
 from coriandershelf_entry.internal.mailbox import CallerMailbox
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/load_polls.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/load_polls.py
@@ -6,8 +6,8 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from coriandershelf_core.internal.actions import PollLoad
-from coriandershelf_core.internal.events import LoadReported
+from coriandershelf_core.internal.vocabulary.actions import PollLoad
+from coriandershelf_core.internal.vocabulary.events import LoadReported
 from coriandershelf_entry.internal.clock import Clock
 from coriandershelf_entry.internal.core_task import Post
 
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
@@ -9,9 +9,9 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
-from coriandershelf_core.internal.actions import Append
-from coriandershelf_core.internal.events import AppendAnswered, AppendFailed, LogRead
-from coriandershelf_core.internal.records import Record
+from coriandershelf_core.internal.vocabulary.actions import Append
+from coriandershelf_core.internal.vocabulary.events import AppendAnswered, AppendFailed, LogRead
+from coriandershelf_core.internal.vocabulary.records import Record
 from coriandershelf_entry.internal.core_task import Post
 from coriandershelf_wire import Malformed, decode_record, encode_record
 
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/operators.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/operators.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from coriandershelf_core.internal.events import StopAsked
+from coriandershelf_core.internal.vocabulary.events import StopAsked
 from coriandershelf_entry.internal.bodies import hash_key
 from coriandershelf_entry.internal.handlers import Callers, JsonHandler
 
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/peers.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/peers.py
@@ -8,9 +8,9 @@
 import grpc
 import grpc.aio
 
-from coriandershelf_core.internal.actions import TellPeer
-from coriandershelf_core.internal.events import PeerMessageArrived
-from coriandershelf_core.internal.messages import Message
+from coriandershelf_core.internal.vocabulary.actions import TellPeer
+from coriandershelf_core.internal.vocabulary.events import PeerMessageArrived
+from coriandershelf_core.internal.vocabulary.messages import Message
 from coriandershelf_entry.internal.core_task import Post
 from coriandershelf_wire import Malformed, decode_batch, encode_batch
 from coriandershelf_wire.internal import peer_pb2, peer_pb2_grpc
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/platform.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/platform.py
@@ -8,7 +8,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.events import (
     NoticesRefreshed,
     ReclaimNotice,
     VmListRead,
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/ticket_handler.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/ticket_handler.py
@@ -5,7 +5,7 @@
 from tornado.web import stream_request_body
 
 from coriandershelf_core import NotRun, RefusalReason
-from coriandershelf_core.internal.events import TicketsAsked
+from coriandershelf_core.internal.vocabulary.events import TicketsAsked
 from coriandershelf_entry.internal.callers import CallerHandler
 
 
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
@@ -16,8 +16,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from coriandershelf_core.internal.actions import StartAttempt
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.actions import StartAttempt
+from coriandershelf_core.internal.vocabulary.events import (
     AttemptFailed,
     AttemptOpened,
     AttemptPaused,
@@ -27,7 +27,7 @@
     StreamEnded,
     TokensArrived,
 )
-from coriandershelf_core.internal.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
 from coriandershelf_entry.internal.core_task import Post
 from coriandershelf_entry.internal.sse import END_MARKER, BadStream, StreamEvent, StreamParser
 
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/platform_log.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/platform_log.py
@@ -5,8 +5,8 @@
 import base64
 from typing import Any
 
-from coriandershelf_core.internal.configuration_log import ConfigurationLog, Verdict
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.configuration.configuration_log import ConfigurationLog, Verdict
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     AcceptedChange,
     ConfigurationProposed,
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/publishing.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/publishing.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from coriandershelf_core.internal.configuration_log import Verdict, VerdictReason
-from coriandershelf_core.internal.records import AcceptedChange, ConfigurationProposed
+from coriandershelf_core.internal.configuration.configuration_log import Verdict, VerdictReason
+from coriandershelf_core.internal.vocabulary.records import AcceptedChange, ConfigurationProposed
 from coriandershelf_operator.internal.changes import changed_paths, find_changes
 from coriandershelf_operator.internal.http import NoAnswer
 from coriandershelf_operator.internal.output import EXIT_NO, end_not_known, show
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench.py
@@ -17,7 +17,7 @@
     RequestKind,
     VmIdentity,
 )
-from coriandershelf_core.internal.actions import (
+from coriandershelf_core.internal.vocabulary.actions import (
     Action,
     Append,
     CancelAttempt,
@@ -29,7 +29,7 @@
     Stopped,
     TellPeer,
 )
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.events import (
     AppendAnswered,
     AppendFailed,
     AttemptFailed,
@@ -52,8 +52,8 @@
     VmState,
     VmStatus,
 )
-from coriandershelf_core.internal.inventory import ServiceKind
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     CONTROL_STREAM,
     LEDGER_STREAM,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_state.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from coriandershelf_core import Done, EntryCore, Outcome, Request
-from coriandershelf_core.internal.events import Event
+from coriandershelf_core.internal.vocabulary.events import Event
 from coriandershelf_rig.internal.engine_model import EngineModel
 
 LAST_PAYLOAD = b'{"choices":[{"delta":{},"finish_reason":"stop"}]}'
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cloud_model.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cloud_model.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.events import CloudAnswer
+from coriandershelf_core.internal.vocabulary.events import CloudAnswer
 
 
 @dataclass(slots=True)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cluster.py
@@ -13,7 +13,10 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 
-from coriandershelf_core.internal.records import CONFIGURATION_STREAM, ConfigurationProposed
+from coriandershelf_core.internal.vocabulary.records import (
+    CONFIGURATION_STREAM,
+    ConfigurationProposed,
+)
 from coriandershelf_rig.internal.deployments import (
     OPERATOR_KEY,
     Deployment,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/engine_model.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/engine_model.py
@@ -10,7 +10,10 @@
 
 import xxhash
 
-from coriandershelf_core.internal.prompt import CHARACTERS_PER_TOKEN, PREFIX_BLOCK_CHARACTERS
+from coriandershelf_core.internal.routing.prompt import (
+    CHARACTERS_PER_TOKEN,
+    PREFIX_BLOCK_CHARACTERS,
+)
 
 CACHE_EVENTS_COUNT = 10_000
 BLOCK_TOKENS = PREFIX_BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/config_race.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/config_race.py
@@ -11,8 +11,8 @@
 
 import click
 
-from coriandershelf_core.internal.configuration_log import ConfigurationLog
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.configuration.configuration_log import ConfigurationLog
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     ConfigurationProposed,
     Record,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/cost.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/cost.py
@@ -9,8 +9,8 @@
 import click
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.inventory import Purchase
-from coriandershelf_core.internal.spending import UTILIZATION_TARGET, Need
+from coriandershelf_core.internal.control.spending import UTILIZATION_TARGET, Need
+from coriandershelf_core.internal.vocabulary.inventory import Purchase
 from coriandershelf_rig.internal.fleet_bench import FleetBench, offers_at
 from coriandershelf_rig.internal.report import Report
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/graceful_stop.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/graceful_stop.py
@@ -9,7 +9,7 @@
 import click
 
 from coriandershelf_core import CoreSettings, Done, NotRun
-from coriandershelf_core.internal.events import ReclaimNotice, StopAsked, VmState
+from coriandershelf_core.internal.vocabulary.events import ReclaimNotice, StopAsked, VmState
 from coriandershelf_rig.internal.bench import Bench, Call, is_whole
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.job_callers import Balancer, JobCallers
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/membership.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/membership.py
@@ -12,8 +12,8 @@
 import click
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.actions import StartAttempt
-from coriandershelf_core.internal.events import VmState
+from coriandershelf_core.internal.vocabulary.actions import StartAttempt
+from coriandershelf_core.internal.vocabulary.events import VmState
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import consorcio
 from coriandershelf_rig.internal.fleet import Fleet, FleetCost
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/partition.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/partition.py
@@ -11,7 +11,7 @@
 
 import click
 
-from coriandershelf_core.internal.events import VmListRead, VmState
+from coriandershelf_core.internal.vocabulary.events import VmListRead, VmState
 from coriandershelf_rig.internal.bench import Bench, Call, is_whole
 from coriandershelf_rig.internal.deployments import consorcio
 from coriandershelf_rig.internal.report import Report
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/prefix.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/prefix.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass
 
-from coriandershelf_core.internal.affinity import BLOCK_TOKENS
+from coriandershelf_core.internal.routing.affinity import BLOCK_TOKENS
 from coriandershelf_rig.internal.bench import Bench, Shape
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, Deployment
 from coriandershelf_rig.internal.model_load import SentCall, whole
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/reclaim_wave.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/experiments/reclaim_wave.py
@@ -11,7 +11,7 @@
 import click
 
 from coriandershelf_core import Done, NotRun
-from coriandershelf_core.internal.events import ReclaimNotice, VmState
+from coriandershelf_core.internal.vocabulary.events import ReclaimNotice, VmState
 from coriandershelf_rig.internal.bench import Bench, Call, executions_by_body, is_whole, was_run
 from coriandershelf_rig.internal.deployments import Deployment, consorcio
 from coriandershelf_rig.internal.job_callers import Balancer, JobCallers
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 
 from coriandershelf_core import CoreSettings, EntryCore, VmIdentity
-from coriandershelf_core.internal.actions import Action, PollLoad, TellPeer
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.actions import Action, PollLoad, TellPeer
+from coriandershelf_core.internal.vocabulary.events import (
     Event,
     LoadReported,
     LogRead,
@@ -25,7 +25,7 @@
     VmState,
     VmStatus,
 )
-from coriandershelf_core.internal.inventory import (
+from coriandershelf_core.internal.vocabulary.inventory import (
     Customer,
     Inventory,
     Replica,
@@ -33,8 +33,8 @@
     ServiceKind,
     Zone,
 )
-from coriandershelf_core.internal.messages import Message
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.messages import Message
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     ConfigurationProposed,
     Record,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fleet_bench.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass
 
 from coriandershelf_core import CoreSettings, VmIdentity
-from coriandershelf_core.internal.actions import (
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.control.buyer import ServiceNeed
+from coriandershelf_core.internal.control.control import Control
+from coriandershelf_core.internal.control.spending import Need, Offer
+from coriandershelf_core.internal.vocabulary.actions import (
     Action,
     Append,
     Count,
@@ -18,17 +22,15 @@
     StartVm,
     StopVm,
 )
-from coriandershelf_core.internal.buyer import ServiceNeed
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.control import Control
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import (
     LogRead,
     OffersRead,
     OrderAnswered,
     StartAnswered,
     StopAnswered,
 )
-from coriandershelf_core.internal.inventory import (
+from coriandershelf_core.internal.vocabulary.inventory import (
     Inventory,
     Purchase,
     Replica,
@@ -37,9 +39,7 @@
     ServiceKind,
     Zone,
 )
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.records import CONTROL_STREAM, Record
-from coriandershelf_core.internal.spending import Need, Offer
+from coriandershelf_core.internal.vocabulary.records import CONTROL_STREAM, Record
 from coriandershelf_rig.internal.cloud_model import CloudModel, CloudVm
 from coriandershelf_rig.internal.log_model import AppendFate, LogModel
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_callers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from coriandershelf_core import Done, RequestKind
-from coriandershelf_core.internal.events import JobRead
+from coriandershelf_core.internal.vocabulary.events import JobRead
 from coriandershelf_rig.internal.bench import LAST_PAYLOAD, Bench, Call
 from coriandershelf_rig.internal.deployments import hash_of
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/job_faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from coriandershelf_core.internal.events import ReclaimNotice, VmState
+from coriandershelf_core.internal.vocabulary.events import ReclaimNotice, VmState
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import Deployment, kingston
 from coriandershelf_rig.internal.job_callers import Balancer, JobCallers
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/reference.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/reference.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coriandershelf_core import RefusalReason, RetryReason, counter_names
-from coriandershelf_core.internal.reasons import Counter
+from coriandershelf_core.internal.vocabulary.reasons import Counter
 from coriandershelf_entry.internal.settings import list_settings
 
 HEAD = """# Reference
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/claims.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/claims.py
@@ -6,8 +6,13 @@
 import tracemalloc
 
 from coriandershelf_core import EntryCore
-from coriandershelf_core.internal.events import LogRead
-from coriandershelf_core.internal.records import LEDGER_STREAM, Claim, ClaimFinished, Record
+from coriandershelf_core.internal.vocabulary.events import LogRead
+from coriandershelf_core.internal.vocabulary.records import (
+    LEDGER_STREAM,
+    Claim,
+    ClaimFinished,
+    Record,
+)
 from coriandershelf_rig.internal.slopes.fit import Quantity, join
 from coriandershelf_rig.internal.slopes.requests import make_core
 from coriandershelf_wire import decode_record, encode_record
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/configuration.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/configuration.py
@@ -4,7 +4,7 @@
 
 import time
 
-from coriandershelf_core.internal.records import ConfigurationProposed
+from coriandershelf_core.internal.vocabulary.records import ConfigurationProposed
 from coriandershelf_rig.internal.deployments import (
     MIDDLE,
     CustomerShape,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/requests.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/slopes/requests.py
@@ -6,8 +6,8 @@
 import time
 
 from coriandershelf_core import CoreSettings, EntryCore, Request, RequestKind, VmIdentity
-from coriandershelf_core.internal.actions import StartAttempt
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.actions import StartAttempt
+from coriandershelf_core.internal.vocabulary.events import (
     AttemptOpened,
     LogRead,
     RequestArrived,
@@ -19,7 +19,7 @@
     VmState,
     VmStatus,
 )
-from coriandershelf_core.internal.inventory import (
+from coriandershelf_core.internal.vocabulary.inventory import (
     Customer,
     Inventory,
     Replica,
@@ -27,7 +27,7 @@
     ServiceKind,
     Zone,
 )
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     ConfigurationProposed,
     Record,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/soak_bench.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from coriandershelf_core import CoreSettings, Done
-from coriandershelf_core.internal.actions import (
+from coriandershelf_core.internal.vocabulary.actions import (
     Action,
     Append,
     CancelAttempt,
@@ -16,7 +16,7 @@
     StartAttempt,
     TellPeer,
 )
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.vocabulary.events import (
     AppendAnswered,
     AppendFailed,
     AttemptFailed,
@@ -31,8 +31,12 @@
     VmListRead,
     VmState,
 )
-from coriandershelf_core.internal.messages import TicketCall, TicketResult
-from coriandershelf_core.internal.records import CONFIGURATION_STREAM, LEDGER_STREAM, Record
+from coriandershelf_core.internal.vocabulary.messages import TicketCall, TicketResult
+from coriandershelf_core.internal.vocabulary.records import (
+    CONFIGURATION_STREAM,
+    LEDGER_STREAM,
+    Record,
+)
 from coriandershelf_rig.internal.bench import (
     APPEND_LIMIT_S,
     LOG_LATENCY_S,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_engine.py
@@ -14,7 +14,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from coriandershelf_core.internal.prompt import estimate_tokens, prefix_hashes
+from coriandershelf_core.internal.routing.prompt import estimate_tokens, prefix_hashes
 from coriandershelf_rig.internal.engine_model import (
     CacheEvent,
     EngineModel,
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_platform.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_platform.py
@@ -15,7 +15,7 @@
 
 from tornado.web import Application, RequestHandler
 
-from coriandershelf_core.internal.events import CloudAnswer
+from coriandershelf_core.internal.vocabulary.events import CloudAnswer
 from coriandershelf_rig.internal.cloud_model import CloudModel
 from coriandershelf_rig.internal.log_model import AppendFate, LogModel
 
--- a/packages/coriandershelf-wire/src/coriandershelf_wire/internal/codec.py
+++ b/packages/coriandershelf-wire/src/coriandershelf_wire/internal/codec.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from coriandershelf_core.internal.messages import Message
-from coriandershelf_core.internal.records import Entry, Record
+from coriandershelf_core.internal.vocabulary.messages import Message
+from coriandershelf_core.internal.vocabulary.records import Entry, Record
 from coriandershelf_wire.internal.peer_pb2 import Batch, LogRecord, Typed
 
 MESSAGE_TYPES = {cls.__name__: cls for cls in get_args(Message)}
--- a/packages/coriandershelf-wire/src/coriandershelf_wire/internal/inventory_format.py
+++ b/packages/coriandershelf-wire/src/coriandershelf_wire/internal/inventory_format.py
@@ -11,7 +11,7 @@
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
 
-from coriandershelf_core.internal.inventory import (
+from coriandershelf_core.internal.vocabulary.inventory import (
     Customer,
     Inventory,
     Purchase,
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -8,10 +8,10 @@
 import pytest
 
 from coriandershelf_core import CoreSettings, NotRun, RefusalReason
-from coriandershelf_core.internal.inventory import Replica
-from coriandershelf_core.internal.lengths import PRIOR_TOKENS, LengthEstimator, observe
-from coriandershelf_core.internal.limits import Limits
-from coriandershelf_core.internal.replicas import ReplicaState
+from coriandershelf_core.internal.admission.lengths import PRIOR_TOKENS, LengthEstimator, observe
+from coriandershelf_core.internal.admission.limits import Limits
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.vocabulary.inventory import Replica
 from coriandershelf_rig.internal.bench import Bench, Shape
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.workload import LONG, SHORT, Callers, Flow, draw_arrivals
--- a/tests/cover/test_bought_vms.py
+++ b/tests/cover/test_bought_vms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.events import VmListRead, VmRole, VmState, VmStatus
+from coriandershelf_core.internal.vocabulary.events import VmListRead, VmRole, VmState, VmStatus
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import consorcio
 
--- a/tests/cover/test_claim_retention.py
+++ b/tests/cover/test_claim_retention.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 from coriandershelf_core import Done, RefusalReason, Unknown
-from coriandershelf_core.internal.claim_table import ClaimTable
-from coriandershelf_core.internal.records import Claim, ClaimKept, ClaimReleased
+from coriandershelf_core.internal.claims.claim_table import ClaimTable
+from coriandershelf_core.internal.vocabulary.records import Claim, ClaimKept, ClaimReleased
 from coriandershelf_rig.internal.bench import Call
 from coriandershelf_rig.internal.soak_bench import RETENTION_S, SOAK_SETTINGS, SoakBench
 from coriandershelf_rig.internal.soak_plan import Book, Cut, Kill, LogOutage, Pause
--- a/tests/cover/test_claim_table.py
+++ b/tests/cover/test_claim_table.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 
 from coriandershelf_core import CoreSettings, VmIdentity
-from coriandershelf_core.internal.actions import Append
-from coriandershelf_core.internal.claim_table import ClaimTable
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.claims.claim_table import ClaimTable
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.vocabulary.actions import Append
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.records import (
     LEDGER_STREAM,
     Claim,
     ClaimFinished,
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -7,7 +7,7 @@
 import pytest
 
 from coriandershelf_core import Done, NotRun, RefusalReason, Unknown
-from coriandershelf_core.internal.claim_keys import key_made_at_s
+from coriandershelf_core.internal.claims.claim_keys import key_made_at_s
 from coriandershelf_rig.internal.bench import Call
 from coriandershelf_rig.internal.soak_bench import SOAK_SETTINGS, SoakBench
 from coriandershelf_rig.internal.soak_plan import (
--- a/tests/cover/test_codec.py
+++ b/tests/cover/test_codec.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.messages import Heartbeat, JobReply
-from coriandershelf_core.internal.records import Claim, ClaimFinished, Record
+from coriandershelf_core.internal.vocabulary.messages import Heartbeat, JobReply
+from coriandershelf_core.internal.vocabulary.records import Claim, ClaimFinished, Record
 from coriandershelf_wire import (
     Malformed,
     decode_batch,
--- a/tests/cover/test_configuration_log.py
+++ b/tests/cover/test_configuration_log.py
@@ -5,8 +5,11 @@
 from configuration_log_machine import ConfigurationLogMachine, snapshot_of
 from hypothesis import settings
 
-from coriandershelf_core.internal.configuration_log import ConfigurationLog, VerdictReason
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.configuration.configuration_log import (
+    ConfigurationLog,
+    VerdictReason,
+)
+from coriandershelf_core.internal.vocabulary.records import (
     AcceptedChange,
     ConfigurationProposed,
     ConfigurationSnapshot,
--- a/tests/cover/test_configuration_processes.py
+++ b/tests/cover/test_configuration_processes.py
@@ -6,7 +6,7 @@
 import signal
 from dataclasses import replace
 
-from coriandershelf_core.internal.configuration_log import Verdict
+from coriandershelf_core.internal.configuration.configuration_log import Verdict
 from coriandershelf_operator.internal.platform_log import LogView
 from coriandershelf_operator.internal.publishing import make_proposal, publish
 from coriandershelf_rig.internal.cluster import Cluster
--- a/tests/cover/test_configuration_spread.py
+++ b/tests/cover/test_configuration_spread.py
@@ -7,7 +7,7 @@
 import pytest
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.messages import ConfigurationQuery
+from coriandershelf_core.internal.vocabulary.messages import ConfigurationQuery
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.experiments import config_race
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -7,9 +7,7 @@
 from hypothesis import strategies as st
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.actions import SendOrder
-from coriandershelf_core.internal.inventory import Purchase, Replica
-from coriandershelf_core.internal.spending import (
+from coriandershelf_core.internal.control.spending import (
     FleetVm,
     Need,
     Offer,
@@ -17,6 +15,8 @@
     plan_purchase,
     secure_slots,
 )
+from coriandershelf_core.internal.vocabulary.actions import SendOrder
+from coriandershelf_core.internal.vocabulary.inventory import Purchase, Replica
 from coriandershelf_rig.internal.experiments import cost
 from coriandershelf_rig.internal.fleet_bench import FleetBench, offers_at
 
--- a/tests/cover/test_fair_queue.py
+++ b/tests/cover/test_fair_queue.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 
 from coriandershelf_core import Request, RequestKind
-from coriandershelf_core.internal.fairness import FairQueue
-from coriandershelf_core.internal.queue import WorkQueue
-from coriandershelf_core.internal.work import Work, WorkClass, WorkOwner
+from coriandershelf_core.internal.admission.fairness import FairQueue
+from coriandershelf_core.internal.admission.queue import WorkQueue
+from coriandershelf_core.internal.vocabulary.work import Work, WorkClass, WorkOwner
 
 MEMORY_S = 10.0
 numbers = itertools.count()
--- a/tests/cover/test_inventory_format.py
+++ b/tests/cover/test_inventory_format.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coriandershelf_core.internal.inventory import Inventory
+from coriandershelf_core.internal.vocabulary.inventory import Inventory
 from coriandershelf_rig.internal.deployments import (
     DEPLOYMENTS,
     consorcio,
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -7,10 +7,15 @@
 import pytest
 
 from coriandershelf_core import Done, NotRun, RefusalReason, RequestKind, Unknown
-from coriandershelf_core.internal.events import ReclaimNotice, VmState
-from coriandershelf_core.internal.job_table import JobTable
-from coriandershelf_core.internal.records import JobAccepted, JobFinished, JobMoved, JobSnapshot
-from coriandershelf_core.internal.settings import CoreSettings
+from coriandershelf_core.internal.jobs.job_table import JobTable
+from coriandershelf_core.internal.vocabulary.events import ReclaimNotice, VmState
+from coriandershelf_core.internal.vocabulary.records import (
+    JobAccepted,
+    JobFinished,
+    JobMoved,
+    JobSnapshot,
+)
+from coriandershelf_core.internal.vocabulary.settings import CoreSettings
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.job_callers import Balancer, JobCaller, JobCallers
--- a/tests/cover/test_ledger_rate.py
+++ b/tests/cover/test_ledger_rate.py
@@ -7,10 +7,10 @@
 import pytest
 
 from coriandershelf_core import CoreSettings, VmIdentity
-from coriandershelf_core.internal.actions import Append
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.ledger import Ledger
-from coriandershelf_core.internal.records import LEDGER_STREAM, ClaimReleased
+from coriandershelf_core.internal.claims.ledger import Ledger
+from coriandershelf_core.internal.vocabulary.actions import Append
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.records import LEDGER_STREAM, ClaimReleased
 
 RUN_S = 20.0
 TICK_S = 0.05
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -11,10 +11,10 @@
 from membership_machine import MembershipMachine, status_of
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.context import Context, VmIdentity
-from coriandershelf_core.internal.events import SeedsGiven, VmState
-from coriandershelf_core.internal.membership import Membership
-from coriandershelf_core.internal.rendezvous import ring_neighbours, ring_of, spread
+from coriandershelf_core.internal.membership.membership import Membership
+from coriandershelf_core.internal.routing.rendezvous import ring_neighbours, ring_of, spread
+from coriandershelf_core.internal.vocabulary.context import Context, VmIdentity
+from coriandershelf_core.internal.vocabulary.events import SeedsGiven, VmState
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.experiments import membership as membership_experiment
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -8,12 +8,12 @@
 import pytest
 
 from coriandershelf_core import CoreSettings, Request, RequestKind, VmIdentity
-from coriandershelf_core.internal.context import Context
-from coriandershelf_core.internal.events import VmState
-from coriandershelf_core.internal.inventory import Replica
-from coriandershelf_core.internal.replicas import ReplicaState
-from coriandershelf_core.internal.route import Router
-from coriandershelf_core.internal.work import Work, WorkClass, WorkOwner
+from coriandershelf_core.internal.routing.replicas import ReplicaState
+from coriandershelf_core.internal.routing.route import Router
+from coriandershelf_core.internal.vocabulary.context import Context
+from coriandershelf_core.internal.vocabulary.events import VmState
+from coriandershelf_core.internal.vocabulary.inventory import Replica
+from coriandershelf_core.internal.vocabulary.work import Work, WorkClass, WorkOwner
 from coriandershelf_rig.internal.bench import Bench
 from coriandershelf_rig.internal.deployments import consorcio
 
--- a/tests/cover/test_stopping.py
+++ b/tests/cover/test_stopping.py
@@ -5,7 +5,7 @@
 import pytest
 
 from coriandershelf_core import Done, NotRun, RefusalReason, Unknown
-from coriandershelf_core.internal.events import ReclaimNotice, StopAsked
+from coriandershelf_core.internal.vocabulary.events import ReclaimNotice, StopAsked
 from coriandershelf_rig.internal.bench import Bench, is_whole
 from coriandershelf_rig.internal.deployments import kingston
 from coriandershelf_rig.internal.experiments.graceful_stop import STOPS_COUNT, Stops
--- a/tests/cover/test_stragglers.py
+++ b/tests/cover/test_stragglers.py
@@ -7,9 +7,9 @@
 import pytest
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.budget import RetryBudget
-from coriandershelf_core.internal.hedge import HedgeBudget
-from coriandershelf_core.internal.recover import backoff_s
+from coriandershelf_core.internal.routing.budget import RetryBudget
+from coriandershelf_core.internal.routing.hedge import HedgeBudget
+from coriandershelf_core.internal.routing.recover import backoff_s
 from coriandershelf_rig.internal.bench import Bench, Call, is_whole
 from coriandershelf_rig.internal.deployments import consorcio, kingston
 
--- a/tests/cover/test_suspects.py
+++ b/tests/cover/test_suspects.py
@@ -7,8 +7,8 @@
 import pytest
 
 from coriandershelf_core import Done, NotRun, RefusalReason, Unknown
-from coriandershelf_core.internal.events import VmState
-from coriandershelf_core.internal.suspects import Suspects
+from coriandershelf_core.internal.routing.suspects import Suspects
+from coriandershelf_core.internal.vocabulary.events import VmState
 from coriandershelf_rig.internal.bench import Bench, Call, Shape, is_whole
 from coriandershelf_rig.internal.deployments import consorcio, kingston
 
--- a/tests/cover/test_tickets.py
+++ b/tests/cover/test_tickets.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 
 from coriandershelf_core import Done, NotRun, RefusalReason, Unknown
-from coriandershelf_core.internal.events import PeerMessageArrived
-from coriandershelf_core.internal.messages import TicketCall
-from coriandershelf_core.internal.records import TicketsGranted
-from coriandershelf_core.internal.ticket_table import TicketTable, parse_ticket, ticket_key
+from coriandershelf_core.internal.claims.ticket_table import TicketTable, parse_ticket, ticket_key
+from coriandershelf_core.internal.vocabulary.events import PeerMessageArrived
+from coriandershelf_core.internal.vocabulary.messages import TicketCall
+from coriandershelf_core.internal.vocabulary.records import TicketsGranted
 from coriandershelf_rig.internal.bench import Call
 from coriandershelf_rig.internal.soak_bench import SOAK_SETTINGS, SoakBench
 from coriandershelf_rig.internal.soak_plan import (
--- a/tests/cover/test_whole_answer.py
+++ b/tests/cover/test_whole_answer.py
@@ -5,8 +5,8 @@
 import pytest
 
 from coriandershelf_core import Done
-from coriandershelf_core.internal.ending import is_whole
-from coriandershelf_core.internal.events import (
+from coriandershelf_core.internal.routing.ending import is_whole
+from coriandershelf_core.internal.vocabulary.events import (
     AttemptFailed,
     AttemptOpened,
     FailureCause,
--- a/tests/support/configuration_log_machine.py
+++ b/tests/support/configuration_log_machine.py
@@ -5,8 +5,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, initialize, invariant, rule
 
-from coriandershelf_core.internal.configuration_log import AcceptedTexts, ConfigurationLog
-from coriandershelf_core.internal.records import (
+from coriandershelf_core.internal.configuration.configuration_log import (
+    AcceptedTexts,
+    ConfigurationLog,
+)
+from coriandershelf_core.internal.vocabulary.records import (
     ConfigurationProposed,
     ConfigurationSnapshot,
     FormatAllowed,
--- a/tests/support/membership_machine.py
+++ b/tests/support/membership_machine.py
@@ -8,9 +8,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from coriandershelf_core import CoreSettings
-from coriandershelf_core.internal.context import Context, VmIdentity
-from coriandershelf_core.internal.events import VmRole, VmState, VmStatus
-from coriandershelf_core.internal.membership import Membership, member_key
+from coriandershelf_core.internal.membership.membership import Membership, member_key
+from coriandershelf_core.internal.vocabulary.context import Context, VmIdentity
+from coriandershelf_core.internal.vocabulary.events import VmRole, VmState, VmStatus
 
 VM_IDS = ("entry-1", "entry-2", "replica-1", "replica-2")
 VMS = st.sampled_from(VM_IDS)
