Give lasting replicas back before the first traffic

Cause: the replicas of the start are billed from the first second, and they were given back only 8 s after the first look, 4.5 s after the reclaimable ones were ordered; a zone's limit holds for both kinds together, so where lasting ones filled it fewer reclaimable ones came than were ordered. Change: on the first start of the whole system and before any load, lasting ones make room, reclaimable ones are ordered, the rest goes at once. The order's log line carries load, slowness and the counts it was decided from.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -41,16 +41,6 @@
 DROUGHT_S = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
-    """The number of replicas of one kind that a zone is to have."""
-
-    service: str
-    zone: str
-    count: int
-    reclaimable: bool
-
-
 @dataclass(frozen=True, slots=True)
 class Load:
     """What all entry VMs are asked for, of one service.
@@ -64,6 +54,34 @@
     slowness: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Basis:
+    """What orders are decided from.
+
+    :param load: the highest of the last seconds.
+    :param needed_count: replicas that the load needs, were all of them reclaimable.
+    :param tight_count: replicas that it needs where lasting ones make up.
+    """
+
+    load: Load
+    needed_count: int
+    tight_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """The number of replicas of one kind that a zone is to have.
+
+    :param basis: what it was decided from, for the log.
+    """
+
+    service: str
+    zone: str
+    count: int
+    reclaimable: bool
+    basis: Basis = field(compare=False)
+
+
 @dataclass(slots=True)
 class _Kind:
     """One kind of replica in one zone, as the holder of the duties knows it.
@@ -96,14 +114,18 @@
 
     :param rate_per_replica: prompt tokens a second that a replica of usual speed serves in time.
     :param tight_rate_per_replica: the same for lasting ones, which cost several times as much.
+    :param first_start: whether the whole system starts for the first time, so that no traffic can
+        be under way before this VM has seen some.
     """
 
     rate_per_replica: float
     tight_rate_per_replica: float
+    first_start: bool = False
     _kinds: dict[tuple[str, str, bool], _Kind] = field(default_factory=dict)
     _loads: dict[str, deque[tuple[float, Load]]] = field(default_factory=dict)
     _first_counts: dict[str, int] = field(default_factory=dict)
     _began_at_s: dict[str, float] = field(default_factory=dict)
+    _had_load: bool = False
 
     def on_taken(self, order: Order, now_s: float) -> None:
         """Note an order that was taken."""
@@ -138,14 +160,35 @@
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
         spots = self._wanted_spots(service.name, scale, zones, needed)
         lasting = self._wanted_lasting(service.name, scale, zones, spots, tight, now_s)
+        for zone in zones:
+            least = self._keep_least(service.name, scale, zone, spots[zone], now_s)
+            lasting[zone] = max(lasting[zone], least)
+        basis = Basis(highest, needed, tight)
         orders = []
         for zone in zones:
             for reclaimable, count in ((True, spots[zone]), (False, lasting[zone])):
-                order = Order(service.name, zone, count, reclaimable)
+                order = Order(service.name, zone, count, reclaimable, basis)
                 if self._is_due(order, scale, now_s):
                     orders.append(order)
+        if self._is_before_traffic:
+            # A zone's limit is on both kinds: lasting ones make room first.
+            orders.sort(key=lambda order: order.reclaimable)
         return orders
 
+    def _keep_least(
+        self, service: str, scale: ScaleLimits, zone: str, spots_count: int, now_s: float
+    ) -> int:
+        """Return the lasting replicas that stay in a zone until its reclaimable ones are ordered.
+
+        An order below a zone's least number, both kinds together, is not carried out later either.
+        """
+        expected = self._kind(service, zone, True).expected_count(scale.boot_s, now_s)
+        return scale.min_count if expected < min(spots_count, scale.min_count) else 0
+
+    @property
+    def _is_before_traffic(self) -> bool:
+        return self.first_start and not self._had_load
+
     def _needed_count(
         self,
         service: Service,
@@ -168,6 +211,7 @@
     def _highest_load(self, service: str, load: Load, now_s: float) -> Load:
         loads = self._loads.setdefault(service, deque())
         loads.append((now_s, load))
+        self._had_load = self._had_load or load.tokens_per_s > 0.0 or load.running_count > 0
         while loads[0][0] < now_s - LOAD_MEMORY_S:
             loads.popleft()
         return Load(
@@ -195,10 +239,7 @@
     ) -> dict[str, int]:
         """Make up for reclaimable ones that are not there, over the zones in turn."""
         there = {
-            zone: min(
-                spots[zone],
-                self._kind(service, zone, True).expected_count(scale.boot_s, now_s),
-            )
+            zone: min(spots[zone], self._expected_spots(service, zone, spots[zone], scale, now_s))
             for zone in zones
         }
         total, largest = sum(there.values()), max(there.values())
@@ -217,6 +258,14 @@
             missing -= 1
         return lasting
 
+    def _expected_spots(
+        self, service: str, zone: str, wanted: int, scale: ScaleLimits, now_s: float
+    ) -> int:
+        kind = self._kind(service, zone, True)
+        if self._is_before_traffic and now_s >= kind.refused_until_s:
+            return wanted
+        return kind.expected_count(scale.boot_s, now_s)
+
     def _is_due(self, order: Order, scale: ScaleLimits, now_s: float) -> bool:
         kind = self._kind(order.service, order.zone, order.reclaimable)
         expected = kind.expected_count(scale.boot_s, now_s)
@@ -231,6 +280,9 @@
             return False
         if kind.surplus_since_s is None:
             kind.surplus_since_s = now_s
+        if self._is_before_traffic:
+            # Nobody uses them yet; a load that is under way elsewhere is excluded.
+            return now_s >= kind.refused_until_s
         held = now_s - self._began_at_s[order.service] < HOLD_S
         lasted = now_s - kind.surplus_since_s >= SURPLUS_S
         return lasted and not held and now_s >= kind.refused_until_s
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -20,8 +20,8 @@
 class Market:
     """Gives replicas after their boot time; may have no reclaimable ones."""
 
-    def __init__(self) -> None:
-        self.scaling = Scaling(RATE, RATE)
+    def __init__(self, first_start: bool = False) -> None:
+        self.scaling = Scaling(RATE, RATE, first_start)
         self.counts = {(zone, kind): 0 for zone in "abc" for kind in (True, False)}
         self.booting: list[tuple[float, tuple[str, bool], int]] = []
         self.dry = False
@@ -55,7 +55,11 @@
             return
         self.scaling.on_taken(order, self.now_s)
         if order.count < self.counts[key]:
-            self.counts[key] = order.count
+            # A zone keeps its least number, both kinds together; what boots counts.
+            other = self.counts[(order.zone, not order.reclaimable)]
+            booting = sum(1 for item in self.booting if item[1][0] == order.zone)
+            least = max(0, SCALE.min_count - other - booting)
+            self.counts[key] = max(order.count, least)
         else:
             self.booting.append((self.now_s + SCALE.boot_s, key, order.count))
 
@@ -98,6 +102,29 @@
     assert market.lasting() == 0
 
 
+def test_before_any_traffic_lasting_replicas_go_as_soon_as_reclaimable_ones_are_ordered():
+    market = Market(first_start=True)
+    for zone in "abc":
+        market.counts[(zone, False)] = 6
+    market.run(SETTLE_S + 0.5, 0.0)
+    # A zone's limits are on both kinds together, so room is made first, down to the least number.
+    first = [(order.reclaimable, order.count) for _, order in market.orders]
+    assert first == [(False, SCALE.min_count)] * 3 + [(True, 6)] * 3
+    market.run(1.0, 0.0)
+    assert market.lasting() == 0
+    market.run(SCALE.boot_s, 0.0)
+    assert market.left_after_a_loss() >= 11
+
+
+def test_before_any_traffic_lasting_replicas_stay_where_no_reclaimable_ones_are_to_be_had():
+    market = Market(first_start=True)
+    market.dry = True
+    for zone in "abc":
+        market.counts[(zone, False)] = 6
+    market.run(SETTLE_S + SCALE.boot_s + 2.0, 0.0)
+    assert market.lasting() >= 11
+
+
 def test_in_a_drought_what_is_there_is_kept_and_lasting_ones_make_up_for_the_rest():
     market = Market()
     market.run(20.0, 4.0 * RATE)
