Order replicas by the mean slowness of ten seconds

Ruled out: a lower bound on slowness (1.6): a test shows that replicas of half the speed would then not get twice the number. Change: the mean of the readings of the load's memory, each bounded.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from statistics import fmean
 
 from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
 
@@ -58,7 +59,7 @@
 class Basis:
     """What orders are decided from.
 
-    :param load: the highest of the last seconds.
+    :param load: the highest of the last seconds, with the mean slowness, which is the noisier one.
     :param needed_count: replicas that the load needs, were all of them reclaimable.
     :param tight_count: replicas that it needs where lasting ones make up.
     """
@@ -204,8 +205,7 @@
             self._first_counts[service.name] = known
             return max(FIRST_COUNT, math.ceil(FIRST_SHARE * known))
         by_slots = load.running_count / (slots_share * max(1, service.engine_slots_count))
-        slowness = min(SLOWNESS_MAX, load.slowness)
-        by_tokens = load.tokens_per_s * slowness / rate
+        by_tokens = load.tokens_per_s * load.slowness / rate
         return max(1, math.ceil(by_tokens), math.ceil(by_slots))
 
     def _highest_load(self, service: str, load: Load, now_s: float) -> Load:
@@ -217,7 +217,7 @@
         return Load(
             max(item.tokens_per_s for _, item in loads),
             max(item.running_count for _, item in loads),
-            load.slowness,
+            fmean(min(SLOWNESS_MAX, item.slowness) for _, item in loads),
         )
 
     def _wanted_spots(
