One VM a replica keeps its exact account of room on large sites

Cause: with 77 to 86 senders digests are up to 0.85 s old, longer than most requests run. Ruled out: more frequent digests (13,000 datagrams a second already); slots (running counts were far below them). Without an answer a VM goes by its own counts, as before.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -7,6 +7,7 @@
 
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.events import Headers
+from coriandershelf_core.internal.gateway.room import RoomMessage
 
 
 class Refusal(Enum):
@@ -141,6 +142,21 @@
     digest: Digest
 
 
+@dataclass(frozen=True, slots=True)
+class SendRoomMessage:
+    """Send another entry VM a message on room at replicas; loss is harmless."""
+
+    address: str
+    message: RoomMessage
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Post a tick after this time, sooner than the next regular one."""
+
+    after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class CloseIdle:
     """Forget idle connections to a replica that has ended or is leaving."""
@@ -188,6 +204,8 @@
     | BreakStream
     | Refuse
     | SendDigest
+    | SendRoomMessage
+    | Wake
     | CloseIdle
     | Count
     | Observe
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -3,23 +3,21 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
 from coriandershelf_core.internal.gateway.deployment import Service
+from coriandershelf_core.internal.gateway.part_memory import PartMemory
 from coriandershelf_core.internal.gateway.pool import ReplicaState
 from coriandershelf_core.internal.gateway.request import Passage, PromptPart
+from coriandershelf_core.internal.gateway.room import Room
 
 # Time that an engine takes for a prompt token, before its slowness is learnt.
 PROMPT_TOKEN_S = 1.0e-5
 FIRST_EVENT_S = 0.065
 PLAIN_ANSWER_S = 0.03
-# A part is taken to be cached at a replica for this long after its last use there.
-PART_KEEP_S = 30.0
-PARTS_MAX_COUNT = 4096
 # Part of a route's requests whose last part was seen before, from which on it counts as shared.
 SEEN_SHARE_MIN = 0.2
 SEEN_WEIGHT = 0.05
@@ -48,6 +46,9 @@
 # Requests beyond the slots that may wait in a replica's own queue, as a share of its slots.
 QUEUE_SHARE = 0.25
 EJECTED_MAX_SHARE = 0.5
+# Replicas beside a session's homes whose accounts are asked for; the best of a few chosen by chance
+# is nearly the best of all (Mitzenmacher 2001).
+OTHERS_ASKED_COUNT = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,8 +58,10 @@
     :param uncached_tokens: prompt tokens that it has to read.
     :param expected_s: expected time to the whole answer, or to a stream's first event.
     :param usual_s: the same at a replica of usual speed.
-    :param home_rank: its place among the homes of the request's session, if it is one.
     :param cost_s: what the choice weighs: the expected time and what others are held up.
+    :param running_count: requests there, as far as known; ``waiting_tokens``: their prompts.
+    :param home_rank: its place among the homes of the request's session, if it is one.
+    :param asked: whether the figures are those of the replica's account.
     """
 
     state: ReplicaState
@@ -66,36 +69,28 @@
     expected_s: float
     usual_s: float
     cost_s: float
+    running_count: int
+    waiting_tokens: int
     home_rank: int | None = None
+    asked: bool = False
+
 
+@dataclass(frozen=True, slots=True)
+class Prospect:
+    """Where a request may go.
 
-class PartMemory:
-    """Which replicas have read which parts of prompts lately, by this VM's own requests."""
+    :param homes: the replicas where its session belongs, the first one first.
+    :param shared_tokens: tokens of its prompt that other requests have, too.
+    :param group: the replicas that routes like its own prefer.
+    :param shortlist: those whose accounts are worth asking for.
+    """
 
-    def __init__(self) -> None:
-        self._parts: OrderedDict[str, dict[str, float]] = OrderedDict()
-
-    def note(self, parts: Sequence[PromptPart], replica_id: str, now_s: float) -> None:
-        """Remember that a replica reads these parts."""
-        for part in parts:
-            self._parts.setdefault(part.part_id, {})[replica_id] = now_s
-            self._parts.move_to_end(part.part_id)
-        while len(self._parts) > PARTS_MAX_COUNT:
-            self._parts.popitem(last=False)
-
-    def knows(self, part_id: str) -> bool:
-        """Return whether any replica was seen to read a part."""
-        return part_id in self._parts
-
-    def cached_tokens(self, parts: Sequence[PromptPart], replica_id: str, now_s: float) -> int:
-        """Return the tokens of the leading parts that a replica still keeps."""
-        tokens_count = 0
-        for part in parts:
-            read_at_s = self._parts.get(part.part_id, {}).get(replica_id)
-            if read_at_s is None or now_s - read_at_s > PART_KEEP_S:
-                break
-            tokens_count += part.tokens_count
-        return tokens_count
+    service: Service
+    candidates: Sequence[ReplicaState]
+    homes: Sequence[str] = ()
+    shared_tokens: int = 0
+    group: frozenset[str] = frozenset()
+    shortlist: Sequence[ReplicaState] = ()
 
 
 class SharedParts:
@@ -183,33 +178,67 @@
         self.shares = SharedParts()
         self.lengths = RouteLengths()
 
-    def choose(
+    def prospect(
         self, passage: Passage, service: Service, states: Sequence[ReplicaState], now_s: float
-    ) -> Chosen | None:
-        """Return the best replica with room, or ``None``."""
+    ) -> Prospect | None:
+        """Return where a request may go; ``None`` if nowhere."""
         candidates = [
             state
             for state in _in_order(states, now_s)
-            if state.replica.replica_id not in passage.tried and _has_room(state, now_s)
+            if state.replica.replica_id not in passage.tried and now_s >= state.full_until_s
         ]
         if not candidates:
             return None
         if not service.is_engine:
-            return min(
-                (self._plain(state, now_s) for state in candidates),
-                key=lambda chosen: chosen.cost_s,
-            )
+            return Prospect(service, candidates)
         shared = self.shares.shared_parts(passage, self.parts)
-        long_route = self.lengths.is_long(passage)
-        group = _group(states, long_route)
+        group = _group(states, self.lengths.is_long(passage))
         homes = homes_of(shared[-1].part_id, group) if shared else []
         shared_tokens = sum(part.tokens_count for part in shared)
+        others = [state for state in candidates if state.replica.replica_id not in homes]
+        chance = self._rng.sample(others, min(OTHERS_ASKED_COUNT, len(others)))
+        at_home = [state for state in candidates if state.replica.replica_id in homes]
+        group_ids = frozenset(state.replica.replica_id for state in group)
+        shortlist = (*at_home, *chance)
+        return Prospect(service, candidates, homes, shared_tokens, group_ids, shortlist)
+
+    def choose(
+        self,
+        passage: Passage,
+        prospect: Prospect,
+        now_s: float,
+        rooms: Mapping[str, Room] | None = None,
+    ) -> Chosen | None:
+        """Return the best replica with room, or ``None``.
+
+        :param rooms: accounts of replicas; where some have room, only they are weighed.
+        """
+        candidates = [state for state in prospect.candidates if not state.leaving]
+        if not prospect.service.is_engine:
+            chosen = (
+                self._plain(item, now_s) for item in candidates if _has_room(item.count, item)
+            )
+            return min(chosen, key=lambda item: item.cost_s, default=None)
+        known = rooms or {}
+        told = [
+            state
+            for state in candidates
+            if (room := known.get(state.replica.replica_id)) is not None
+            and not room.shut_out
+            and _has_room(room.running_count, state)
+        ]
+        unasked = [
+            state
+            for state in candidates
+            if state.replica.replica_id not in known and _has_room(state.count, state)
+        ]
         return min(
             (
-                self._engine(passage, state, homes, shared_tokens, state not in group, now_s)
-                for state in candidates
+                self._engine(passage, state, prospect, known.get(state.replica.replica_id), now_s)
+                for state in told or unasked
             ),
             key=lambda chosen: chosen.cost_s,
+            default=None,
         )
 
     def _plain(self, state: ReplicaState, now_s: float) -> Chosen:
@@ -219,32 +248,37 @@
         if load >= 1.0:
             expected_s += work_s * load
         cost_s = expected_s * (1.0 + TIE_SHARE * self._rng.random())
-        return Chosen(state, 0, expected_s, PLAIN_ANSWER_S * (1.0 + load), cost_s)
+        usual_s = PLAIN_ANSWER_S * (1.0 + load)
+        return Chosen(state, 0, expected_s, usual_s, cost_s, state.count, 0)
 
     def _engine(
         self,
         passage: Passage,
         state: ReplicaState,
-        homes: list[str],
-        shared_tokens: int,
-        other_group: bool,
+        prospect: Prospect,
+        room: Room | None,
         now_s: float,
     ) -> Chosen:
         parts = passage.arrival.parts
         name = state.replica.replica_id
+        homes = prospect.homes
+        running_count = state.count if room is None else room.running_count
+        waiting_tokens = state.waiting_tokens if room is None else room.waiting_tokens
         cached = float(self.parts.cached_tokens(parts, name, now_s))
-        if name in homes:
+        if room is not None:
+            cached = max(cached, float(room.cached_tokens))
+        elif name in homes:
             trust = HOME_TRUSTS[homes.index(name)]
-            cached = max(cached, trust * shared_tokens)
-        elif parts:
+            cached = max(cached, trust * prospect.shared_tokens)
+        if parts:
             # The first part is the system prompt, which every replica has read.
             cached = max(cached, float(parts[0].tokens_count))
         uncached = max(0, passage.arrival.prompt_tokens - int(cached))
-        read_s = (uncached + state.waiting_tokens) * PROMPT_TOKEN_S
-        usual_s = FIRST_EVENT_S + read_s + STREAM_WEIGHT_S * state.count
+        read_s = (uncached + waiting_tokens) * PROMPT_TOKEN_S
+        usual_s = FIRST_EVENT_S + read_s + STREAM_WEIGHT_S * running_count
         pace = state.current_pace(now_s)
         expected_s = usual_s * state.slowness * pace
-        load = state.count / max(1, state.replica.slots_count)
+        load = running_count / max(1, state.replica.slots_count)
         # Within an easy part of the objective the work that is saved counts, beyond it the delay.
         work_s = uncached * PROMPT_TOKEN_S * state.slowness
         easy_s = EASY_SHARE * passage.route.objective_s
@@ -252,20 +286,23 @@
         cost_s += LATE_WEIGHT * max(0.0, expected_s - easy_s)
         if load >= 1.0:
             cost_s += FULL_S * load
-        if other_group:
+        if name not in prospect.group:
             cost_s += OTHER_GROUP_S * state.slowness
         cost_s += TIE_S * self._rng.random()
         home_rank = homes.index(name) if name in homes else None
-        return Chosen(state, uncached, expected_s, usual_s, cost_s, home_rank)
+        asked = room is not None
+        return Chosen(
+            state, uncached, expected_s, usual_s, cost_s, running_count, waiting_tokens,
+            home_rank, asked,
+        )  # fmt: skip
 
     def _hop_s(self, state: ReplicaState) -> float:
         return 0.0 if state.replica.zone == self._zone else ZONE_HOP_S
 
 
-def _has_room(state: ReplicaState, now_s: float) -> bool:
+def _has_room(running_count: int, state: ReplicaState) -> bool:
     slots_count = max(1, state.replica.slots_count)
-    limit = slots_count + max(2, int(QUEUE_SHARE * slots_count))
-    return state.count < limit and now_s >= state.full_until_s
+    return running_count < slots_count + max(2, int(QUEUE_SHARE * slots_count))
 
 
 def _in_order(states: Sequence[ReplicaState], now_s: float) -> Sequence[ReplicaState]:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -8,6 +8,7 @@
 from coriandershelf_core.internal.gateway.deployment import Deployment, Replica
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.request import Arrival
+from coriandershelf_core.internal.gateway.room import RoomMessage
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -140,6 +141,13 @@
     digest: Digest
 
 
+@dataclass(frozen=True, slots=True)
+class RoomMessageArrived:
+    """Another entry VM's message on room at replicas."""
+
+    message: RoomMessage
+
+
 @dataclass(frozen=True, slots=True)
 class EntryVmsRead:
     """Entry VMs as they registered themselves: address by id."""
@@ -169,6 +177,7 @@
     | ConfigurationProved
     | ReplicasRead
     | DigestArrived
+    | RoomMessageArrived
     | EntryVmsRead
     | StopAsked
     | Tick
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -31,17 +31,20 @@
     Event,
     ReplicasRead,
     RequestArrived,
+    RoomMessageArrived,
     StopAsked,
     StreamEnded,
     StreamOpened,
     StreamRead,
     Tick,
 )
-from coriandershelf_core.internal.gateway.peers import Peers
+from coriandershelf_core.internal.gateway.peers import SMALL_SITE_COUNT, Peers
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.relay import RETRY_AFTER_SHARE, Relay
 from coriandershelf_core.internal.gateway.request import Arrival, Passage
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.room import RoomAsk, RoomMessage, RoomTold, WorkNote
+from coriandershelf_core.internal.gateway.room_asks import RoomAsks
 from coriandershelf_core.internal.gateway.route_table import RouteTable, pick_service
 from coriandershelf_core.internal.gateway.scaling import Load
 from coriandershelf_core.internal.gateway.settings import RETRY_USE, GatewaySettings
@@ -115,9 +118,11 @@
         self._stop_at_s = 0.0
         self._stopped = False
         self._work: dict[str, deque[tuple[float, int]]] = {}
+        self.asks = RoomAsks(vm_id, address, incarnation, self.pool, self._outbox.append)
         self.relay = Relay(
             self.pool,
             Chooser(zone, rng),
+            self.asks,
             RetryAllowance(
                 settings.retry_ratio * RETRY_USE,
                 settings.retry_slack_count * RETRY_USE,
@@ -180,6 +185,8 @@
                 self.relay.on_caller_left(handle, now_s)
             case DigestArrived(digest):
                 self._on_digest(digest, now_s)
+            case RoomMessageArrived(message):
+                self._on_room_message(message, now_s)
             case Tick():
                 self._on_tick(now_s, clock_s)
             case DeploymentRead(deployment):
@@ -305,6 +312,15 @@
         self.true_time.on_clock(digest.vm_id, digest.clock_s, now_s)
         self._count_entry_vms()
 
+    def _on_room_message(self, message: RoomMessage, now_s: float) -> None:
+        match message:
+            case RoomAsk():
+                self.asks.on_ask(message, now_s)
+            case RoomTold():
+                self.relay.on_room_told(message, now_s)
+            case WorkNote():
+                self.asks.ledger.on_note(message, now_s)
+
     def _on_tick(self, now_s: float, clock_s: float) -> None:
         self._count_others(now_s)
         self.relay.on_tick(now_s)
@@ -321,6 +337,7 @@
         if now_s - self._counted_at_s < COUNT_PERIOD_S * self.peers.count / COUNT_PERIOD_PEERS:
             return
         self._counted_at_s = now_s
+        self._update_accounts(now_s)
         told: dict[str, list[ReplicaDigest]] = {}
         for digest in self.peers.live(now_s):
             for name, item in digest.replicas.items():
@@ -328,6 +345,18 @@
         for state in self.pool:
             state.on_others(told.get(state.replica.replica_id, ()), now_s)
 
+    def _update_accounts(self, now_s: float) -> None:
+        live = [digest for digest in self.peers.live(now_s) if not digest.stopping]
+        self.asks.enabled = self.peers.count > SMALL_SITE_COUNT
+        zones: dict[str, list[str]] = {self._zone: [] if self.stopping else [self.vm_id]}
+        for digest in live:
+            zones.setdefault(digest.zone, []).append(digest.vm_id)
+        self.asks.accountants.update({zone: tuple(sorted(vms)) for zone, vms in zones.items()})
+        self.asks.addresses = {digest.vm_id: digest.address for digest in live}
+        processes = {(digest.vm_id, digest.incarnation) for digest in self.peers.live(now_s)}
+        processes.add((self.vm_id, self._incarnation))
+        self.asks.ledger.on_tick(self.pool.ids(), processes, now_s)
+
     def _send_digests(self, now_s: float, clock_s: float) -> None:
         due = self.peers.due(self._zone, now_s)
         self._count_entry_vms()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -221,6 +221,10 @@
         """Return a replica's state, also while its last requests end; ``None`` if not known."""
         return self._states.get(replica_id) or self._departed.get(replica_id)
 
+    def ids(self) -> set[str]:
+        """Return the ids of the replicas that are registered."""
+        return set(self._states)
+
     def usable(self, service: str) -> list[ReplicaState]:
         """Return the service's replicas that may take new work."""
         return [
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from coriandershelf_core.internal.gateway.actions import (
@@ -22,7 +22,7 @@
     RetryReason,
     StartAttempt,
 )
-from coriandershelf_core.internal.gateway.choice import Chooser, Chosen
+from coriandershelf_core.internal.gateway.choice import Chooser, Chosen, Prospect
 from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
 from coriandershelf_core.internal.gateway.events import (
     AnswerRead,
@@ -35,6 +35,8 @@
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.request import Passage
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.room import Room, RoomTold, WorkStep
+from coriandershelf_core.internal.gateway.room_asks import PendingAsk, RoomAsks
 from coriandershelf_core.internal.gateway.suspects import Suspects
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 
@@ -77,6 +79,7 @@
     usual_s: float
     silent_at_s: float | None
     quiet: bool
+    is_engine: bool
     inputs: tuple[tuple[str, str | int | float | None], ...] = ()
     opened: bool = False
     first_event_at_s: float | None = None
@@ -93,6 +96,7 @@
 
     pool: Pool
     chooser: Chooser
+    asks: RoomAsks
     retries: RetryAllowance
     suspects: Suspects
     caps: UsageCaps
@@ -120,7 +124,7 @@
             return
         self.emit(Count("callers_left"))
         self._log("caller left", passage, now_s)
-        self._drop_attempt(passage)
+        self._drop_attempt(passage, now_s)
         self._forget(passage)
 
     def on_answer(self, event: AnswerRead, now_s: float) -> None:
@@ -130,7 +134,7 @@
             return
         passage, state = attempt.passage, attempt.state
         state.on_load(event.load, now_s)
-        self._end_attempt(attempt)
+        self._end_attempt(attempt, now_s)
         if event.misdirected:
             self.pool.forget(state.replica.replica_id)
             self.emit(CloseIdle(state.replica.address))
@@ -187,6 +191,7 @@
             attempt.first_event_at_s = now_s
             self._begun(passage, now_s)
             state.on_first_event(attempt.attempt_id)
+            self.asks.note(state, attempt.attempt_id, WorkStep.BEGUN, now_s)
             taken_s = now_s - attempt.started_at_s
             usual_s = attempt.usual_s * state.current_pace(now_s)
             state.on_time(taken_s, usual_s, now_s, attempt.quiet)
@@ -203,7 +208,7 @@
         if attempt is None:
             return
         attempt.state.on_success(now_s)
-        self._end_attempt(attempt)
+        self._end_attempt(attempt, now_s)
         passage = attempt.passage
         self.emit(EndStream(passage.arrival.handle))
         self.emit(Count("answers", "stream"))
@@ -219,11 +224,13 @@
         if attempt is None:
             return
         passage, state = attempt.passage, attempt.state
-        self._end_attempt(attempt)
+        self._end_attempt(attempt, now_s)
         if not event.sent:
             passage.sent_count -= 1
-            if event.cause is FailureCause.CONNECT and state.eject(now_s):
-                self._log_replica("replica unreachable", state)
+            if event.cause is FailureCause.CONNECT:
+                self.asks.note(state, event.attempt_id, WorkStep.UNREACHABLE, now_s)
+                if state.eject(now_s):
+                    self._log_replica("replica unreachable", state)
             self._again(passage, RetryReason.CONNECT, now_s)
             return
         passage.may_have_run = True
@@ -238,6 +245,8 @@
 
     def on_tick(self, now_s: float) -> None:
         """Move what is silent, and answer what has reached its time limit."""
+        for pending in self.asks.overdue(now_s):
+            self._resume_asked(pending, now_s)
         for attempt in list(self.attempts.values()):
             passage = attempt.passage
             if now_s >= passage.deadline_s + TIMEOUT_SLACK_S:
@@ -248,7 +257,7 @@
     def cut_all(self, now_s: float) -> None:
         """Answer everything in flight because the process must end now."""
         for passage in list(self.passages.values()):
-            self._drop_attempt(passage)
+            self._drop_attempt(passage, now_s)
             self._conclude(passage, Refusal.UNKNOWN_OUTCOME, now_s)
 
     def _send(self, passage: Passage, now_s: float) -> None:
@@ -256,12 +265,38 @@
         assert deployment is not None, "a request was let in without a configuration"
         service = deployment.services.get(passage.service, Service(passage.service, 0))
         states = self.pool.usable(passage.service)
-        chosen = self.chooser.choose(passage, service, states, now_s)
-        if chosen is None:
+        prospect = self.chooser.prospect(passage, service, states, now_s)
+        if prospect is None:
             refusal = Refusal.NO_ROOM if states else Refusal.NO_REPLICA
             self._conclude(passage, refusal, now_s)
             return
-        self._start(passage, service, chosen, now_s)
+        pending = self.asks.ask(passage, prospect, now_s)
+        if pending is None or not pending.silent:
+            self._send_to_best(passage, prospect, pending.rooms if pending else None, now_s)
+
+    def on_room_told(self, told: RoomTold, now_s: float) -> None:
+        """Go on with a request whose question for room is answered."""
+        pending = self.asks.on_told(told)
+        if pending is not None:
+            self._resume_asked(pending, now_s)
+
+    def _resume_asked(self, pending: PendingAsk, now_s: float) -> None:
+        passage = pending.passage
+        if self.passages.get(passage.arrival.handle) is passage:
+            self._send_to_best(passage, pending.prospect, pending.rooms, now_s)
+
+    def _send_to_best(
+        self,
+        passage: Passage,
+        prospect: Prospect,
+        rooms: Mapping[str, Room] | None,
+        now_s: float,
+    ) -> None:
+        chosen = self.chooser.choose(passage, prospect, now_s, rooms)
+        if chosen is None:
+            self._conclude(passage, Refusal.NO_ROOM, now_s)
+            return
+        self._start(passage, prospect.service, chosen, now_s)
 
     def _start(self, passage: Passage, service: Service, chosen: Chosen, now_s: float) -> None:
         attempt_id = self._next_attempt_id
@@ -272,29 +307,34 @@
         silent_at_s = None
         if passage.route.repeatable and passage.sent_count + 1 < passage.route.attempts_max_count:
             silent_at_s = now_s + self._silence_s(passage, chosen.expected_s)
-        quiet = state.count <= QUIET_SHARE * state.replica.slots_count
+        quiet = chosen.running_count <= QUIET_SHARE * state.replica.slots_count
         parts = passage.arrival.parts
         inputs = (
             ("replica", name),
             ("expected_ms", round(chosen.expected_s * 1e3)),
             ("uncached", chosen.uncached_tokens),
-            ("waiting", state.waiting_tokens),
-            ("running", state.count),
+            ("waiting", chosen.waiting_tokens),
+            ("running", chosen.running_count),
+            ("asked", int(chosen.asked)),
             ("slowness", round(state.slowness, 2)),
             ("pace", round(state.current_pace(now_s), 2)),
             ("home_rank", chosen.home_rank),
             ("session", parts[-2].part_id if len(parts) > 1 else None),
         )
         attempt = AttemptState(
-            attempt_id, passage, state, now_s, chosen.usual_s, silent_at_s, quiet, inputs
-        )
+            attempt_id, passage, state, now_s, chosen.usual_s, silent_at_s, quiet,
+            service.is_engine, inputs,
+        )  # fmt: skip
         self.attempts[attempt_id] = attempt
         passage.attempt_id = attempt_id
         passage.sent_count += 1
         passage.tried.add(name)
         state.start(attempt_id, chosen.uncached_tokens, now_s)
         if service.is_engine:
-            self.chooser.parts.note(passage.arrival.parts, name, now_s)
+            self.chooser.parts.note(parts, name, now_s)
+            keep_s = passage.deadline_s - now_s + TIMEOUT_SLACK_S
+            tokens = chosen.uncached_tokens
+            self.asks.note(state, attempt_id, WorkStep.STARTED, now_s, tokens, keep_s, parts)
         left_s = max(0.001, passage.deadline_s - now_s - DEADLINE_MARGIN_S)
         resume_id = passage.last_event_id
         self.emit(
@@ -324,7 +364,7 @@
         if not self._may_repeat(passage, now_s):
             return
         self.emit(CancelAttempt(attempt.attempt_id))
-        self._end_attempt(attempt)
+        self._end_attempt(attempt, now_s)
         passage.may_have_run = True
         self._note_failure(attempt.state, now_s)
         self._again(passage, RetryReason.SILENT, now_s, budgeted=True)
@@ -369,7 +409,7 @@
 
     def _time_out(self, attempt: AttemptState, now_s: float) -> None:
         self.emit(CancelAttempt(attempt.attempt_id))
-        self._end_attempt(attempt)
+        self._end_attempt(attempt, now_s)
         attempt.passage.may_have_run = True
         if attempt.first_event_at_s is None and not attempt.opened:
             self._note_failure(attempt.state, now_s)
@@ -418,14 +458,16 @@
         if state.on_failure(now_s):
             self._log_replica("replica shut out", state)
 
-    def _drop_attempt(self, passage: Passage) -> None:
+    def _drop_attempt(self, passage: Passage, now_s: float) -> None:
         attempt = self.attempts.get(passage.attempt_id)
         if attempt is not None:
             self.emit(CancelAttempt(attempt.attempt_id))
-            self._end_attempt(attempt)
+            self._end_attempt(attempt, now_s)
 
-    def _end_attempt(self, attempt: AttemptState) -> None:
+    def _end_attempt(self, attempt: AttemptState, now_s: float) -> None:
         attempt.state.end(attempt.attempt_id)
+        if attempt.is_engine:
+            self.asks.note(attempt.state, attempt.attempt_id, WorkStep.ENDED, now_s)
         del self.attempts[attempt.attempt_id]
 
     def _forget(self, passage: Passage) -> None:
--- a/tests/cover/test_gateway_choice.py
+++ b/tests/cover/test_gateway_choice.py
@@ -8,11 +8,12 @@
 
 from gateway_driver import ASK, ENGINE, PLAN, make_replicas
 
-from coriandershelf_core.internal.gateway.choice import Chooser, _group, homes_of
+from coriandershelf_core.internal.gateway.choice import Chooser, Chosen, _group, homes_of
 from coriandershelf_core.internal.gateway.deployment import Service
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.request import Arrival, Passage, PromptPart
+from coriandershelf_core.internal.gateway.room import Room
 
 OWN_PARTS = itertools.count()
 SERVICE = Service(ENGINE, 100, engine_slots_count=8)
@@ -33,8 +34,18 @@
     return Passage(arrival, PLAN, ENGINE, None, 1.0, 0.0, 15.0)
 
 
+def choose_for(
+    chooser: Chooser,
+    passage: Passage,
+    states: list[ReplicaState],
+    rooms: dict[str, Room] | None = None,
+) -> Chosen | None:
+    prospect = chooser.prospect(passage, SERVICE, states, 1.0)
+    return None if prospect is None else chooser.choose(passage, prospect, 1.0, rooms)
+
+
 def choose(chooser: Chooser, states: list[ReplicaState], session: str = "s") -> ReplicaState:
-    chosen = chooser.choose(make_passage(session), SERVICE, states, 1.0)
+    chosen = choose_for(chooser, make_passage(session), states)
     assert chosen is not None
     return chosen.state
 
@@ -83,7 +94,7 @@
     names = {choose(chooser, states, f"s{n}").replica.replica_id for n in range(20)}
     assert names == {states[1].replica.replica_id}
     states[1].on_others([ReplicaDigest(10, 0)], 1.0)
-    assert chooser.choose(make_passage("s"), SERVICE, states, 1.0) is None
+    assert choose_for(chooser, make_passage("s"), states) is None
 
 
 def test_when_most_replicas_are_shut_out_all_are_used():
@@ -135,7 +146,7 @@
     taken: dict[str, set[str]] = {"plan": set(), "ask": set()}
     for number in range(200):
         for passage in (make_question(number), make_passage(f"p{number}", 12_000)):
-            chosen = chooser.choose(passage, SERVICE, states, 1.0)
+            chosen = choose_for(chooser, passage, states)
             assert chosen is not None
             if number > 100:
                 taken[passage.route.name].add(chosen.state.replica.replica_id)
@@ -148,12 +159,36 @@
     chooser = Chooser("zone", random.Random(1))
     for number in range(100):
         for passage in (make_question(number), make_passage(f"p{number}", 12_000)):
-            chosen = chooser.choose(passage, SERVICE, states, 1.0)
-    chosen = chooser.choose(make_question(1), SERVICE, states, 1.0)
+            chosen = choose_for(chooser, passage, states)
+    chosen = choose_for(chooser, make_question(1), states)
     assert chosen is not None
     usual = {chosen.state.replica.replica_id}
     for state in states:
         if _group([*states], False).count(state):
             state.on_others([ReplicaDigest(4, 40_000)], 1.0)
-    chosen = chooser.choose(make_question(1), SERVICE, states, 1.0)
+    chosen = choose_for(chooser, make_question(1), states)
     assert chosen is not None and chosen.state.replica.replica_id not in usual
+
+
+def test_an_account_overrides_what_this_vm_believes_of_a_replica():
+    states = make_states()
+    first, second, _ = homes_of("s", states)
+    rooms = {state.replica.replica_id: Room(state.replica.replica_id, 0, 0, 0) for state in states}
+    rooms[first] = Room(first, 4, 90_000, 4500)
+    rooms[second] = Room(second, 0, 0, 4500)
+    chosen = choose_for(Chooser("zone", random.Random(1)), make_passage("s"), states, rooms)
+    assert chosen is not None
+    assert chosen.state.replica.replica_id == second
+    assert chosen.uncached_tokens == 1500 and chosen.asked
+
+
+def test_a_replica_whose_account_is_full_or_shut_out_gets_nothing_where_another_has_room():
+    states = make_states(3)
+    names = [state.replica.replica_id for state in states]
+    rooms = {
+        names[0]: Room(names[0], 10, 0, 4500),
+        names[1]: Room(names[1], 0, 0, 4500, shut_out=True),
+        names[2]: Room(names[2], 9, 80_000, 0),
+    }
+    chosen = choose_for(Chooser("zone", random.Random(1)), make_passage("s"), states, rooms)
+    assert chosen is not None and chosen.state.replica.replica_id == names[2]
--- /dev/null
+++ b/tests/cover/test_gateway_room.py
@@ -0,0 +1,249 @@
+"""Many entry VMs before few slots: one VM a replica keeps its exact account."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from gateway_driver import ENGINE, GatewayDriver, make_deployment
+
+from coriandershelf_core.internal.gateway.actions import SendDigest, SendRoomMessage, Wake
+from coriandershelf_core.internal.gateway.deployment import Service
+from coriandershelf_core.internal.gateway.events import (
+    CallerLeft,
+    DigestArrived,
+    EntryVmsRead,
+    RoomMessageArrived,
+)
+from coriandershelf_core.internal.gateway.room import (
+    TAKEN_OVER_S,
+    UNREACHABLE_S,
+    Accountants,
+    RoomAsk,
+    RoomLedger,
+    RoomTold,
+    WorkNote,
+    WorkStep,
+)
+from coriandershelf_core.internal.gateway.room_asks import ANSWER_WAIT_S
+
+VMS_COUNT = 16
+ENGINES_COUNT = 6
+# Longer than the wait for an answer, shorter than a regular tick.
+DELIVERY_S = 0.003
+
+
+def make_note(step: WorkStep, attempt: int = 1, vm_id: str = "vm-2") -> WorkNote:
+    return WorkNote(vm_id, 1, "engine-0", attempt, step, 4000, 10.0)
+
+
+class Site:
+    """Several gateways whose datagrams arrive at once, where they are not dropped."""
+
+    def __init__(self) -> None:
+        self.drivers = {
+            f"vm-{number:02}": GatewayDriver(vm_id=f"vm-{number:02}", seed=number)
+            for number in range(VMS_COUNT)
+        }
+        service = Service(ENGINE, 100, engine_slots_count=8)
+        plain = make_deployment().services["plain"]
+        deployment = make_deployment(services={ENGINE: service, "plain": plain})
+        addresses = {name: f"{name}:7500" for name in self.drivers}
+        self.dropped: set[str] = set()
+        for driver in self.drivers.values():
+            driver.begin(deployment, engines=ENGINES_COUNT)
+            driver.post(EntryVmsRead(addresses))
+        self.run(3.0)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.05)):
+            for driver in self.drivers.values():
+                driver.run(0.04)
+            self.deliver()
+
+    def deliver(self) -> None:
+        """Hand on everything sent, also what is sent in answer."""
+        moved = True
+        while moved:
+            moved = False
+            for driver in self.drivers.values():
+                actions, driver.sent = driver.actions[driver.sent :], len(driver.actions)
+                for action in actions:
+                    moved |= self._hand_on(action)
+
+    def _hand_on(self, action: object) -> bool:
+        match action:
+            case SendDigest(addresses, digest):
+                for address in addresses:
+                    self.receiver(address).post(DigestArrived(digest))
+            case SendRoomMessage(address, message):
+                if address.removesuffix(":7500") in self.dropped:
+                    return False
+                self.receiver(address).post(RoomMessageArrived(message))
+            case _:
+                return False
+        return True
+
+    def receiver(self, address: str) -> GatewayDriver:
+        return self.drivers[address.removesuffix(":7500")]
+
+    def load(self) -> dict[str, int]:
+        """Return the attempts in flight by replica."""
+        loads = {f"engine-{number}": 0 for number in range(ENGINES_COUNT)}
+        for driver in self.drivers.values():
+            for attempt in driver.gateway.relay.attempts.values():
+                loads[attempt.state.replica.replica_id] += 1
+        return loads
+
+
+def test_many_vms_that_send_at_one_moment_fill_no_replica_beyond_its_slots():
+    site = Site()
+    for driver in site.drivers.values():
+        for number in range(3):
+            driver.ask(f"/ask/{number}")
+        site.deliver()
+    assert sum(site.load().values()) == 3 * VMS_COUNT
+    assert max(site.load().values()) <= 8 + 2
+
+
+def test_the_load_is_evener_than_by_digests_alone():
+    asked, blind = Site(), Site()
+    for driver in blind.drivers.values():
+        driver.gateway.asks.enabled = False
+    for site in (asked, blind):
+        for driver in site.drivers.values():
+            driver.ask("/ask/1")
+            driver.ask("/ask/2")
+            site.deliver()
+    spread = [max(site.load().values()) - min(site.load().values()) for site in (asked, blind)]
+    assert spread[0] < spread[1]
+
+
+def test_a_session_goes_where_another_vm_sent_it():
+    site = Site()
+    first, second = site.drivers["vm-03"], site.drivers["vm-11"]
+    handle = first.ask("/plan/1")
+    parts = first.gateway.relay.passages[handle].arrival.parts
+    site.deliver()
+    (attempt,) = first.attempts(handle)
+    other = second.ask("/plan/1", parts=parts)
+    site.deliver()
+    assert second.attempts(other)[0].replica_id == attempt.replica_id
+
+
+def test_without_an_answer_a_request_goes_on_after_a_few_milliseconds():
+    site = Site()
+    driver = site.drivers["vm-05"]
+    site.dropped = set(site.drivers) - {"vm-05"}
+    handle = driver.ask("/ask/1")
+    assert any(isinstance(action, Wake) for action in driver.actions)
+    assert not driver.attempts(handle)
+    driver.run(ANSWER_WAIT_S)
+    assert len(driver.attempts(handle)) == 1
+    again = driver.ask("/ask/2")
+    assert len(driver.attempts(again)) == 1, "a silent VM was asked again at once"
+
+
+def test_a_caller_that_left_while_its_vm_asked_is_sent_nowhere():
+    site = Site()
+    driver = site.drivers["vm-05"]
+    handle = driver.ask("/ask/1")
+    driver.post(CallerLeft(handle))
+    site.deliver()
+    driver.run(1.0)
+    assert not driver.attempts(handle)
+
+
+def test_a_replica_that_one_vm_cannot_reach_is_passed_over_by_the_others():
+    site = Site()
+    first = site.drivers["vm-01"]
+    handle = first.ask("/ask/1")
+    site.deliver()
+    (attempt,) = first.attempts(handle)
+    first.fail(attempt.attempt_id, sent=False)
+    site.deliver()
+    for name, driver in site.drivers.items():
+        if name != "vm-01":
+            other = driver.ask("/ask/1")
+            site.deliver()
+            assert driver.attempts(other)[0].replica_id != attempt.replica_id, name
+
+
+def test_every_vm_finds_the_same_accountant_in_the_replicas_own_zone():
+    vms = {zone: tuple(f"{zone}-{number}" for number in range(9)) for zone in "abc"}
+    first, second = Accountants(), Accountants()
+    first.update(vms)
+    second.update({zone: vms[zone] for zone in "cba"})
+    keepers = [first.of(f"r-{number}", "b") for number in range(40)]
+    assert keepers == [second.of(f"r-{number}", "b") for number in range(40)]
+    assert all(keeper is not None and keeper.startswith("b-") for keeper in keepers)
+    assert len(set(keepers)) > 4
+    assert first.of("r-41", "nowhere") == second.of("r-41", "nowhere") is not None
+    assert Accountants().of("r-1", "a") is None
+
+
+def test_an_account_counts_what_runs_and_what_is_still_to_be_read():
+    ledger = RoomLedger()
+    ledger.on_note(make_note(WorkStep.STARTED), 0.0)
+    ledger.on_note(make_note(WorkStep.STARTED, attempt=2), 0.0)
+    ledger.on_note(make_note(WorkStep.BEGUN), 0.1)
+    room = ledger.room("engine-0", (), (0, 0), 0.2)
+    assert (room.running_count, room.waiting_tokens) == (2, 4000)
+    ledger.on_note(make_note(WorkStep.ENDED, attempt=2), 0.3)
+    assert ledger.room("engine-0", (), (0, 0), 0.4).running_count == 1
+
+
+def test_work_of_a_vm_that_died_leaves_the_account():
+    ledger = RoomLedger()
+    ledger.on_note(make_note(WorkStep.STARTED), 0.0)
+    ledger.on_tick({"engine-0"}, {("vm-2", 1)}, 1.0)
+    assert ledger.room("engine-0", (), (0, 0), 1.0).running_count == 1
+    ledger.on_tick({"engine-0"}, {("vm-2", 2)}, 2.0)
+    assert ledger.room("engine-0", (), (0, 0), 2.0).running_count == 0
+
+
+def test_work_whose_end_was_lost_leaves_the_account_after_its_time_limit():
+    ledger = RoomLedger()
+    ledger.on_note(make_note(WorkStep.STARTED), 0.0)
+    ledger.on_tick({"engine-0"}, {("vm-2", 1)}, 10.1)
+    assert ledger.room("engine-0", (), (0, 0), 10.1).running_count == 0
+
+
+def test_a_young_account_is_filled_up_by_what_digests_tell():
+    ledger = RoomLedger()
+    room = ledger.room("engine-0", (), (5, 9000), 0.0)
+    assert (room.running_count, room.waiting_tokens) == (5, 9000)
+    assert ledger.room("engine-0", (), (5, 9000), TAKEN_OVER_S).running_count == 0
+
+
+def test_an_unreachable_replica_is_shown_as_shut_out_for_a_while_or_until_it_answers():
+    ledger = RoomLedger()
+    ledger.on_note(make_note(WorkStep.UNREACHABLE), 0.0)
+    assert ledger.room("engine-0", (), (0, 0), 0.5).shut_out
+    assert not ledger.room("engine-0", (), (0, 0), UNREACHABLE_S).shut_out
+    ledger.on_note(make_note(WorkStep.UNREACHABLE), 5.0)
+    ledger.on_note(make_note(WorkStep.BEGUN, attempt=7), 5.1)
+    assert not ledger.room("engine-0", (), (0, 0), 5.2).shut_out
+
+
+def test_an_account_keeps_nothing_of_replicas_that_left():
+    ledger = RoomLedger()
+    ledger.on_note(make_note(WorkStep.STARTED), 0.0)
+    ledger.on_tick(set(), {("vm-2", 1)}, 1.0)
+    assert not ledger._accounts
+
+
+def test_late_foreign_and_repeated_answers_change_nothing():
+    site = Site()
+    driver = site.drivers["vm-05"]
+    handle = driver.ask("/ask/1")
+    asks = [a.message for a in driver.actions if isinstance(a, SendRoomMessage)]
+    asks = [message for message in asks if isinstance(message, RoomAsk)]
+    site.deliver()
+    before = len(driver.attempts(handle))
+    numbers = random.Random(5)
+    for ask in asks:
+        told = RoomTold("vm-99", ask.ask_id + numbers.randrange(3), ())
+        driver.post(RoomMessageArrived(told))
+        driver.post(RoomMessageArrived(replace(told, vm_id="vm-01")))
+    assert len(driver.attempts(handle)) == before == 1
--- a/tests/support/gateway_driver.py
+++ b/tests/support/gateway_driver.py
@@ -83,6 +83,7 @@
     clock_offset_s: float = 1_700_000_000.0
     actions: list[Action] = field(default_factory=list)
     handles: int = 0
+    sent: int = 0
 
     def __post_init__(self) -> None:
         self.gateway = Gateway(
