Explain a request from the log lines of entry VMs

Cause: on the users' platform only logs and metrics tell of a request, and coriandershelf explain could only ask the product's own border.

--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/commands_entry.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/commands_entry.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import sys
-from typing import Any
+from dataclasses import asdict
+from typing import Any, TextIO
 
 import click
 
@@ -15,8 +16,12 @@
     entry_option,
     json_option,
     key_option,
+    optional_entry_option,
+    optional_key_option,
+    progress,
     show,
 )
+from coriandershelf_operator.internal.request_walk import describe, parse_lines, walks_of
 
 Answers = dict[str, dict[str, Any] | None]
 
@@ -68,11 +73,52 @@
 
 @click.command()
 @click.argument("request")
-@entry_option
-@key_option
+@click.option(
+    "--log-file",
+    "log_files",
+    multiple=True,
+    type=click.File("r", errors="replace"),
+    help="Log lines of entry VMs, - for standard input; in place of asking the VMs.",
+)
+@optional_entry_option
+@optional_key_option
 @json_option
-def explain(request: str, entries: tuple[str, ...], operator_key: str, as_json: bool) -> None:
-    """Show a request's way through the entry VM that served it."""
+def explain(
+    request: str,
+    log_files: tuple[TextIO, ...],
+    entries: tuple[str, ...],
+    operator_key: str | None,
+    as_json: bool,
+) -> None:
+    """Show a request's way through the entry VM that served it, and how it ended.
+
+    The entry VMs are asked, or their log lines are read: on the users' platform they are the only
+    source.
+    """
+    if log_files:
+        _explain_from_logs(request, log_files, as_json)
+    elif entries and operator_key:
+        _explain_from_entries(request, entries, operator_key, as_json)
+    else:
+        raise click.UsageError("give --log-file, or --entry and --operator-key")
+
+
+def _explain_from_logs(request: str, log_files: tuple[TextIO, ...], as_json: bool) -> None:
+    lines, others_count = parse_lines(text for file in log_files for text in file)
+    walks = walks_of(request, lines)
+    if others_count:
+        progress(f"{others_count} lines were passed over: they hold no JSON object with an event")
+    if not walks:
+        text = f"none of {len(lines)} log lines names the request {request}"
+        show({"walks": [], "detail": text}, as_json, text)
+        sys.exit(EXIT_NO)
+    document = {"walks": [asdict(walk) for walk in walks]}
+    show(document, as_json, "\n\n".join(describe(walk) for walk in walks))
+
+
+def _explain_from_entries(
+    request: str, entries: tuple[str, ...], operator_key: str, as_json: bool
+) -> None:
     answers = asyncio.run(_ask_all(entries, f"explain/{request}", operator_key))
     for address, answer in answers.items():
         if answer is not None:
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/output.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/output.py
@@ -4,13 +4,16 @@
 
 import json
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any, NoReturn, TypeVar
 
 import click
 
 from coriandershelf_wire import Invalid, parse_configuration
 
+FC = TypeVar("FC", bound=Callable[..., Any] | click.Command)
+
 EXIT_NO = 1
 EXIT_NOT_KNOWN = 3
 
@@ -22,22 +25,34 @@
     required=True,
     help="Address of the platform's log service, host:port.",
 )
-entry_option = click.option(
-    "--entry",
-    "entries",
-    multiple=True,
-    envvar="CORIANDERSHELF_ENTRIES",
-    show_envvar=True,
-    required=True,
-    help="Address of an entry VM, host:port; give it once for each.",
-)
-key_option = click.option(
-    "--operator-key",
-    envvar="CORIANDERSHELF_OPERATOR_KEY",
-    show_envvar=True,
-    required=True,
-    help="The operator's bearer key.",
-)
+
+
+def _entry_option(required: bool) -> Callable[[FC], FC]:
+    return click.option(
+        "--entry",
+        "entries",
+        multiple=True,
+        envvar="CORIANDERSHELF_ENTRIES",
+        show_envvar=True,
+        required=required,
+        help="Address of an entry VM, host:port; give it once for each.",
+    )
+
+
+def _key_option(required: bool) -> Callable[[FC], FC]:
+    return click.option(
+        "--operator-key",
+        envvar="CORIANDERSHELF_OPERATOR_KEY",
+        show_envvar=True,
+        required=required,
+        help="The operator's bearer key.",
+    )
+
+
+entry_option = _entry_option(required=True)
+optional_entry_option = _entry_option(required=False)
+key_option = _key_option(required=True)
+optional_key_option = _key_option(required=False)
 operator_option = click.option(
     "--operator", default=None, help="Who publishes; default: the login name."
 )
