Late work calls for more reclaimable replicas; a replica's error is kept

Change: VMs tell how much of their work missed its objective (first event or pause); while it is more than a bound, the holder orders more reclaimable replicas, step by step. Sums of work moved out of gateway.py. Lines name replica and trouble of each attempt.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -33,6 +33,19 @@
     pace_age_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What arrives of a service.
+
+    :param tokens_per_s: prompt tokens; ``late_tokens_per_s`` those of requests that missed their
+        objective.
+    """
+
+    requests_per_s: float
+    tokens_per_s: float
+    late_tokens_per_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Digest:
     """One entry VM's state of the moment.
@@ -46,7 +59,7 @@
     :param complete: whether ``spent``, ``demand`` and ``work`` are filled in.
     :param left: replicas that the sender read of as leaving or gone a moment ago, with their start
         in Unix milliseconds.
-    :param work: for each service, requests a second and prompt tokens a second.
+    :param work: by service, what arrives at the sender.
     """
 
     vm_id: str
@@ -62,7 +75,7 @@
     demand: dict[str, float] = field(default_factory=dict)
     begun: dict[int, dict[str, int]] = field(default_factory=dict)
     crashes: dict[int, int] = field(default_factory=dict)
-    work: dict[str, tuple[float, float]] = field(default_factory=dict)
+    work: dict[str, Work] = field(default_factory=dict)
     left: dict[str, int] = field(default_factory=dict)
     holder: HolderSeen | None = None
     complete: bool = False
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from dataclasses import replace
 from statistics import median
 
@@ -52,6 +51,7 @@
 from coriandershelf_core.internal.gateway.true_time import TrueTime
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
+from coriandershelf_core.internal.gateway.work_rates import WorkRates
 
 # Time limit where neither the caller nor the route states one.
 DEADLINE_DEFAULT_S = 60.0
@@ -63,9 +63,6 @@
 STOP_MARGIN_S = 0.5
 # Streams accepted late in a stop would be cut.
 STOP_STREAMS_AFTER_S = 3.0
-LOAD_WINDOW_S = 5.0
-LOAD_STEP_WINDOW_S = 1.5
-LOAD_BEGUN_SHARE = 0.7
 # Other VMs' counts are summed this often where so many are known, more often where fewer are.
 COUNT_PERIOD_S = 0.2
 COUNT_PERIOD_PEERS = 80
@@ -103,7 +100,7 @@
         self.true_time = TrueTime(clock_offset_s)
         self.holder: HolderSeen | None = None
         self.holder_seen: HolderSeen | None = None
-        self.works: dict[str, dict[str, tuple[float, float]]] = {}
+        self.work_rates = WorkRates()
         self.stopping = False
         self._address = address
         self._zone = zone
@@ -117,7 +114,6 @@
         self._counted_at_s = 0.0
         self._stop_at_s = 0.0
         self._stopped = False
-        self._work: dict[str, deque[tuple[float, int]]] = {}
         self.asks = RoomAsks(vm_id, address, incarnation, self.pool, self._outbox.append)
         self.relay = Relay(
             self.pool,
@@ -132,6 +128,7 @@
             self.caps,
             self._outbox.append,
             self._count_begun,
+            self.work_rates.note_late,
             rng.random,
         )
 
@@ -157,15 +154,14 @@
 
     def load_of(self, service: str, now_s: float) -> Load:
         """Return what all entry VMs are asked for of a service, of late."""
-        own = self._own_work(now_s).get(service, (0.0, 0.0))[1]
         live = [digest.vm_id for digest in self.peers.live(now_s)]
-        works = [self.works.get(vm_id, {}) for vm_id in live]
-        others = sum(work.get(service, (0.0, 0.0))[1] for work in works)
+        work = self.work_rates.total(service, live, now_s)
         states = self.pool.usable(service)
         running = sum(state.count for state in states)
         known = [state.quiet_slowness for state in states if state.quiet_count]
         slowness = median(known) if known else 1.0
-        return Load(own + others, running, slowness)
+        late_share = work.late_tokens_per_s / work.tokens_per_s if work.tokens_per_s else 0.0
+        return Load(work.tokens_per_s, running, slowness, min(1.0, late_share))
 
     def _handle(self, event: Event, now_s: float, clock_s: float) -> None:
         match event:
@@ -238,7 +234,7 @@
             if wait_s > 0.0:
                 self._refuse(arrival, Refusal.CAP, wait_s, now_s)
                 return
-        self._note_work(passage.service, arrival.prompt_tokens, now_s)
+        self.work_rates.note_arrival(passage.service, arrival.prompt_tokens, now_s)
         self.relay.begin(passage, now_s)
 
     def _deny(self, arrival: Arrival, refusal: Refusal, age_s: float, now_s: float) -> None:
@@ -299,7 +295,7 @@
             return
         if digest.complete:
             self.caps.on_digest(digest, now_s)
-            self.works[digest.vm_id] = digest.work
+            self.work_rates.on_digest(digest)
         else:
             self.caps.on_heard(digest, now_s)
         self.suspects.on_digest(digest, now_s)
@@ -367,7 +363,7 @@
             lean,
             spent=self.caps.spent(),
             demand=self.caps.demand(now_s),
-            work=self._own_work(now_s),
+            work=self.work_rates.own(now_s),
             complete=True,
         )
         # Usage is told to those that may have to report it; it is the larger part of a digest.
@@ -426,23 +422,6 @@
         count = 1 + self.peers.count
         self.relay.entry_vms_count = self.caps.entry_vms_count = count
 
-    def _note_work(self, service: str, tokens: int, now_s: float) -> None:
-        self._work.setdefault(service, deque()).append((now_s, tokens))
-
-    def _own_work(self, now_s: float) -> dict[str, tuple[float, float]]:
-        work = {}
-        for service, arrivals in self._work.items():
-            while arrivals and arrivals[0][0] <= now_s - LOAD_WINDOW_S:
-                arrivals.popleft()
-            tokens = sum(item[1] for item in arrivals)
-            late = sum(item[1] for item in arrivals if item[0] > now_s - LOAD_STEP_WINDOW_S)
-            rate = tokens / LOAD_WINDOW_S
-            if late > LOAD_BEGUN_SHARE * tokens:
-                # The load has just begun; the long window would show it seconds later.
-                rate = late / LOAD_STEP_WINDOW_S
-            work[service] = (len(arrivals) / LOAD_WINDOW_S, float(round(rate)))
-        return work
-
     def _emit_count(self, name: str, label: str = "") -> None:
         self._outbox.append(Count(name, label))
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from coriandershelf_core.internal.gateway.actions import (
@@ -33,7 +33,7 @@
     StreamRead,
 )
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
-from coriandershelf_core.internal.gateway.request import Passage
+from coriandershelf_core.internal.gateway.request import Passage, ReplicaAnswer
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
 from coriandershelf_core.internal.gateway.room import Room, RoomTold, WorkStep
 from coriandershelf_core.internal.gateway.room_asks import PendingAsk, RoomAsks
@@ -60,6 +60,8 @@
 SERVER_ERROR = 500
 
 CountBegun = Callable[[str, float], None]
+LogValue = str | int | float | None
+NoteLate = Callable[[str, int, float], None]
 
 
 @dataclass(slots=True)
@@ -80,7 +82,7 @@
     silent_at_s: float | None
     quiet: bool
     is_engine: bool
-    inputs: tuple[tuple[str, str | int | float | None], ...] = ()
+    inputs: tuple[tuple[str, LogValue], ...] = ()
     opened: bool = False
     first_event_at_s: float | None = None
     last_event_at_s: float = 0.0
@@ -92,6 +94,7 @@
 
     :param emit: takes the actions for the process.
     :param count_begun: told the customer of each request that begins to run, and when.
+    :param note_late: told service and prompt tokens of each request that misses its objective.
     """
 
     pool: Pool
@@ -102,6 +105,7 @@
     caps: UsageCaps
     emit: Callable[[Action], None]
     count_begun: CountBegun
+    note_late: NoteLate
     rng_share: Callable[[], float]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
@@ -135,6 +139,7 @@
         passage, state = attempt.passage, attempt.state
         state.on_load(event.load, now_s)
         self._end_attempt(attempt, now_s)
+        passage.trouble = f"status {event.status}"
         if event.misdirected:
             self.pool.forget(state.replica.replica_id)
             self.emit(CloseIdle(state.replica.address))
@@ -155,6 +160,7 @@
         elif event.status >= SERVER_ERROR:
             self._note_failure(state, now_s, passage.route.kind)
             if passage.route.repeatable and self._may_repeat(passage, now_s):
+                passage.answer = ReplicaAnswer(event.status, event.headers, event.body)
                 self._again(passage, RetryReason.SERVER_ERROR, now_s, budgeted=True)
                 return
         if passage.head_sent:
@@ -186,6 +192,7 @@
         if attempt is None:
             return
         passage, state = attempt.passage, attempt.state
+        self._note_pace(attempt, now_s)
         attempt.last_event_at_s = now_s
         if attempt.first_event_at_s is None:
             attempt.first_event_at_s = now_s
@@ -225,6 +232,7 @@
             return
         passage, state = attempt.passage, attempt.state
         self._end_attempt(attempt, now_s)
+        passage.trouble = event.cause.value
         if not event.sent:
             passage.sent_count -= 1
             if event.cause is FailureCause.CONNECT:
@@ -268,7 +276,7 @@
         prospect = self.chooser.prospect(passage, service, states, now_s)
         if prospect is None:
             refusal = Refusal.NO_ROOM if states else Refusal.NO_REPLICA
-            self._conclude(passage, refusal, now_s)
+            self._conclude(passage, refusal, now_s, **_room_fields(states, now_s))
             return
         pending = self.asks.ask(passage, prospect, now_s)
         if pending is None or not pending.silent:
@@ -294,7 +302,8 @@
     ) -> None:
         chosen = self.chooser.choose(passage, prospect, now_s, rooms)
         if chosen is None:
-            self._conclude(passage, Refusal.NO_ROOM, now_s)
+            fields = _room_fields(prospect.candidates, now_s)
+            self._conclude(passage, Refusal.NO_ROOM, now_s, **fields)
             return
         self._start(passage, prospect.service, chosen, now_s)
 
@@ -310,7 +319,6 @@
         quiet = chosen.running_count <= QUIET_SHARE * state.replica.slots_count
         parts = passage.arrival.parts
         inputs = (
-            ("replica", name),
             ("expected_ms", round(chosen.expected_s * 1e3)),
             ("uncached", chosen.uncached_tokens),
             ("waiting", chosen.waiting_tokens),
@@ -327,6 +335,7 @@
         )  # fmt: skip
         self.attempts[attempt_id] = attempt
         passage.attempt_id = attempt_id
+        passage.replica_id = name
         passage.sent_count += 1
         passage.tried.add(name)
         state.start(attempt_id, chosen.uncached_tokens, now_s)
@@ -360,6 +369,7 @@
 
     def _on_silent(self, attempt: AttemptState, now_s: float) -> None:
         passage = attempt.passage
+        passage.trouble = "silent"
         attempt.silent_at_s = None
         if not self._may_repeat(passage, now_s):
             return
@@ -415,15 +425,21 @@
             self._note_failure(attempt.state, now_s)
         self._conclude(attempt.passage, Refusal.TIMEOUT, now_s)
 
-    def _conclude(self, passage: Passage, refusal: Refusal, now_s: float) -> None:
+    def _conclude(
+        self, passage: Passage, refusal: Refusal, now_s: float, **fields: LogValue
+    ) -> None:
         """Give a request its final answer without a replica's."""
         if passage.head_sent:
             self._break(passage, now_s)
             return
+        if passage.answer is not None:
+            self._deliver_kept(passage, passage.answer, now_s)
+            return
         if passage.may_have_run and refusal is not Refusal.TIMEOUT:
             refusal = Refusal.UNKNOWN_OUTCOME
         elif passage.customer is not None:
             self.caps.spend(passage.customer, -passage.cost)
+        self._note_late(passage, now_s)
         retry_after_s = None
         if refusal not in (Refusal.TIMEOUT, Refusal.UNKNOWN_OUTCOME):
             left_s = max(0.0, passage.deadline_s - now_s)
@@ -431,7 +447,16 @@
             retry_after_s = min(wait_s, left_s * RETRY_AFTER_SHARE)
         self.emit(Refuse(passage.arrival.handle, refusal, retry_after_s))
         self.emit(Count("refusals", refusal.value))
-        self._log("refused", passage, now_s, reason=refusal.value)
+        self._log("refused", passage, now_s, reason=refusal.value, **fields)
+        self._forget(passage)
+
+    def _deliver_kept(self, passage: Passage, answer: ReplicaAnswer, now_s: float) -> None:
+        """Pass on a replica's error after all: it says more than an answer of this VM's."""
+        handle = passage.arrival.handle
+        self.emit(Deliver(handle, answer.status, answer.headers, answer.body))
+        self.emit(Count("answers", str(answer.status)))
+        self._observe(passage, now_s)
+        self._log("answered", passage, now_s, status=answer.status, kept=1)
         self._forget(passage)
 
     def _break(self, passage: Passage, now_s: float) -> None:
@@ -444,6 +469,22 @@
         taken_s = now_s - passage.arrived_at_s
         self.emit(Observe(passage.route.kind.value, passage.service, taken_s))
 
+    def _note_pace(self, attempt: AttemptState, now_s: float) -> None:
+        """Note whether an event comes later than the route's objectives."""
+        passage = attempt.passage
+        route = passage.route
+        if attempt.first_event_at_s is None:
+            late = now_s - passage.arrived_at_s > route.objective_s and passage.bytes_sent == 0
+        else:
+            late = now_s - attempt.last_event_at_s > route.gap_objective_s > 0.0
+        if late:
+            self._note_late(passage, now_s)
+
+    def _note_late(self, passage: Passage, now_s: float) -> None:
+        if not passage.late:
+            passage.late = True
+            self.note_late(passage.service, passage.arrival.prompt_tokens, now_s)
+
     def _begun(self, passage: Passage, at_s: float) -> None:
         if not passage.counted and passage.customer is not None:
             passage.counted = True
@@ -473,13 +514,13 @@
     def _forget(self, passage: Passage) -> None:
         self.passages.pop(passage.arrival.handle, None)
 
-    def _log(
-        self, event: str, passage: Passage, now_s: float, **fields: str | int | float | None
-    ) -> None:
-        base: tuple[tuple[str, str | int | float | None], ...] = (
+    def _log(self, event: str, passage: Passage, now_s: float, **fields: LogValue) -> None:
+        base: tuple[tuple[str, LogValue], ...] = (
             ("request_id", passage.arrival.request_id),
             ("route", passage.route.name),
             ("sent", passage.sent_count),
+            ("replica", passage.replica_id),
+            ("trouble", passage.trouble),
             ("age_ms", round((now_s - passage.arrived_at_s) * 1e3)),
         )
         self.emit(Log(event, base + tuple(fields.items())))
@@ -493,6 +534,16 @@
         self.emit(Log(event, fields))
 
 
+def _room_fields(states: Sequence[ReplicaState], now_s: float) -> dict[str, LogValue]:
+    """Return what decided that there was no room, for the log."""
+    return {
+        "replicas": len(states),
+        "shut_out": sum(1 for state in states if now_s < state.ejected_until_s),
+        "just_refused": sum(1 for state in states if now_s < state.full_until_s),
+        "least_running": min((state.count for state in states), default=None),
+    }
+
+
 def _urgency(passage: Passage) -> int:
     """Return an engine's scheduling class: the customer's rank first, then the route's."""
     customer = passage.customer
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -40,6 +40,15 @@
     last_event_id: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaAnswer:
+    """A replica's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 @dataclass(slots=True)
 class Passage:
     """A request that was let in, until its answer is whole.
@@ -47,6 +56,9 @@
     :param cost: what it counts as against its customer's cap.
     :param sent_count: attempts whose first byte was sent, less those whose replica has ended.
     :param may_have_run: whether some attempt may have begun to run.
+    :param late: whether it has missed its objective.
+    :param replica_id: where it was last sent; ``trouble`` what went wrong there, for the log.
+    :param answer: a replica's error, passed on if nothing better comes.
     :param head_sent: whether the caller has the head of a stream.
     """
 
@@ -62,8 +74,12 @@
     may_have_run: bool = False
     head_sent: bool = False
     counted: bool = False
+    late: bool = False
     last_event_id: int | None = None
     bytes_sent: int = 0
     tried: set[str] = field(default_factory=set)
     retry_at_s: float | None = None
     crashes_count: int = 0
+    replica_id: str | None = None
+    trouble: str | None = None
+    answer: ReplicaAnswer | None = None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -38,6 +38,15 @@
 TIGHT_SLOTS_USE_SHARE = 0.9
 # Queues make replicas look slow; beyond this the cause is the load and not their speed.
 SLOWNESS_MAX = 2.0
+# While more than the first part of the work is late, more reclaimable replicas than the load asks
+# for are ordered, step by step, since the figures of a replica's speed are estimates; while less
+# than the second part is late, fewer again.
+LATE_HIGH_SHARE = 0.08
+LATE_LOW_SHARE = 0.03
+RESERVE_STEP = 1.25
+RESERVE_MAX = 2.0
+# Between two steps new replicas boot and show what they change.
+RESERVE_PERIOD_S = 2.5
 # After a refusal, reclaimable replicas are not given back for this long: they would not come back.
 DROUGHT_S = 8.0
 
@@ -48,11 +57,13 @@
 
     :param running_count: requests at its replicas.
     :param slowness: median of its replicas' time for a prompt ÷ that of a replica of usual speed.
+    :param late_share: part of the work whose objective was missed of late.
     """
 
     tokens_per_s: float
     running_count: int
     slowness: float = 1.0
+    late_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +73,13 @@
     :param load: the highest of the last seconds, with the mean slowness, which is the noisier one.
     :param needed_count: replicas that the load needs, were all of them reclaimable.
     :param tight_count: replicas that it needs where lasting ones make up.
+    :param reserve: multiple of the needed reclaimable ones that lateness has called for.
     """
 
     load: Load
     needed_count: int
     tight_count: int
+    reserve: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +118,25 @@
         return self.present_count
 
 
+@dataclass(slots=True)
+class _Reserve:
+    """The multiple of the needed reclaimable replicas that lateness has called for."""
+
+    factor: float = 1.0
+    changed_at_s: float = -math.inf
+
+    def update(self, late_share: float, now_s: float) -> None:
+        """Take a step if one is due."""
+        if now_s - self.changed_at_s < RESERVE_PERIOD_S:
+            return
+        if late_share > LATE_HIGH_SHARE and self.factor < RESERVE_MAX:
+            self.factor = min(RESERVE_MAX, self.factor * RESERVE_STEP)
+            self.changed_at_s = now_s
+        elif late_share < LATE_LOW_SHARE and self.factor > 1.0:
+            self.factor = max(1.0, self.factor / RESERVE_STEP)
+            self.changed_at_s = now_s
+
+
 @dataclass(slots=True)
 class Scaling:
     """Compares what is there with what the load needs; used by the holder of the duties only.
@@ -115,6 +147,7 @@
 
     :param rate_per_replica: prompt tokens a second that a replica of usual speed serves in time.
     :param tight_rate_per_replica: the same for lasting ones, which cost several times as much.
+    :param settle_s: how long replicas may take to register, after this VM first looks.
     :param first_start: whether the whole system starts for the first time, so that no traffic can
         be under way before this VM has seen some.
     """
@@ -122,11 +155,13 @@
     rate_per_replica: float
     tight_rate_per_replica: float
     first_start: bool = False
+    settle_s: float = SETTLE_S
     _kinds: dict[tuple[str, str, bool], _Kind] = field(default_factory=dict)
     _loads: dict[str, deque[tuple[float, Load]]] = field(default_factory=dict)
     _first_counts: dict[str, int] = field(default_factory=dict)
     _began_at_s: dict[str, float] = field(default_factory=dict)
     _had_load: bool = False
+    _reserves: dict[str, _Reserve] = field(default_factory=dict)
 
     def on_taken(self, order: Order, now_s: float) -> None:
         """Note an order that was taken."""
@@ -156,15 +191,17 @@
         tight = self._needed_count(
             service, highest, self.tight_rate_per_replica, TIGHT_SLOTS_USE_SHARE, replicas
         )
-        if now_s - self._began_at_s.setdefault(service.name, now_s) < SETTLE_S:
+        if now_s - self._began_at_s.setdefault(service.name, now_s) < self.settle_s:
             return []
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
-        spots = self._wanted_spots(service.name, scale, zones, needed)
+        reserve = self._reserves.setdefault(service.name, _Reserve())
+        reserve.update(load.late_share, now_s)
+        spots = self._wanted_spots(scale, zones, math.ceil(needed * reserve.factor))
         lasting = self._wanted_lasting(service.name, scale, zones, spots, tight, now_s)
         for zone in zones:
             least = self._keep_least(service.name, scale, zone, spots[zone], now_s)
             lasting[zone] = max(lasting[zone], least)
-        basis = Basis(highest, needed, tight)
+        basis = Basis(highest, needed, tight, reserve.factor)
         orders = []
         for zone in zones:
             for reclaimable, count in ((True, spots[zone]), (False, lasting[zone])):
@@ -218,11 +255,10 @@
             max(item.tokens_per_s for _, item in loads),
             max(item.running_count for _, item in loads),
             fmean(min(SLOWNESS_MAX, item.slowness) for _, item in loads),
+            load.late_share,
         )
 
-    def _wanted_spots(
-        self, service: str, scale: ScaleLimits, zones: list[str], needed: int
-    ) -> dict[str, int]:
+    def _wanted_spots(self, scale: ScaleLimits, zones: list[str], needed: int) -> dict[str, int]:
         """Spread the reclaimable ones so that any one zone's may go."""
         each = math.ceil(needed / max(1, len(zones) - 1))
         each = max(each, round(AMPLE_FACTOR * needed / len(zones)))
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -239,3 +239,13 @@
     assert driver.refusals(late)[0].refusal is Refusal.STOPPING
     driver.end(attempt.attempt_id)
     assert EndStream(early) in driver.actions
+
+
+def test_a_replicas_error_is_passed_on_where_the_repeat_finds_no_room():
+    driver = GatewayDriver().begin(plains=1)
+    handle = driver.ask("/read/1")
+    (first,) = driver.attempts(handle)
+    driver.answer(first.attempt_id, 500)
+    assert Deliver(handle, 500, (), b"body") in driver.actions
+    assert not driver.refusals(handle)
+    assert not driver.gateway.relay.passages
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -6,6 +6,10 @@
 from coriandershelf_core.internal.gateway.scaling import (
     AFTER_LOSS_SHARE,
     FIRST_COUNT,
+    LATE_HIGH_SHARE,
+    RESERVE_MAX,
+    RESERVE_PERIOD_S,
+    RESERVE_STEP,
     SETTLE_S,
     Load,
     Order,
@@ -26,6 +30,7 @@
         self.booting: list[tuple[float, tuple[str, bool], int]] = []
         self.dry = False
         self.running = 0
+        self.late_share = 0.0
         self.now_s = 0.0
         self.orders: list[tuple[float, Order]] = []
 
@@ -43,7 +48,7 @@
             for item in [item for item in self.booting if item[0] <= self.now_s]:
                 self.booting.remove(item)
                 self.counts[item[1]] = max(self.counts[item[1]], item[2])
-            load = Load(tokens_per_s, self.running)
+            load = Load(tokens_per_s, self.running, late_share=self.late_share)
             for order in self.scaling.orders(SERVICE, self.replicas(), load, self.now_s):
                 self.take(order)
 
@@ -219,3 +224,36 @@
         market.counts[(zone, False)] = 2
     market.run(30.0, 0.0)
     assert market.spots() == 6
+
+
+def test_work_served_late_calls_for_more_reclaimable_replicas_and_no_lasting_ones():
+    market = Market()
+    market.run(20.0, 3.0 * RATE)
+    before = market.spots()
+    market.late_share = 2.0 * LATE_HIGH_SHARE
+    market.run(20.0, 3.0 * RATE)
+    assert market.spots() >= 1.5 * before
+    assert market.lasting() == 0
+
+
+def test_the_reserve_is_given_back_once_work_is_served_in_time():
+    market = Market()
+    market.run(20.0, 3.0 * RATE)
+    before = market.spots()
+    market.late_share = 2.0 * LATE_HIGH_SHARE
+    market.run(20.0, 3.0 * RATE)
+    market.late_share = 0.0
+    market.run(40.0, 3.0 * RATE)
+    assert market.spots() == before
+
+
+def test_the_reserve_is_bounded_and_grows_no_faster_than_new_replicas_show():
+    market = Market()
+    market.run(20.0, 2.0 * RATE)
+    before = market.spots()
+    market.late_share = 1.0
+    market.run(RESERVE_PERIOD_S - 0.5, 2.0 * RATE)
+    reserves = {order.basis.reserve for _, order in market.orders}
+    assert max(reserves) <= RESERVE_STEP
+    market.run(60.0, 2.0 * RATE)
+    assert market.spots() <= RESERVE_MAX * before + 3
