A replica's stated pace is told with its account

Cause: replicas have moments in which work takes 2.5 times as long; they state it with each answer, but a VM of 86 has an answer of a replica every ten seconds, and digests came too late for moments of 0.6 s. Change: the note of a first event carries the pace, the account tells it.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -134,6 +134,11 @@
         trust = math.exp(-max(0.0, now_s - self.pace_at_s) / PACE_MEMORY_S)
         return 1.0 + (self.pace - 1.0) * trust
 
+    def on_told_pace(self, pace: float, age_s: float, now_s: float) -> None:
+        """Take a pace that the replica stated to another VM, if it is newer."""
+        if now_s - age_s > self.pace_at_s:
+            self.pace, self.pace_at_s = pace, now_s - age_s
+
     def start(self, attempt_id: int, waiting_tokens: int, now_s: float) -> None:
         """Note an attempt that is sent there."""
         self.in_flight[attempt_id] = InFlight(waiting_tokens, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -71,6 +71,7 @@
     :param quiet: whether it met few others there.
     :param inputs: what the choice of the replica was made from, for the log.
     :param usual_s: time to its first event or answer at a replica of usual speed.
+    :param pace: what its replica stated with the head of its answer.
     :param silent_at_s: when its silence counts as a failure; ``None`` where it may not be repeated.
     """
 
@@ -86,6 +87,7 @@
     opened: bool = False
     first_event_at_s: float | None = None
     last_event_at_s: float = 0.0
+    pace: float | None = None
 
 
 @dataclass(slots=True)
@@ -180,6 +182,7 @@
             return
         attempt.opened = True
         attempt.state.on_load(event.load, now_s)
+        attempt.pace = event.load.pace if event.load is not None else None
         passage = attempt.passage
         passage.may_have_run = True
         if not passage.head_sent:
@@ -198,7 +201,8 @@
             attempt.first_event_at_s = now_s
             self._begun(passage, now_s)
             state.on_first_event(attempt.attempt_id)
-            self.asks.note(state, attempt.attempt_id, WorkStep.BEGUN, now_s)
+            pace = attempt.pace
+            self.asks.note(state, attempt.attempt_id, WorkStep.BEGUN, now_s, pace=pace)
             taken_s = now_s - attempt.started_at_s
             usual_s = attempt.usual_s * state.current_pace(now_s)
             state.on_time(taken_s, usual_s, now_s, attempt.quiet)
@@ -300,6 +304,10 @@
         rooms: Mapping[str, Room] | None,
         now_s: float,
     ) -> None:
+        for room in (rooms or {}).values():
+            state = self.pool.get(room.replica_id)
+            if state is not None:
+                state.on_told_pace(room.pace, room.pace_age_s, now_s)
         chosen = self.chooser.choose(passage, prospect, now_s, rooms)
         if chosen is None:
             fields = _room_fields(prospect.candidates, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room.py
@@ -55,6 +55,8 @@
     :param waiting_tokens: prompt tokens of all entry VMs' requests there that are not yet read.
     :param cached_tokens: tokens of the prompt asked about that the replica has read lately.
     :param shut_out: whether some VM could not reach it a moment ago.
+    :param pace: time that work takes there ÷ the usual, as it last said to any VM; ``pace_age_s``
+        how long ago.
     """
 
     replica_id: str
@@ -62,6 +64,8 @@
     waiting_tokens: int
     cached_tokens: int
     shut_out: bool = False
+    pace: float = 1.0
+    pace_age_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +83,7 @@
 
     :param tokens_count: prompt tokens that the replica has to read.
     :param keep_s: time after which the attempt has ended in any case.
+    :param pace: the pace that the replica has just stated, if it did.
     """
 
     vm_id: str
@@ -89,6 +94,7 @@
     tokens_count: int = 0
     keep_s: float = 0.0
     parts: tuple[PromptPart, ...] = ()
+    pace: float | None = None
 
 
 RoomMessage = RoomAsk | RoomTold | WorkNote
@@ -136,6 +142,8 @@
     since_s: float
     works: dict[tuple[str, int, int], _Work] = field(default_factory=dict)
     unreachable_until_s: float = -math.inf
+    pace: float = 1.0
+    pace_at_s: float = -math.inf
 
 
 class RoomLedger:
@@ -149,6 +157,8 @@
         """Enter a step of an attempt."""
         account = self._account(note.replica_id, now_s)
         key = (note.vm_id, note.incarnation, note.attempt_id)
+        if note.pace is not None:
+            account.pace, account.pace_at_s = note.pace, now_s
         match note.step:
             case WorkStep.STARTED:
                 account.works[key] = _Work(note.tokens_count, now_s + note.keep_s)
@@ -183,7 +193,10 @@
             waiting_tokens = max(waiting_tokens, believed[1])
         cached_tokens = self._parts.cached_tokens(parts, replica_id, now_s)
         shut_out = now_s < account.unreachable_until_s
-        return Room(replica_id, running_count, waiting_tokens, cached_tokens, shut_out)
+        return Room(
+            replica_id, running_count, waiting_tokens, cached_tokens, shut_out,
+            account.pace, now_s - account.pace_at_s,
+        )  # fmt: skip
 
     def on_tick(self, replicas: set[str], processes: set[tuple[str, int]], now_s: float) -> None:
         """Drop what has ended unseen.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_asks.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_asks.py
@@ -127,6 +127,7 @@
         tokens_count: int = 0,
         keep_s: float = 0.0,
         parts: tuple[PromptPart, ...] = (),
+        pace: float | None = None,
     ) -> None:
         """Tell a replica's accountant of a step of an attempt there."""
         if not self.enabled:
@@ -135,7 +136,7 @@
         vm_id = self.accountants.of(replica.replica_id, replica.zone)
         note = WorkNote(
             self._vm_id, self._incarnation, replica.replica_id, attempt_id, step,
-            tokens_count, keep_s, parts,
+            tokens_count, keep_s, parts, pace,
         )  # fmt: skip
         if vm_id == self._vm_id:
             self.ledger.on_note(note, now_s)
