--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -35,6 +35,11 @@
 WORK_WEIGHT = 1.5
 LATE_WEIGHT = 4.0
 EASY_SHARE = 0.35
+# What the streams of a replica lose while it reads prompts for longer than the first part of their
+# objective for pauses, each like a late first event; no more of them are weighed than the last.
+EASY_PAUSE_SHARE = 0.4
+PAUSE_WEIGHT = 1.0
+PAUSED_MAX_COUNT = 8
 # Each running stream delays a first event by its part of a step.
 STREAM_WEIGHT_S = 0.002
 ZONE_HOP_S = 0.004
@@ -284,6 +289,10 @@
         easy_s = EASY_SHARE * passage.route.objective_s
         cost_s = LATENCY_WEIGHT * expected_s + WORK_WEIGHT * work_s + self._hop_s(state)
         cost_s += LATE_WEIGHT * max(0.0, expected_s - easy_s)
+        # Streams there pause while prompts are read; those beyond their objective are late.
+        backlog_s = read_s * state.slowness * pace
+        beyond_s = max(0.0, backlog_s - EASY_PAUSE_SHARE * passage.route.gap_objective_s)
+        cost_s += PAUSE_WEIGHT * min(running_count, PAUSED_MAX_COUNT) * beyond_s
         if load >= 1.0:
             cost_s += FULL_S * load
         if name not in prospect.group:
