Answer 413 and 431 with the remedy at the platform's border

Cause: beyond tornado's own limits a body ended in a 400 and a header in a reset connection; the limits of the operator's configuration bound nothing. Ruled out: an answer before the body is read: the caller that still sends loses it in a reset. Tests: bodies of 5 and 100 MB, a header of 1 MB.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -17,6 +17,8 @@
     STALE_KEYS = "stale-keys"
     NO_ROUTE = "no-route"
     UNKNOWN_KEY = "unknown-key"
+    BODY_TOO_LARGE = "body-too-large"
+    HEADER_TOO_LARGE = "header-too-large"
     CAP = "cap"
     NO_REPLICA = "no-replica"
     NO_ROOM = "no-room"
@@ -32,6 +34,8 @@
     Refusal.STALE_KEYS: 503,
     Refusal.NO_ROUTE: 404,
     Refusal.UNKNOWN_KEY: 401,
+    Refusal.BODY_TOO_LARGE: 413,
+    Refusal.HEADER_TOO_LARGE: 431,
     Refusal.CAP: 429,
     Refusal.NO_REPLICA: 503,
     Refusal.NO_ROOM: 503,
@@ -127,11 +131,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Answer a request without a replica's answer."""
+    """Answer a request without a replica's answer.
+
+    :param detail: what is wrong with the request and its remedy, where the caller can mend it.
+    """
 
     handle: int
     refusal: Refusal
     retry_after_s: float | None = None
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -203,6 +203,14 @@
         if deployment is None or not self._registry_read:
             self._refuse(arrival, Refusal.NO_CONFIGURATION, REFUSED_RETRY_S, now_s)
             return
+        if arrival.header_bytes > deployment.header_max_bytes:
+            detail = _too_large("header", arrival.header_bytes, deployment.header_max_bytes)
+            self._refuse(arrival, Refusal.HEADER_TOO_LARGE, None, now_s, detail)
+            return
+        if arrival.body_bytes > deployment.body_max_bytes:
+            detail = _too_large("body", arrival.body_bytes, deployment.body_max_bytes)
+            self._refuse(arrival, Refusal.BODY_TOO_LARGE, None, now_s, detail)
+            return
         age_s = now_s - self._proved_at_s
         route = self._routes.find(arrival.host, arrival.path)
         if route is None:
@@ -245,11 +253,16 @@
             self._refuse(arrival, refusal, None, now_s)
 
     def _refuse(
-        self, arrival: Arrival, refusal: Refusal, retry_after_s: float | None, now_s: float
+        self,
+        arrival: Arrival,
+        refusal: Refusal,
+        retry_after_s: float | None,
+        now_s: float,
+        detail: str = "",
     ) -> None:
         if retry_after_s is not None and arrival.time_left_s is not None:
             retry_after_s = min(retry_after_s, arrival.time_left_s * RETRY_AFTER_SHARE)
-        self._outbox.append(Refuse(arrival.handle, refusal, retry_after_s))
+        self._outbox.append(Refuse(arrival.handle, refusal, retry_after_s, detail))
         self._emit_count("refusals", refusal.value)
         fields = (
             ("request_id", arrival.request_id),
@@ -426,6 +439,10 @@
         self._outbox.append(Count(name, label))
 
 
+def _too_large(what: str, bytes_count: int, limit: int) -> str:
+    return f"the {what} has {bytes_count} bytes, the limit is {limit}: send less"
+
+
 def _make_passage(
     arrival: Arrival, route: Route, customer: Customer | None, now_s: float
 ) -> Passage:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -34,6 +34,7 @@
     time_left_s: float | None
     fingerprint: int
     body_bytes: int = 0
+    header_bytes: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
@@ -19,6 +19,14 @@
         "the key is in no customer of the version in force",
         "whether a newer version took the key away",
     ),
+    "body-too-large": (
+        "the body is larger than the configuration in force allows",
+        "the limit in the configuration; send less or ask the operators to raise it",
+    ),
+    "header-too-large": (
+        "the header fields are larger than the configuration in force allows",
+        "the limit in the configuration; send fewer or shorter fields",
+    ),
     "cap": (
         "the customer has used up its cap over all entry VMs",
         "the customer's cap and its requests of the last window",
--- a/tests/cover/test_platform_borders.py
+++ b/tests/cover/test_platform_borders.py
@@ -385,3 +385,32 @@
             assert 'coriandershelf_age_seconds{belief="configuration"}' in page
 
     run(work)
+
+
+@pytest.mark.parametrize("size", [5_000_000, 100_000_000])
+def test_a_body_beyond_the_limit_is_answered_with_413_and_the_remedy(size: int):
+    async def work() -> None:
+        async with Site() as site:
+            replica = await site.add("plain", unframed)
+            client = await site.connect()
+            client.send("/book/1", body=b"x" * size)
+            answer = await client.read()
+            assert answer.status == 413
+            assert b"send less" in answer.body and str(size).encode() in answer.body
+            assert not replica.received
+
+    run(work)
+
+
+def test_a_header_beyond_the_limit_is_answered_with_431_and_the_remedy():
+    async def work() -> None:
+        async with Site() as site:
+            replica = await site.add("plain", unframed)
+            client = await site.connect()
+            client.send("/book/1", body=b"x", X_Long="y" * 1_000_000)
+            answer = await client.read()
+            assert answer.status == 431
+            assert b"send less" in answer.body
+            assert not replica.received
+
+    run(work)
