List the models for stock chat clients

Cause: models.list() of a stock client got 404. GET /v1/models answers with the model services of the configuration in force, to keys that it lists.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/routes.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/routes.py
@@ -11,6 +11,7 @@
     ServiceHandler,
 )
 from coriandershelf_entry.internal.handlers import Callers, UnknownPathHandler
+from coriandershelf_entry.internal.models_handler import ModelsHandler
 from coriandershelf_entry.internal.operators import HealthHandler, OperatorHandler
 from coriandershelf_entry.internal.ticket_handler import TicketsHandler
 
@@ -21,6 +22,7 @@
     return Application(
         [
             (r"/v1/chat/completions", ChatHandler, shared),
+            (r"/v1/models", ModelsHandler, shared),
             (r"/v1/jobs", JobsHandler, shared),
             (r"/v1/jobs/([0-9a-zA-Z-]+)", JobHandler, shared),
             (r"/v1/services/([a-z0-9.-]+)/(.+)", ServiceHandler, shared),
--- a/tests/cover/test_entry_process.py
+++ b/tests/cover/test_entry_process.py
@@ -194,3 +194,21 @@
     for name in ("LOG_ADDRESS", "HEARTBEAT_S", "BODY_LIMIT_BYTES"):
         assert f"--{name.lower().replace('_', '-')}" in shown
         assert f"CORIANDERSHELF_{name}" in shown
+
+
+def test_a_stock_client_lists_the_models_that_its_key_may_name():
+    async def check(cluster: Cluster) -> None:
+        async def ask(key: str) -> tuple[int, dict[str, Any]]:
+            url = f"http://{cluster.addresses['entry-1']}/v1/models"
+            headers = {"Authorization": f"Bearer {key}"}
+            answer = await cluster.client.fetch(url, headers=headers, raise_error=False)
+            return answer.code, json.loads(answer.body)
+
+        status, document = await ask("caller-demo-key")
+        assert status == 200 and document["object"] == "list"
+        assert [item["id"] for item in document["data"]] == ["model"]
+        assert all(item["object"] == "model" for item in document["data"])
+        status, document = await ask("nobody")
+        assert (status, document["error"]["code"]) == (401, "unknown-key")
+
+    with_cluster(check)
