A replica's speed is learnt by its account from all VMs

Cause: a third of the replicas is 1.7 times slower than the rest, and a VM of 86 knows that of its own times only after twenty seconds. Change: the note of a first event carries time ÷ expected time; the account keeps the mean.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -282,21 +282,24 @@
         read_s = (uncached + waiting_tokens) * PROMPT_TOKEN_S
         usual_s = FIRST_EVENT_S + read_s + STREAM_WEIGHT_S * running_count
         pace = state.current_pace(now_s)
-        expected_s = usual_s * state.slowness * pace
+        slowness = state.slowness
+        if room is not None and room.slowness is not None:
+            slowness = room.slowness
+        expected_s = usual_s * slowness * pace
         load = running_count / max(1, state.replica.slots_count)
         # Within an easy part of the objective the work that is saved counts, beyond it the delay.
-        work_s = uncached * PROMPT_TOKEN_S * state.slowness
+        work_s = uncached * PROMPT_TOKEN_S * slowness
         easy_s = EASY_SHARE * passage.route.objective_s
         cost_s = LATENCY_WEIGHT * expected_s + WORK_WEIGHT * work_s + self._hop_s(state)
         cost_s += LATE_WEIGHT * max(0.0, expected_s - easy_s)
         # Streams there pause while prompts are read; those beyond their objective are late.
-        backlog_s = read_s * state.slowness * pace
+        backlog_s = read_s * slowness * pace
         beyond_s = max(0.0, backlog_s - EASY_PAUSE_SHARE * passage.route.gap_objective_s)
         cost_s += PAUSE_WEIGHT * min(running_count, PAUSED_MAX_COUNT) * beyond_s
         if load >= 1.0:
             cost_s += FULL_S * load
         if name not in prospect.group:
-            cost_s += OTHER_GROUP_S * state.slowness
+            cost_s += OTHER_GROUP_S * slowness
         cost_s += TIE_S * self._rng.random()
         home_rank = homes.index(name) if name in homes else None
         asked = room is not None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -201,10 +201,12 @@
             attempt.first_event_at_s = now_s
             self._begun(passage, now_s)
             state.on_first_event(attempt.attempt_id)
-            pace = attempt.pace
-            self.asks.note(state, attempt.attempt_id, WorkStep.BEGUN, now_s, pace=pace)
             taken_s = now_s - attempt.started_at_s
             usual_s = attempt.usual_s * state.current_pace(now_s)
+            self.asks.note(
+                state, attempt.attempt_id, WorkStep.BEGUN, now_s,
+                pace=attempt.pace, slowness=taken_s / usual_s,
+            )  # fmt: skip
             state.on_time(taken_s, usual_s, now_s, attempt.quiet)
         if attempt.silent_at_s is not None:
             attempt.silent_at_s = now_s + self._silence_s(passage, 0.0)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room.py
@@ -23,6 +23,11 @@
 TAKEN_OVER_S = 2.0
 # A replica that a VM could not reach is shown as shut out to all for this long; then one may try.
 UNREACHABLE_S = 1.0
+# A replica's speed is a moving mean over the times that all VMs tell, some ten a second.
+SLOWNESS_WEIGHT = 0.08
+SLOWNESS_MIN = 0.4
+SLOWNESS_MAX = 8.0
+TIMES_MIN_COUNT = 3
 
 
 class WorkStep(Enum):
@@ -57,6 +62,8 @@
     :param shut_out: whether some VM could not reach it a moment ago.
     :param pace: time that work takes there ÷ the usual, as it last said to any VM; ``pace_age_s``
         how long ago.
+    :param slowness: time that work took there of late, at all VMs, ÷ the time expected of it at a
+        replica of usual speed; ``None`` while too few told.
     """
 
     replica_id: str
@@ -66,6 +73,7 @@
     shut_out: bool = False
     pace: float = 1.0
     pace_age_s: float = math.inf
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +92,7 @@
     :param tokens_count: prompt tokens that the replica has to read.
     :param keep_s: time after which the attempt has ended in any case.
     :param pace: the pace that the replica has just stated, if it did.
+    :param slowness: time to the first event ÷ the time expected of it.
     """
 
     vm_id: str
@@ -95,6 +104,7 @@
     keep_s: float = 0.0
     parts: tuple[PromptPart, ...] = ()
     pace: float | None = None
+    slowness: float | None = None
 
 
 RoomMessage = RoomAsk | RoomTold | WorkNote
@@ -144,6 +154,15 @@
     unreachable_until_s: float = -math.inf
     pace: float = 1.0
     pace_at_s: float = -math.inf
+    slowness: float = 1.0
+    times_count: int = 0
+
+    def on_slowness(self, slowness: float) -> None:
+        """Take one more time into the moving mean."""
+        self.times_count += 1
+        weight = max(SLOWNESS_WEIGHT, 1.0 / self.times_count)
+        bounded = min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
+        self.slowness += weight * (bounded - self.slowness)
 
 
 class RoomLedger:
@@ -159,6 +178,8 @@
         key = (note.vm_id, note.incarnation, note.attempt_id)
         if note.pace is not None:
             account.pace, account.pace_at_s = note.pace, now_s
+        if note.slowness is not None:
+            account.on_slowness(note.slowness)
         match note.step:
             case WorkStep.STARTED:
                 account.works[key] = _Work(note.tokens_count, now_s + note.keep_s)
@@ -196,6 +217,7 @@
         return Room(
             replica_id, running_count, waiting_tokens, cached_tokens, shut_out,
             account.pace, now_s - account.pace_at_s,
+            account.slowness if account.times_count >= TIMES_MIN_COUNT else None,
         )  # fmt: skip
 
     def on_tick(self, replicas: set[str], processes: set[tuple[str, int]], now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_asks.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_asks.py
@@ -128,6 +128,7 @@
         keep_s: float = 0.0,
         parts: tuple[PromptPart, ...] = (),
         pace: float | None = None,
+        slowness: float | None = None,
     ) -> None:
         """Tell a replica's accountant of a step of an attempt there."""
         if not self.enabled:
@@ -136,7 +137,7 @@
         vm_id = self.accountants.of(replica.replica_id, replica.zone)
         note = WorkNote(
             self._vm_id, self._incarnation, replica.replica_id, attempt_id, step,
-            tokens_count, keep_s, parts, pace,
+            tokens_count, keep_s, parts, pace, slowness,
         )  # fmt: skip
         if vm_id == self._vm_id:
             self.ledger.on_note(note, now_s)
