--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -130,7 +130,9 @@
         if passage is None:
             return
         self.emit(Count("callers_left"))
-        self._log("caller left", passage, now_s)
+        attempt = self.attempts.get(passage.attempt_id)
+        inputs = attempt.inputs if attempt is not None else ()
+        self._log("caller left", passage, now_s, first_ms=_first_ms(attempt), **dict(inputs))
         self._drop_attempt(passage, now_s)
         self._forget(passage)
 
@@ -229,9 +231,8 @@
         self.emit(EndStream(passage.arrival.handle))
         self.emit(Count("answers", "stream"))
         self._observe(passage, now_s)
-        first_s = attempt.first_event_at_s
-        first_ms = None if first_s is None else round((first_s - attempt.started_at_s) * 1e3)
-        self._log("stream ended", passage, now_s, first_ms=first_ms, **dict(attempt.inputs))
+        inputs = dict(attempt.inputs)
+        self._log("stream ended", passage, now_s, first_ms=_first_ms(attempt), **inputs)
         self._forget(passage)
 
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
@@ -546,6 +547,13 @@
         self.emit(Log(event, fields))
 
 
+def _first_ms(attempt: AttemptState | None) -> int | None:
+    """Return the time from an attempt's start to its first event, for the log."""
+    if attempt is None or attempt.first_event_at_s is None:
+        return None
+    return round((attempt.first_event_at_s - attempt.started_at_s) * 1e3)
+
+
 def _room_fields(states: Sequence[ReplicaState], now_s: float) -> dict[str, LogValue]:
     """Return what decided that there was no room, for the log."""
     return {
--- a/tests/cover/test_gateway_room.py
+++ b/tests/cover/test_gateway_room.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import msgspec
+import pytest
 from gateway_driver import ENGINE, GatewayDriver, make_deployment
 
 from coriandershelf_core.internal.gateway.actions import SendDigest, SendRoomMessage, Wake
@@ -18,6 +19,7 @@
 )
 from coriandershelf_core.internal.gateway.room import (
     TAKEN_OVER_S,
+    TIMES_MIN_COUNT,
     UNREACHABLE_S,
     Accountants,
     RoomAsk,
@@ -264,3 +266,31 @@
     assert any(
         digest.digest.work[ENGINE].running_count > 0 for digest in sent if digest.digest.work
     )
+
+
+def test_the_pace_that_one_vm_heard_reaches_the_next_that_asks():
+    ledger = RoomLedger()
+    ledger.on_note(replace(make_note(WorkStep.BEGUN), pace=2.5), 1.0)
+    room = ledger.room("engine-0", (), (0, 0), 1.2)
+    assert room.pace == 2.5
+    assert room.pace_age_s == pytest.approx(0.2)
+
+
+def test_a_replicas_speed_is_learnt_from_all_vms_times_and_told_once_some_are_known():
+    ledger = RoomLedger()
+    for number in range(TIMES_MIN_COUNT):
+        assert ledger.room("engine-0", (), (0, 0), 1.0).slowness is None
+        note = replace(make_note(WorkStep.BEGUN, number, f"vm-{number}"), slowness=1.7)
+        ledger.on_note(note, 1.0)
+    assert ledger.room("engine-0", (), (0, 0), 1.0).slowness == pytest.approx(1.7)
+
+
+def test_a_time_spent_behind_other_prompts_tells_nothing_of_a_replicas_speed():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/ask/1")
+    (attempt,) = driver.attempts(handle)
+    state = driver.gateway.relay.attempts[attempt.attempt_id]
+    assert not state.behind_others
+    others = [driver.ask(f"/ask/{number}") for number in range(6)]
+    last = driver.attempts(others[-1])[0]
+    assert driver.gateway.relay.attempts[last.attempt_id].behind_others
