--- a/tests/cover/test_platform_parts.py
+++ b/tests/cover/test_platform_parts.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import socket
 
 import pytest
 import structlog
@@ -12,9 +13,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from platform_site import make_configuration
+from tornado.iostream import IOStream
 
 from coriandershelf_core.internal.gateway.deployment import RouteKind
 from coriandershelf_entry.internal.border import border_of
+from coriandershelf_platform.channel import connect
 from coriandershelf_platform.configuration import decode_configuration
 from coriandershelf_platform.events_of_stream import EventCutter
 from coriandershelf_platform.feeds import AFTER_NEWS_WAIT_S, CONFIGURATION_WAIT_SHARE
@@ -233,3 +236,21 @@
     assert apply_s >= wait_s + READ_SLACK_S
     assert denial_s < apply_s
     assert denial_s > wait_s + AFTER_NEWS_WAIT_S
+
+
+class _ClosedAtOnce:
+    """Connects to a peer that closes before the connection is used."""
+
+    async def connect(self, host: str, port: int) -> IOStream:
+        near, far = socket.socketpair()
+        far.close()
+        stream = IOStream(near)
+        stream.close()
+        return stream
+
+
+def test_a_peer_that_closes_as_it_accepts_is_no_channel_and_ends_no_process():
+    async def work() -> None:
+        assert await connect(_ClosedAtOnce(), "127.0.0.1:1", 1.0) is None
+
+    asyncio.run(work())
