A fault soak of real entry VMs at the platform's border

Real processes behind relays, our store and replicas as stand-ins; faults drawn from a seed come in series and overlap: kills, pauses, stops, reloads, ways to store and replicas that are cut, silent, slow or one-way, replicas that restart, leave, err, refuse, lose or garble answers, a store that refuses, loses answers or drops history, new versions, keys taken away, all VMs killed. Callers and replicas judge: nothing twice, no false promise, no foreign, doubled or missing event, no run after a key was taken away, answers, stops and recovery in time, no process that ends by itself.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -15,6 +15,7 @@
 from coriandershelf_rig.internal.demo import run_demo
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, inventory_yaml, rules_yaml
 from coriandershelf_rig.internal.engine_model import EngineShape
+from coriandershelf_rig.internal.fault_soak.run import describe, run_seed
 from coriandershelf_rig.internal.faults import FAULTS, plan_windows, run_faults
 from coriandershelf_rig.internal.load import Mix, run_load
 from coriandershelf_rig.internal.reference import reference_page
@@ -139,6 +140,25 @@
     sys.exit(EXIT_BROKEN if report.violations else 0)
 
 
+@main.command("fault-soak")
+@seed_option
+@click.option("--seeds", type=int, default=1, show_default=True, help="Seeds, one after another.")
+@click.option("--minutes", type=float, default=0.5, show_default=True, help="For each seed.")
+@click.option("--vms", type=click.IntRange(min=1), default=3, show_default=True)
+@click.option("--times/--no-times", default=True, help="Judge times, too.")
+@click.option("--quiet", is_flag=True, help="Do not print each fault as it begins.")
+def fault_soak(seed: int, seeds: int, minutes: float, vms: int, times: bool, quiet: bool) -> None:
+    """Bring about random faults on real entry VMs at the platform's border; callers judge."""
+    note = (lambda line: None) if quiet else click.echo
+    broken = 0
+    for number in range(seed, seed + seeds):
+        verdict = asyncio.run(run_seed(number, minutes * 60.0, vms, note, times))
+        broken += len(verdict.broken)
+        for line in describe(number, verdict):
+            click.echo(line)
+    sys.exit(EXIT_BROKEN if broken else 0)
+
+
 @main.command()
 @click.argument("folder", type=click.Path(file_okay=False))
 def examples(folder: str) -> None:
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
@@ -0,0 +1,136 @@
+"""A site on loopback whose entry VMs are real processes, each behind its own way to the store."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+
+from coriandershelf_rig.internal.fault_soak.callers import HOST
+from coriandershelf_rig.internal.fault_soak.replicas import Runs, SoakReplica
+from coriandershelf_rig.internal.processes import Processes, ports_in_a_row
+from coriandershelf_rig.internal.relay import Relay
+from coriandershelf_rig.internal.standin_store import (
+    OPERATOR_TOPIC,
+    REGISTRY_TOPIC,
+    StoreState,
+    start_store,
+)
+
+SERVICES = {"engine": 3, "plain": 3}
+MODULE = "coriandershelf_entry"
+
+
+def _route(name: str, kind: str, service: str, attempts: int, **extra: object) -> dict[str, Any]:
+    return {
+        "name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind,
+        "timeout_ms": 4_000, "target_latency_ms": 500, "priority": 0, "service": service,
+        "max_attempts": attempts, "public": False, "gap_target_ms": 500, **extra,
+    }  # fmt: skip
+
+
+@dataclass
+class SoakSite:
+    """Store, replicas and entry VMs.
+
+    :param keys: callers' keys in force; ``version`` that of the configuration.
+    """
+
+    folder: Path
+    vms_count: int
+    store: StoreState = field(default_factory=StoreState)
+    runs: Runs = field(default_factory=Runs)
+    replicas: list[SoakReplica] = field(default_factory=list)
+    store_ways: list[Relay] = field(default_factory=list)
+    ports: list[int] = field(default_factory=list)
+    keys: list[str] = field(default_factory=lambda: ["key-0", "key-1"])
+    version: int = 0
+    _server: HTTPServer = field(init=False)
+    processes: Processes = field(init=False)
+
+    async def start(self) -> None:
+        """Start everything."""
+        self.processes = Processes(self.folder)
+        self._server, store_address = await start_store(self.store)
+        self.publish()
+        for service, count in SERVICES.items():
+            for number in range(count):
+                replica = SoakReplica(number, service, self.runs)
+                await replica.start(ports_in_a_row(1))
+                self.replicas.append(replica)
+                self.register(replica)
+        for number in range(self.vms_count):
+            # The port after that for peers serves metrics.
+            peers = ports_in_a_row(5)
+            way_port, front, ready = peers + 2, peers + 3, peers + 4
+            way = Relay(store_address)
+            await way.start(f"127.0.0.1:{way_port}")
+            self.store_ways.append(way)
+            self.ports.append(front)
+            self._write_settings(number, way_port, front, ready, peers)
+            self.start_vm(number)
+
+    async def stop(self) -> None:
+        """End every child and close every socket."""
+        self.processes.stop_all()
+        for replica in self.replicas:
+            await replica.stop()
+        for way in self.store_ways:
+            await way.stop()
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def start_vm(self, number: int) -> None:
+        """Start an entry VM's process."""
+        file = str(self.folder / f"vm-{number}.json")
+        arguments = ("--border", "platform", "--settings-file", file)
+        self.processes.start(f"vm-{number}", MODULE, *arguments)
+
+    def publish(self) -> None:
+        """Write a new version of the configuration."""
+        self.version += 1
+        configuration = {
+            "version": self.version,
+            "routes": [
+                _route("ask", "streaming", "engine", 1),
+                _route("plan", "streaming", "engine", 2, resumable=True),
+                _route("book", "non_idempotent", "plain", 1),
+                _route("read", "idempotent", "plain", 2),
+            ],
+            "services": [
+                {"name": "engine", "health_path": "/h", "max_conns": 90, "engine": {"slots": 16}},
+                {"name": "plain", "health_path": "/h", "max_conns": 90},
+            ],
+            "tenants": [{"name": "customer-1", "api_keys": list(self.keys)}],
+        }
+        self.store.put(OPERATOR_TOPIC, "config", configuration)
+
+    def register(self, replica: SoakReplica, state: str = "ready") -> None:
+        """Write a replica's entry."""
+        entry = {
+            "service": replica.service, "address": replica.address, "zone": "zone-1",
+            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0,
+            "seq": 1, "born": replica.born,
+        }  # fmt: skip
+        self.store.put(REGISTRY_TOPIC, replica.name, entry)
+
+    def unregister(self, replica: SoakReplica) -> None:
+        """Remove a replica's entry."""
+        self.store.put(REGISTRY_TOPIC, replica.name, None)
+
+    def log_of(self, number: int) -> str:
+        """Return what a VM's processes have written."""
+        file = self.folder / f"vm-{number}.log"
+        return file.read_text(errors="replace") if file.exists() else ""
+
+    def _write_settings(self, number: int, way: int, front: int, ready: int, peers: int) -> None:
+        settings = {
+            "node_name": f"vm-{number}", "ip": "127.0.0.1", "zone": "zone-1",
+            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "internal_ports": [peers, peers + 15],
+            "provider": {"address": f"127.0.0.1:{way}"},
+        }  # fmt: skip
+        (self.folder / f"vm-{number}.json").write_text(json.dumps(settings))
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/processes.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import signal
 import socket
@@ -24,6 +25,29 @@
     return ports
 
 
+# Below the kernel's range for outgoing connections, which could take a port before its server does.
+_PORTS = itertools.cycle(range(20_000 + os.getpid() % 120 * 100, 32_000))
+
+
+def ports_in_a_row(count: int) -> int:
+    """Return the first of so many consecutive ports that nobody listens on."""
+    while True:
+        first = next(_PORTS)
+        if all(_is_free(first + offset) for offset in range(count)):
+            for _ in range(count):
+                next(_PORTS)
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as taken:
+        try:
+            taken.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 class Processes:
     """The rig's children by name."""
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/relay.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/relay.py
@@ -12,7 +12,8 @@
     """Forwards connections to one address.
 
     A silent connection stays open at both ends while nothing passes any more; new connections
-    work, as behind a device that has lost track of the old ones.
+    work, as behind a device that has lost track of the old ones. ``delay_s`` holds up each piece;
+    while ``one_way`` is set nothing comes back from the target.
     """
 
     def __init__(self, target: str) -> None:
@@ -22,6 +23,8 @@
         self._connections: set[asyncio.Task[None]] = set()
         self._silent: set[asyncio.Task[None]] = set()
         self._cut = False
+        self.delay_s = 0.0
+        self.one_way = False
 
     async def start(self, address: str) -> None:
         """Listen on an address."""
@@ -73,7 +76,7 @@
         far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
         pumps = [
             asyncio.create_task(self._pump(reader, far_writer, task)),
-            asyncio.create_task(self._pump(far_reader, writer, task)),
+            asyncio.create_task(self._pump(far_reader, writer, task, back=True)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -88,10 +91,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         task: asyncio.Task[None],
+        back: bool = False,
     ) -> None:
         while True:
             piece = await reader.read(PIECE_BYTES)
-            if task in self._silent:
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if task in self._silent or (back and self.one_way):
                 # Nothing is forwarded, not even the close: the other end never learns of it.
                 await asyncio.Event().wait()
             if not piece:
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import io
-import itertools
 import json
 import os
-import socket
 from dataclasses import dataclass, field
 
 from coriandershelf_platform.application import PlatformApplication, steady_s
 from coriandershelf_platform.logs import LogWriter
 from coriandershelf_platform.settings_file import NodeSettings
+from coriandershelf_rig.internal.processes import ports_in_a_row
 from coriandershelf_rig.internal.standin_replica import Replica
 from coriandershelf_rig.internal.standin_store import (
     OPERATOR_TOPIC,
@@ -25,29 +24,6 @@
 KEY = "key-1"
 
 
-# Below the kernel's range for outgoing connections, which could take a port before its server does.
-PORTS = itertools.cycle(range(20_000 + os.getpid() % 1_000 * 10, 32_000))
-
-
-def free_ports(count: int) -> int:
-    """Return the first of so many ports in a row that nothing listens on."""
-    while True:
-        first = next(PORTS)
-        if all(_is_free(first + offset) for offset in range(count)):
-            for _ in range(count):
-                next(PORTS)
-            return first
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as taken:
-        try:
-            taken.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def make_route(name: str, kind: str, service: str, **extra: object) -> dict[str, object]:
     return {
         "name": name, "host": HOST_NAME, "path_prefix": f"/{name}/", "kind": kind,
@@ -84,7 +60,7 @@
     async def __aenter__(self) -> Site:
         self._store_server, address = await start_store(self.store)
         self.store.put(OPERATOR_TOPIC, "config", make_configuration())
-        first_port = free_ports(4)
+        first_port = ports_in_a_row(4)
         self.settings = NodeSettings.model_validate(
             {
                 "node_name": "vm-1", "ip": "127.0.0.1", "zone": "zone-1",
