--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -19,6 +19,8 @@
 # After a start a VM reads configuration and registry.
 START_S = 2.0
 EXIT_KILLED = -signal.SIGKILL
+# A process that is asked to stop before it handles signals, and so before it serves, just ends.
+YOUNG_S = 1.5
 
 
 class FaultDriver:
@@ -83,18 +85,21 @@
         self._site.processes.signal(f"vm-{number}", signal.SIGCONT)
 
     async def _stop(self, number: int, last_s: float) -> None:
+        young = time.monotonic() - self._site.started_at_s[number] < YOUNG_S
         self._site.processes.signal(f"vm-{number}", signal.SIGTERM)
-        await self._ends_in_time(number)
+        await self._ends_in_time(number, young)
 
     async def _stop_twice(self, number: int, last_s: float) -> None:
+        young = time.monotonic() - self._site.started_at_s[number] < YOUNG_S
         self._site.processes.signal(f"vm-{number}", signal.SIGTERM)
         await asyncio.sleep(min(0.5, last_s))
-        await self._stop(number, last_s)
+        self._site.processes.signal(f"vm-{number}", signal.SIGTERM)
+        await self._ends_in_time(number, young)
 
     async def _reload(self, number: int, last_s: float) -> None:
         self._site.processes.signal(f"vm-{number}", signal.SIGHUP)
 
-    async def _ends_in_time(self, number: int) -> None:
+    async def _ends_in_time(self, number: int, young: bool) -> None:
         until_s = time.monotonic() + self._stop_limit_s
         while self._site.processes.running(f"vm-{number}") and time.monotonic() < until_s:
             await asyncio.sleep(POLL_S)
@@ -103,12 +108,12 @@
             self._site.processes.signal(f"vm-{number}", signal.SIGKILL)
             self._start_again(number, EXIT_KILLED)
             return
-        self._start_again(number, 0)
+        self._start_again(number, *((0, -signal.SIGTERM) if young else (0,)))
 
-    def _start_again(self, number: int, expected: int) -> None:
+    def _start_again(self, number: int, *expected: int) -> None:
         code = self._site.processes.wait(f"vm-{number}", 2.0)
-        if code != expected:
-            self.broken.append(f"VM {number} ended with code {code} in place of {expected}")
+        if code not in expected:
+            self.broken.append(f"VM {number} ended with code {code} in place of {expected[0]}")
         self._site.start_vm(number)
 
     async def _kill_all(self, last_s: float) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -48,6 +49,7 @@
     ports: list[int] = field(default_factory=list)
     keys: list[str] = field(default_factory=lambda: ["key-0", "key-1"])
     version: int = 0
+    started_at_s: dict[int, float] = field(default_factory=dict)
     _server: HTTPServer = field(init=False)
     processes: Processes = field(init=False)
 
@@ -86,6 +88,7 @@
     def start_vm(self, number: int) -> None:
         """Start an entry VM's process."""
         file = str(self.folder / f"vm-{number}.json")
+        self.started_at_s[number] = time.monotonic()
         arguments = ("--border", "platform", "--settings-file", file)
         self.processes.start(f"vm-{number}", MODULE, *arguments)
 
