A prompt that is being read counts less and less in its replica's account

Cause: an account counted a prompt in full until its first event came back; expected times were 174 ms at the median where 99 were taken. Change: what the replica has read of the first prompt by its learnt speed is taken off.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -12,10 +12,8 @@
 from coriandershelf_core.internal.gateway.part_memory import PartMemory
 from coriandershelf_core.internal.gateway.pool import ReplicaState
 from coriandershelf_core.internal.gateway.request import Passage, PromptPart
-from coriandershelf_core.internal.gateway.room import Room
+from coriandershelf_core.internal.gateway.room import PROMPT_TOKEN_S, Room
 
-# Time that an engine takes for a prompt token, before its slowness is learnt.
-PROMPT_TOKEN_S = 1.0e-5
 FIRST_EVENT_S = 0.065
 PLAIN_ANSWER_S = 0.03
 # Part of a route's requests whose last part was seen before, from which on it counts as shared.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room.py
@@ -18,6 +18,8 @@
 from coriandershelf_core.internal.gateway.part_memory import PartMemory
 from coriandershelf_core.internal.gateway.request import PromptPart
 
+# Time that an engine takes for a prompt token, before its slowness is learnt.
+PROMPT_TOKEN_S = 1.0e-5
 # An accountant that took over a moment ago knows only what began since; the digests' counts, about
 # a second old on the largest sites, fill the gap for this long.
 TAKEN_OVER_S = 2.0
@@ -142,6 +144,7 @@
 @dataclass(slots=True)
 class _Work:
     tokens_count: int
+    started_at_s: float
     until_s: float
 
 
@@ -151,12 +154,23 @@
 
     since_s: float
     works: dict[tuple[str, int, int], _Work] = field(default_factory=dict)
+    begun_at_s: float = -math.inf
     unreachable_until_s: float = -math.inf
     pace: float = 1.0
     pace_at_s: float = -math.inf
     slowness: float = 1.0
     times_count: int = 0
 
+    def waiting_tokens(self, now_s: float) -> int:
+        """Return the prompt tokens still to be read, less what was read of the first prompt."""
+        waiting = [work for work in self.works.values() if work.tokens_count]
+        if not waiting:
+            return 0
+        first = waiting[0]
+        reading_s = now_s - max(first.started_at_s, self.begun_at_s)
+        read = int(reading_s / (PROMPT_TOKEN_S * self.slowness * self.pace))
+        return sum(work.tokens_count for work in waiting) - min(first.tokens_count, read)
+
     def on_slowness(self, slowness: float) -> None:
         """Take one more time into the moving mean."""
         self.times_count += 1
@@ -182,10 +196,11 @@
             account.on_slowness(note.slowness)
         match note.step:
             case WorkStep.STARTED:
-                account.works[key] = _Work(note.tokens_count, now_s + note.keep_s)
+                account.works[key] = _Work(note.tokens_count, now_s, now_s + note.keep_s)
                 self._parts.note(note.parts, note.replica_id, now_s)
             case WorkStep.BEGUN:
                 account.unreachable_until_s = -math.inf
+                account.begun_at_s = now_s
                 if key in account.works:
                     account.works[key].tokens_count = 0
             case WorkStep.ENDED:
@@ -208,7 +223,7 @@
         """
         account = self._account(replica_id, now_s)
         running_count = len(account.works)
-        waiting_tokens = sum(work.tokens_count for work in account.works.values())
+        waiting_tokens = account.waiting_tokens(now_s)
         if now_s - account.since_s < TAKEN_OVER_S:
             running_count = max(running_count, believed[0])
             waiting_tokens = max(waiting_tokens, believed[1])
