--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/choice.py
@@ -46,7 +46,7 @@
 EJECTED_MAX_SHARE = 0.5
 # Replicas beside a session's homes whose accounts are asked for; the best of a few chosen by chance
 # is nearly the best of all (Mitzenmacher 2001).
-OTHERS_ASKED_COUNT = 3
+OTHERS_ASKED_COUNT = 5
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -41,10 +41,10 @@
 # While more than the first part of the work is late, more reclaimable replicas than the load asks
 # for are ordered, step by step, since the figures of a replica's speed are estimates; while less
 # than the second part is late, fewer again.
-LATE_HIGH_SHARE = 0.08
-LATE_LOW_SHARE = 0.03
+LATE_HIGH_SHARE = 0.10
+LATE_LOW_SHARE = 0.04
 RESERVE_STEP = 1.25
-RESERVE_MAX = 2.0
+RESERVE_MAX = 1.6
 # Between two steps new replicas boot and show what they change.
 RESERVE_PERIOD_S = 2.5
 # After a refusal, reclaimable replicas are not given back for this long: they would not come back.
