A reload asked for while a process starts does not end it

Cause: SIGHUP's default action ends a process that does not handle it yet; the application does so only after its imports, some 0.3 s. Change: coriandershelfd ignores it from its first line on; what it would reload is read after that anyway.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/border.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/border.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from collections.abc import Mapping, Sequence
 
@@ -29,6 +30,9 @@
 
 def main() -> None:
     """Start the process at the chosen border."""
+    # Until the application handles it, a request to reload must not end the process; what it would
+    # reload is read after this anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     border = border_of(sys.argv[1:], os.environ)
     if border == PLATFORM_BORDER:
         from coriandershelf_platform.cli import serve
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -147,12 +147,16 @@
 @click.option("--vms", type=click.IntRange(min=1), default=3, show_default=True)
 @click.option("--times/--no-times", default=True, help="Judge times, too.")
 @click.option("--quiet", is_flag=True, help="Do not print each fault as it begins.")
-def fault_soak(seed: int, seeds: int, minutes: float, vms: int, times: bool, quiet: bool) -> None:
+@click.option("--keep", type=click.Path(file_okay=False), help="Folder for logs of broken runs.")
+def fault_soak(
+    seed: int, seeds: int, minutes: float, vms: int, times: bool, quiet: bool, keep: str | None
+) -> None:
     """Bring about random faults on real entry VMs at the platform's border; callers judge."""
     note = (lambda line: None) if quiet else click.echo
     broken = 0
     for number in range(seed, seed + seeds):
-        verdict = asyncio.run(run_seed(number, minutes * 60.0, vms, note, times))
+        folder = Path(keep) if keep is not None else None
+        verdict = asyncio.run(run_seed(number, minutes * 60.0, vms, note, times, folder))
         broken += len(verdict.broken)
         for line in describe(number, verdict):
             click.echo(line)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -21,6 +21,7 @@
 EXIT_KILLED = -signal.SIGKILL
 # A process that is asked to stop before it handles signals, and so before it serves, just ends.
 YOUNG_S = 1.5
+INTERPRETER_START_S = 0.25
 
 
 class FaultDriver:
@@ -97,6 +98,9 @@
         await self._ends_in_time(number, young)
 
     async def _reload(self, number: int, last_s: float) -> None:
+        # Before the interpreter runs a line of the program, the signal ends any process.
+        while time.monotonic() - self._site.started_at_s[number] < INTERPRETER_START_S:
+            await asyncio.sleep(POLL_S)
         self._site.processes.signal(f"vm-{number}", signal.SIGHUP)
 
     async def _ends_in_time(self, number: int, young: bool) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import shutil
 import tempfile
 import time
 from collections.abc import Callable
@@ -33,18 +34,23 @@
     vms_count: int,
     note: Callable[[str], None],
     judge_times: bool = True,
+    keep_folder: Path | None = None,
 ) -> Verdict:
     """Play a seed's plan under load and return what was found.
 
+    :param keep_folder: where the VMs' logs of a run that broke something go.
     :param judge_times: whether a VM must answer, stop and recover in time.
     """
     with tempfile.TemporaryDirectory(prefix="fault-soak-") as folder:
         site = SoakSite(Path(folder), vms_count)
         await site.start()
         try:
-            return await _play(site, seed, length_s, note, judge_times)
+            verdict = await _play(site, seed, length_s, note, judge_times)
         finally:
             await site.stop()
+        if verdict.broken and keep_folder is not None:
+            shutil.copytree(folder, keep_folder / f"seed-{seed}", dirs_exist_ok=True)
+        return verdict
 
 
 async def _play(
@@ -63,8 +69,9 @@
     ]
     for caller in callers:
         caller.keys = site.keys
-    if not await _serves_everywhere(site, callers, RECOVER_S * UNTIMED_FACTOR):
-        return Verdict({}, ["the site did not serve at the start"])
+    missing = await _missing(site, callers, RECOVER_S * UNTIMED_FACTOR)
+    if missing:
+        return Verdict({}, [f"not served at the start: {missing}"])
     targets = {
         "vm": site.vms_count, "store-way": site.vms_count, "replica": len(site.replicas),
         "replica-way": len(site.replicas), "site": 1,
@@ -74,12 +81,12 @@
     load = [asyncio.create_task(caller.run(until_s)) for caller in callers]
     await _apply(plan, driver, note)
     await asyncio.gather(*load)
-    recovered = await _serves_everywhere(site, callers, RECOVER_S * limit_factor)
+    missing = await _missing(site, callers, RECOVER_S * limit_factor)
     await asyncio.sleep(SETTLE_S)
     verdict = judge(records, site.runs.begun, driver.revoked_at_s, driver.disturbances, judge_times)
     verdict.broken += driver.broken
-    if not recovered:
-        verdict.broken.append(f"not every VM serves {RECOVER_S} s after the last fault")
+    if missing:
+        verdict.broken.append(f"not served {RECOVER_S} s after the last fault: {missing}")
     verdict.broken += _bad_lines(site)
     for kind, count in driver.counts.items():
         verdict.counts[f"fault {kind}"] = count
@@ -96,18 +103,23 @@
     await asyncio.gather(*tasks)
 
 
-async def _serves_everywhere(site: SoakSite, callers: list[SoakCaller], limit_s: float) -> bool:
-    """Return whether every VM answers every kind of request in time."""
+async def _missing(site: SoakSite, callers: list[SoakCaller], limit_s: float) -> dict[str, str]:
+    """Wait until every VM serves every kind of request; return those that it does not serve.
+
+    :return: for each VM and kind, how its last try ended.
+    """
     until_s = time.monotonic() + limit_s
-    open_pairs = {(number, kind) for number in range(site.vms_count) for kind in KINDS}
-    while open_pairs and time.monotonic() < until_s:
-        for number, kind in sorted(open_pairs):
+    missing = {(number, kind): "" for number in range(site.vms_count) for kind in KINDS}
+    while missing and time.monotonic() < until_s:
+        for number, kind in sorted(missing):
             record = await callers[number].ask_once(kind)
             if record is not None and record.status == 200 and record.is_right:
-                open_pairs.discard((number, kind))
-        if open_pairs:
+                del missing[number, kind]
+            else:
+                missing[number, kind] = "no connection" if record is None else str(record.status)
+        if missing:
             await asyncio.sleep(TRY_S)
-    return not open_pairs
+    return {f"VM {number} {kind}": last for (number, kind), last in missing.items()}
 
 
 def _bad_lines(site: SoakSite) -> list[str]:
