Tests that fail with six mechanisms taken out

Cause: each mechanism of docs/proofs/platform.md was taken out in a worktree and its test run; six tests passed all the same: a booking on a route that allows more attempts, a repeat that is refused after a first that may have run, the retry budget (its random sequences hardly reach it), a stop while a stream runs, an address that serves another replica, a registry that was not read.

--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from gateway_driver import GatewayDriver, make_deployment
 
@@ -14,9 +16,15 @@
     OpenStream,
     PassEvents,
     Refusal,
+    Stopped,
 )
 from coriandershelf_core.internal.gateway.deployment import Customer
-from coriandershelf_core.internal.gateway.events import CallerLeft, ReplicasRead, StopAsked
+from coriandershelf_core.internal.gateway.events import (
+    CallerLeft,
+    DeploymentRead,
+    ReplicasRead,
+    StopAsked,
+)
 
 PROMISES = {408, 421, 429, 503}
 
@@ -249,3 +257,56 @@
     assert Deliver(handle, 500, (), b"body") in driver.actions
     assert not driver.refusals(handle)
     assert not driver.gateway.relay.passages
+
+
+def test_more_attempts_in_the_configuration_do_not_make_a_booking_repeatable():
+    routes = tuple(replace(route, attempts_max_count=3) for route in make_deployment().routes)
+    driver = GatewayDriver().begin(make_deployment(routes=routes))
+    handle = driver.ask("/book/1")
+    (attempt,) = driver.attempts(handle)
+    driver.fail(attempt.attempt_id)
+    assert len(driver.attempts(handle)) == 1
+    assert STATUS_OF[driver.refusals(handle)[0].refusal] not in PROMISES
+
+
+def test_a_lookup_that_may_have_run_once_is_not_called_not_run_when_its_repeat_is_refused():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/read/1")
+    (first,) = driver.attempts(handle)
+    driver.fail(first.attempt_id)
+    _, second = driver.attempts(handle)
+    driver.answer(second.attempt_id, 503, not_run=True)
+    assert STATUS_OF[driver.refusals(handle)[0].refusal] not in PROMISES
+
+
+def test_a_stopping_vm_ends_only_once_nothing_is_in_flight():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/plan/1", time_left_s=15.0)
+    (attempt,) = driver.attempts(handle)
+    driver.open(attempt.attempt_id)
+    driver.post(StopAsked())
+    for event_id in range(1, 7):
+        driver.read(attempt.attempt_id, event_id)
+        driver.run(0.8)
+    assert Stopped() not in driver.actions
+    driver.end(attempt.attempt_id)
+    driver.run(0.1)
+    assert Stopped() in driver.actions
+
+
+def test_a_replica_whose_address_serves_another_gets_nothing_more():
+    driver = GatewayDriver().begin()
+    handle = driver.ask("/read/1")
+    first, *_ = driver.attempts(handle)
+    driver.answer(first.attempt_id, 421)
+    later = [driver.attempts(driver.ask("/read/1"))[0].replica_id for _ in range(12)]
+    assert first.replica_id not in later
+
+
+def test_a_vm_that_has_not_read_the_registry_is_not_ready_and_answers_not_run():
+    driver = GatewayDriver()
+    driver.post(DeploymentRead(make_deployment()))
+    driver.prove()
+    assert not driver.gateway.ready
+    (refusal,) = driver.refusals(driver.ask("/read/1"))
+    assert refusal.refusal is Refusal.NO_CONFIGURATION
--- a/tests/cover/test_gateway_state.py
+++ b/tests/cover/test_gateway_state.py
@@ -241,3 +241,13 @@
         driver.ask("/ask/1", prompt_tokens=1000)
         driver.run(0.1)
     assert driver.gateway.load_of(ENGINE, driver.now_s).tokens_per_s >= 8_000.0
+
+
+@pytest.mark.parametrize("vms", [1, 3, 9])
+def test_a_flood_of_repeats_is_held_to_the_budget_over_all_vms(vms: int):
+    ratio, slack, window_s = 0.2, 20.0, 10.0
+    allowances = [RetryAllowance(ratio, slack, window_s) for _ in range(vms)]
+    taken = [
+        allowance.take("s", vms, step * 0.01) for step in range(900) for allowance in allowances
+    ]
+    assert 0 < sum(taken) <= slack
