A request that timed out at a replica is not given back to its customer's cap

Cause: found on reading: a timed-out request kept its status, and the branch that keeps it also gave its cost back, although a replica may have run it; a customer whose requests time out could so have more run than its cap. Change: only what did not run is given back. The test fails without it.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -449,8 +449,8 @@
         if passage.answer is not None:
             self._deliver_kept(passage, passage.answer, now_s)
             return
-        if passage.may_have_run and refusal is not Refusal.TIMEOUT:
-            refusal = Refusal.UNKNOWN_OUTCOME
+        if passage.may_have_run:
+            refusal = refusal if refusal is Refusal.TIMEOUT else Refusal.UNKNOWN_OUTCOME
         elif passage.customer is not None:
             self.caps.spend(passage.customer, -passage.cost)
         self._note_late(passage, now_s)
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -310,3 +310,19 @@
     assert not driver.gateway.ready
     (refusal,) = driver.refusals(driver.ask("/read/1"))
     assert refusal.refusal is Refusal.NO_CONFIGURATION
+
+
+@pytest.mark.parametrize(("timed_out", "given_back"), [(True, False), (False, True)])
+def test_only_what_did_not_run_is_given_back_to_the_customers_cap(timed_out, given_back):
+    capped = Customer("customer-1", ("key-1",), None, 1.0, 1000.0, True)
+    driver = GatewayDriver().begin(make_deployment(customers=(capped,)))
+    handle = driver.ask("/book/1", time_left_s=1.0)
+    (attempt,) = driver.attempts(handle)
+    spent = driver.gateway.caps.spent()["customer-1"]
+    assert spent > 0.0
+    if timed_out:
+        driver.run(1.5)
+    else:
+        driver.answer(attempt.attempt_id, 503, not_run=True)
+    assert driver.refusals(handle)
+    assert driver.gateway.caps.spent().get("customer-1", 0.0) == (0.0 if given_back else spent)
