--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -16,7 +16,9 @@
     SendDigest,
     Stopped,
 )
+from coriandershelf_core.internal.gateway.attempts import Attempts
 from coriandershelf_core.internal.gateway.choice import Chooser
+from coriandershelf_core.internal.gateway.conclusions import RETRY_AFTER_SHARE, Conclusions
 from coriandershelf_core.internal.gateway.deployment import Customer, Deployment, Route
 from coriandershelf_core.internal.gateway.digest import Digest, HolderSeen, ReplicaDigest
 from coriandershelf_core.internal.gateway.events import (
@@ -39,7 +41,7 @@
 )
 from coriandershelf_core.internal.gateway.peers import SMALL_SITE_COUNT, Peers
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
-from coriandershelf_core.internal.gateway.relay import RETRY_AFTER_SHARE, Relay
+from coriandershelf_core.internal.gateway.relay import Relay
 from coriandershelf_core.internal.gateway.request import Arrival, Passage
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
 from coriandershelf_core.internal.gateway.room import RoomAsk, RoomMessage, RoomTold, WorkNote
@@ -115,21 +117,21 @@
         self._stop_at_s = 0.0
         self._stopped = False
         self.asks = RoomAsks(vm_id, address, incarnation, self.pool, self._outbox.append)
+        emit = self._outbox.append
+        chooser = Chooser(zone, rng)
         self.relay = Relay(
             self.pool,
-            Chooser(zone, rng),
+            chooser,
             self.asks,
+            Attempts(chooser, self.asks, emit),
+            Conclusions(self.caps, emit, self._count_begun, self.work_rates.note_late, rng.random),
             RetryAllowance(
                 settings.retry_ratio * RETRY_USE,
                 settings.retry_slack_count * RETRY_USE,
                 settings.retry_window_s,
             ),
             self.suspects,
-            self.caps,
-            self._outbox.append,
-            self._count_begun,
-            self.work_rates.note_late,
-            rng.random,
+            emit,
         )
 
     @property
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -137,7 +137,7 @@
     handle = driver.ask("/plan/1", time_left_s=15.0)
     (attempt,) = driver.attempts(handle)
     assert CancelAttempt(attempt.attempt_id) in driver.post(CallerLeft(handle))
-    assert not driver.gateway.relay.attempts
+    assert not driver.gateway.relay.attempts.by_id
 
 
 def test_a_request_at_its_time_limit_is_answered_within_half_a_second():
--- a/tests/cover/test_gateway_room.py
+++ b/tests/cover/test_gateway_room.py
@@ -95,7 +95,7 @@
         """Return the attempts in flight by replica."""
         loads = {f"engine-{number}": 0 for number in range(ENGINES_COUNT)}
         for driver in self.drivers.values():
-            for attempt in driver.gateway.relay.attempts.values():
+            for attempt in driver.gateway.relay.attempts.by_id.values():
                 loads[attempt.state.replica.replica_id] += 1
         return loads
 
@@ -290,11 +290,11 @@
     driver = GatewayDriver().begin()
     handle = driver.ask("/ask/1")
     (attempt,) = driver.attempts(handle)
-    state = driver.gateway.relay.attempts[attempt.attempt_id]
+    state = driver.gateway.relay.attempts.by_id[attempt.attempt_id]
     assert not state.behind_others
     others = [driver.ask(f"/ask/{number}") for number in range(6)]
     last = driver.attempts(others[-1])[0]
-    assert driver.gateway.relay.attempts[last.attempt_id].behind_others
+    assert driver.gateway.relay.attempts.by_id[last.attempt_id].behind_others
 
 
 def test_a_prompt_that_is_being_read_counts_less_and_less_and_the_next_one_in_full():
