--- /dev/null
+++ b/tests/cover/test_gateway_lines.py
@@ -0,0 +1,179 @@
+"""Every refusal and every repeat has its counter and its log line; so has what a VM believes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from gateway_driver import ENGINE, GatewayDriver, make_deployment, make_replicas
+
+from coriandershelf_core.internal.gateway.actions import (
+    Action,
+    Count,
+    Log,
+    Refusal,
+    Refuse,
+    RetryReason,
+)
+from coriandershelf_core.internal.gateway.deployment import Customer, Replica
+from coriandershelf_core.internal.gateway.digest import Digest
+from coriandershelf_core.internal.gateway.events import DigestArrived, ReplicasRead, StopAsked
+
+
+def start(driver: GatewayDriver, path: str, **changes: object) -> int:
+    """Ask for something; return the id of its attempt."""
+    return driver.attempts(driver.ask(path, **changes))[0].attempt_id
+
+
+def no_configuration(driver: GatewayDriver) -> None:
+    GatewayDriver.ask(driver, "/read/1")
+
+
+def stale_keys(driver: GatewayDriver) -> None:
+    driver.begin().run(6.0, proved=False)
+    driver.ask("/read/1")
+
+
+def no_room(driver: GatewayDriver) -> None:
+    driver.begin(plains=1)
+    for _ in range(20):
+        driver.ask("/read/1")
+
+
+def replica_refused(driver: GatewayDriver) -> None:
+    driver.begin()
+    driver.answer(start(driver, "/book/1"), 503, not_run=True)
+
+
+def poison(driver: GatewayDriver) -> None:
+    driver.begin(engines=5)
+    for _ in range(3):
+        driver.fail(start(driver, "/ask/1", fingerprint=99))
+    driver.ask("/ask/1", fingerprint=99)
+
+
+def stopping(driver: GatewayDriver) -> None:
+    driver.begin().post(StopAsked())
+    start(driver, "/plan/1", time_left_s=15.0)
+    driver.run(4.0)
+    driver.ask("/read/1")
+
+
+def timeout(driver: GatewayDriver) -> None:
+    start(driver.begin(), "/book/1", time_left_s=0.5)
+    driver.run(1.0)
+
+
+def unknown_outcome(driver: GatewayDriver) -> None:
+    driver.fail(start(driver.begin(), "/book/1"))
+
+
+def cap(driver: GatewayDriver) -> None:
+    capped = Customer("customer-1", ("key-1",), None, 1.0, 10.0, True)
+    driver.begin(make_deployment(customers=(capped,)))
+    driver.ask("/read/1")
+    driver.ask("/read/1")
+
+
+REFUSALS: dict[Refusal, Callable[[GatewayDriver], object]] = {
+    Refusal.NO_CONFIGURATION: no_configuration,
+    Refusal.STALE_KEYS: stale_keys,
+    Refusal.NO_ROUTE: lambda driver: driver.begin().ask("/nowhere"),
+    Refusal.UNKNOWN_KEY: lambda driver: driver.begin().ask("/read/1", key="other"),
+    Refusal.BODY_TOO_LARGE: lambda driver: driver.begin().ask("/read/1", body_bytes=1 << 30),
+    Refusal.HEADER_TOO_LARGE: lambda driver: driver.begin().ask("/read/1", header_bytes=1 << 20),
+    Refusal.CAP: cap,
+    Refusal.NO_REPLICA: lambda driver: driver.begin(plains=0).ask("/read/1"),
+    Refusal.NO_ROOM: no_room,
+    Refusal.REPLICA_REFUSED: replica_refused,
+    Refusal.POISON: poison,
+    Refusal.STOPPING: stopping,
+    Refusal.TIMEOUT: timeout,
+    Refusal.UNKNOWN_OUTCOME: unknown_outcome,
+}
+
+
+@pytest.mark.parametrize("refusal", list(Refusal))
+def test_a_refusal_has_its_counter_and_its_line(refusal: Refusal):
+    driver = GatewayDriver()
+    REFUSALS[refusal](driver)
+    refused = [item for item in driver.actions if isinstance(item, Refuse)]
+    assert refusal in {item.refusal for item in refused}
+    assert Count("refusals", refusal.value) in driver.actions
+    lines = [item for item in driver.actions if isinstance(item, Log) and item.event == "refused"]
+    assert len(lines) == len(refused)
+    fields = [dict(item.fields) for item in lines]
+    assert any(item["reason"] == refusal.value and item["request_id"] for item in fields)
+
+
+def resumed(driver: GatewayDriver) -> None:
+    attempt = start(driver, "/plan/1", time_left_s=15.0)
+    driver.open(attempt)
+    driver.read(attempt, 1)
+    driver.fail(attempt)
+
+
+def left(driver: GatewayDriver) -> None:
+    attempt = driver.attempts(driver.ask("/plan/1", time_left_s=15.0))[0]
+    driver.post(ReplicasRead({attempt.replica_id: None}))
+    driver.fail(attempt.attempt_id)
+
+
+def silent(driver: GatewayDriver) -> None:
+    start(driver, "/read/1")
+    driver.run(0.9)
+
+
+RETRIES: dict[RetryReason, Callable[[GatewayDriver], object]] = {
+    RetryReason.CONNECT: lambda driver: driver.fail(start(driver, "/book/1"), sent=False),
+    RetryReason.MISDIRECTED: lambda driver: driver.answer(start(driver, "/read/1"), 421),
+    RetryReason.NOT_RUN: lambda driver: driver.answer(start(driver, "/read/1"), 503, not_run=True),
+    RetryReason.FAILED: lambda driver: driver.fail(start(driver, "/read/1")),
+    RetryReason.SERVER_ERROR: lambda driver: driver.answer(start(driver, "/read/1"), 500),
+    RetryReason.SILENT: silent,
+    RetryReason.RESUMED: resumed,
+    RetryReason.LEFT: left,
+}
+
+
+@pytest.mark.parametrize("reason", list(RetryReason))
+def test_a_repeat_has_its_counter_and_its_line(reason: RetryReason):
+    driver = GatewayDriver().begin()
+    RETRIES[reason](driver)
+    assert Count("retries", reason.value) in driver.actions
+    lines = [
+        item for item in driver.actions if isinstance(item, Log) and item.event == "sent again"
+    ]
+    assert [dict(item.fields)["reason"] for item in lines] == [reason.value]
+    fields = dict(lines[0].fields)
+    assert fields["request_id"] and fields["replica"] and fields["trouble"] is not None
+
+
+def events_of(actions: list[Action]) -> list[str]:
+    return [item.event for item in actions if isinstance(item, Log)]
+
+
+def test_each_change_of_what_a_vm_believes_has_its_line():
+    driver = GatewayDriver().begin()
+    assert {"configuration in force", "replica registered"} <= set(events_of(driver.actions))
+    gone = driver.post(ReplicasRead({f"{ENGINE}-0": None}))
+    assert events_of(gone) == ["replica gone from the registry"]
+    back = driver.post(ReplicasRead({f"{ENGINE}-0": make_replicas()[f"{ENGINE}-0"]}))
+    assert events_of(back) == ["replica registered"]
+    told = Digest("vm-2", "vm-2:1", "zone", 1, 1, 0.0, left={f"{ENGINE}-0": 0})
+    marked = driver.post(DigestArrived(told))
+    assert "replica leaves, as another VM read" in events_of(marked)
+    assert "replica unreachable" in events_of(driver.fail(start(driver, "/read/1"), sent=False))
+    shut_out = [driver.fail(start(driver, "/book/1")) for _ in range(12)]
+    assert any("replica shut out" in events_of(actions) for actions in shut_out)
+    assert "stop asked" in events_of(driver.post(StopAsked()))
+
+
+def test_a_registry_entry_is_logged_with_what_is_believed_of_it():
+    driver = GatewayDriver().begin()
+    replica = Replica("new", ENGINE, "10.0.9.1:80", "zone-1", 8, True, True)
+    (line,) = [
+        item for item in driver.post(ReplicasRead({"new": replica})) if isinstance(item, Log)
+    ]
+    fields = dict(line.fields)
+    assert (fields["replica"], fields["leaving"], fields["reclaimable"]) == ("new", 1, 1)
