--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 from statistics import median
 
 from coriandershelf_core.internal.gateway.actions import (
@@ -13,14 +12,14 @@
     Log,
     Refusal,
     Refuse,
-    SendDigest,
     Stopped,
 )
 from coriandershelf_core.internal.gateway.attempts import Attempts
 from coriandershelf_core.internal.gateway.choice import Chooser
 from coriandershelf_core.internal.gateway.conclusions import RETRY_AFTER_SHARE, Conclusions
 from coriandershelf_core.internal.gateway.deployment import Customer, Deployment, Route
-from coriandershelf_core.internal.gateway.digest import Digest, HolderSeen, ReplicaDigest
+from coriandershelf_core.internal.gateway.digest import Digest, HolderSeen
+from coriandershelf_core.internal.gateway.digest_rounds import DigestRounds, Identity, Standing
 from coriandershelf_core.internal.gateway.events import (
     AnswerRead,
     AttemptFailed,
@@ -39,7 +38,7 @@
     StreamRead,
     Tick,
 )
-from coriandershelf_core.internal.gateway.peers import SMALL_SITE_COUNT, Peers
+from coriandershelf_core.internal.gateway.peers import Peers
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.relay import Relay
 from coriandershelf_core.internal.gateway.request import Arrival, Passage
@@ -65,13 +64,6 @@
 STOP_MARGIN_S = 0.5
 # Streams accepted late in a stop would be cut.
 STOP_STREAMS_AFTER_S = 3.0
-# Other VMs' counts are summed this often where so many are known, more often where fewer are.
-COUNT_PERIOD_S = 0.2
-COUNT_PERIOD_PEERS = 80
-# VMs beside the holder of the duties that are told everybody's usage, to report it if it is lost.
-REPORTERS_COUNT = 3
-# A replica's learnt slowness is told to the other entry VMs for this long.
-TIMES_TOLD_S = 3.0
 
 
 class Gateway:
@@ -104,20 +96,25 @@
         self.holder_seen: HolderSeen | None = None
         self.work_rates = WorkRates()
         self.stopping = False
-        self._address = address
-        self._zone = zone
-        self._incarnation = incarnation
-        self._rng = rng
         self._outbox: list[Action] = []
         self._routes = RouteTable(())
         self._proved_at_s = float("-inf")
         self._registry_read = False
-        self._sequence = 0
-        self._counted_at_s = 0.0
         self._stop_at_s = 0.0
         self._stopped = False
         self.asks = RoomAsks(vm_id, address, incarnation, self.pool, self._outbox.append)
         emit = self._outbox.append
+        self._rounds = DigestRounds(
+            Identity(vm_id, address, zone, incarnation),
+            self.pool,
+            self.peers,
+            self.caps,
+            self.suspects,
+            self.usage,
+            self.work_rates,
+            self.asks,
+            emit,
+        )
         chooser = Chooser(zone, rng)
         self.relay = Relay(
             self.pool,
@@ -332,90 +329,20 @@
                 self.asks.ledger.on_note(message, now_s)
 
     def _on_tick(self, now_s: float, clock_s: float) -> None:
-        self._count_others(now_s)
+        self._rounds.count_others(self.stopping, now_s)
         self.relay.on_tick(now_s)
         self.caps.on_tick(now_s)
         self.suspects.on_tick(now_s)
         self.true_time.update(clock_s, now_s)
         self.usage.expire(self.true_time.at(now_s))
         self._on_left(self.pool.expire(now_s))
-        self._send_digests(now_s, clock_s)
+        version = self.deployment.version if self.deployment is not None else 0
+        standing = Standing(self.stopping, version, self.holder, self.holder_seen)
+        self._rounds.send(standing, now_s, clock_s)
+        self._count_entry_vms()
         if self.stopping:
             self._try_to_stop(now_s)
 
-    def _count_others(self, now_s: float) -> None:
-        if now_s - self._counted_at_s < COUNT_PERIOD_S * self.peers.count / COUNT_PERIOD_PEERS:
-            return
-        self._counted_at_s = now_s
-        self._update_accounts(now_s)
-        told: dict[str, list[ReplicaDigest]] = {}
-        for digest in self.peers.live(now_s):
-            for name, item in digest.replicas.items():
-                told.setdefault(name, []).append(item)
-        for state in self.pool:
-            state.on_others(told.get(state.replica.replica_id, ()), now_s)
-
-    def _update_accounts(self, now_s: float) -> None:
-        live = [digest for digest in self.peers.live(now_s) if not digest.stopping]
-        self.asks.enabled = self.peers.count > SMALL_SITE_COUNT
-        zones: dict[str, list[str]] = {self._zone: [] if self.stopping else [self.vm_id]}
-        for digest in live:
-            zones.setdefault(digest.zone, []).append(digest.vm_id)
-        self.asks.accountants.update({zone: tuple(sorted(vms)) for zone, vms in zones.items()})
-        self.asks.addresses = {digest.vm_id: digest.address for digest in live}
-        processes = {(digest.vm_id, digest.incarnation) for digest in self.peers.live(now_s)}
-        processes.add((self.vm_id, self._incarnation))
-        self.asks.ledger.on_tick(self.pool.ids(), processes, now_s)
-
-    def _send_digests(self, now_s: float, clock_s: float) -> None:
-        due = self.peers.due(self._zone, now_s)
-        self._count_entry_vms()
-        if not due:
-            return
-        lean = self._make_digest(now_s, clock_s)
-        full = replace(
-            lean,
-            spent=self.caps.spent(),
-            demand=self.caps.demand(now_s),
-            work=self.work_rates.own(now_s, self.pool.own_running()),
-            complete=True,
-        )
-        # Usage is told to those that may have to report it; it is the larger part of a digest.
-        reporters = self.peers.first_ids(self.vm_id, REPORTERS_COUNT, now_s)
-        if self.holder_seen is not None:
-            reporters.add(self.holder_seen.vm_id)
-        reporting = replace(full, begun=self.usage.told())
-        groups: dict[int, list[str]] = {}
-        for vm_id, is_full in due.items():
-            kind = 2 if vm_id in reporters else int(is_full)
-            groups.setdefault(kind, []).append(self.peers.address_of(vm_id))
-        for kind, addresses in groups.items():
-            digest = (lean, full, reporting)[kind]
-            self._outbox.append(SendDigest(tuple(addresses), digest))
-
-    def _make_digest(self, now_s: float, clock_s: float) -> Digest:
-        self._sequence += 1
-        replicas = {
-            state.replica.replica_id: state.own_digest(now_s)
-            for state in self.pool
-            if not self.asks.enabled
-            and (state.in_flight or state.was_timed_since(now_s - TIMES_TOLD_S))
-        }
-        return Digest(
-            self.vm_id,
-            self._address,
-            self._zone,
-            self._incarnation,
-            self._sequence,
-            clock_s,
-            self.stopping,
-            self.deployment.version if self.deployment is not None else 0,
-            replicas=replicas,
-            crashes=self.suspects.own_counts(),
-            left=self.pool.left_lately(now_s),
-            holder=self.holder,
-        )
-
     def _on_stop(self, now_s: float) -> None:
         if not self.stopping:
             self.stopping = True
