--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 PYTHON ?= python3
 SEED ?= 1
 STEPS ?= 1000000
+MINUTES ?= 0.5
 BIN := .venv/bin
 PACKAGES := core wire entry operator rig
 TOOLS := black ruff mypy pytest hypothesis types-PyYAML types-protobuf grpc-stubs
 
-.PHONY: test lint demo soak setup generate format
+.PHONY: test lint demo soak fault-soak setup generate format
 
 setup: .venv/ready
 
@@ -35,6 +36,9 @@
 soak: setup
 	$(BIN)/python -m coriandershelf_rig soak --seed $(SEED) --steps $(STEPS)
 
+fault-soak: setup
+	$(BIN)/python -m coriandershelf_rig fault-soak --seed $(SEED) --minutes $(MINUTES)
+
 # Needs grpcio-tools; the result is committed, so a build needs no generator.
 generate:
 	$(BIN)/pip install --quiet -c constraints.txt grpcio-tools
