--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_asks.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_asks.py
@@ -19,7 +19,8 @@
     WorkStep,
 )
 
-# Several times two trips between zones (0.5 to 0.9 ms one way on the users' sites); a request waits no longer for one from a VM that is slow or gone.
+# Several times two trips between zones (0.5 to 0.9 ms one way on the users' sites); a request waits
+# no longer for an answer from a VM that is slow or gone.
 ANSWER_WAIT_S = 0.015
 # A VM that did not answer is not asked again for this long.
 SILENT_PAUSE_S = 0.5
