Read and log the request limit that replicas state

The border now decodes Server-Limit in every response of the expected replica, also in refusals and heads of streams, and posts it before the response's other events; the core logs each change ('replica's request limit', counter request_limits) and values that are no decimal number. Nothing is decided by it yet. The header is this system's and no longer passed on to callers.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -49,6 +49,29 @@
     handle: int
 
 
+@dataclass(frozen=True, slots=True)
+class MalformedHeader:
+    """The value of a header that could not be decoded."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHeadRead:
+    """Status and headers of a response were read; posted before its other events.
+
+    Not posted for a response of another replica that now has the address.
+
+    :param has_receipt: whether the response carries the replica's receipt header.
+    :param requests_max_per_s: rate of requests from all entry VMs together that the replica states
+        to accept; ``None`` if it states none.
+    """
+
+    attempt_id: int
+    has_receipt: bool
+    requests_max_per_s: float | MalformedHeader | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerRead:
     """A replica's response was read completely.
@@ -168,6 +191,7 @@
 Event = (
     RequestArrived
     | CallerLeft
+    | ResponseHeadRead
     | AnswerRead
     | StreamOpened
     | StreamRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -31,6 +31,7 @@
     Event,
     ReplicasRead,
     RequestArrived,
+    ResponseHeadRead,
     RoomMessageArrived,
     StopAsked,
     StreamEnded,
@@ -177,6 +178,8 @@
                 self.relay.on_read(event, now_s)
             case RequestArrived(arrival):
                 self._on_request(arrival, now_s)
+            case ResponseHeadRead():
+                self.relay.on_head(event, now_s)
             case AnswerRead():
                 self.relay.on_response(event, now_s)
             case StreamOpened():
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -57,6 +57,8 @@
     :param peer_latency_ratio: mean of the other entry VMs' ratios.
     :param slowdown: current ÷ usual service time, from the latest report of the replica to any VM.
     :param own_slowdown: the same, from the latest report to this VM.
+    :param requests_max_per_s: rate of requests from all VMs together that the replica last stated
+        to accept; ``None`` if it states none.
     :param backoff_until_s: no requests are sent until then because the replica refused one.
     :param missing_since_s: when its registration vanished during a store outage.
     """
@@ -76,6 +78,7 @@
     slowdown_at_s: float = -math.inf
     own_slowdown: float = 1.0
     own_slowdown_at_s: float = -math.inf
+    requests_max_per_s: float | None = None
     leaving: bool = False
     backoff_until_s: float = 0.0
     ejected_until_s: float = 0.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -27,6 +27,8 @@
     AnswerRead,
     AttemptFailed,
     FailureCause,
+    MalformedHeader,
+    ResponseHeadRead,
     StreamEnded,
     StreamOpened,
     StreamRead,
@@ -47,6 +49,7 @@
 # Replicas tried after the first one that could not be connected.
 CONNECT_RETRIES_MAX_COUNT = 4
 SERVER_ERROR = 500
+HEADER_LOGGED_MAX_CHARACTERS = 40
 
 
 @dataclass(slots=True)
@@ -93,6 +96,24 @@
             self.attempts.cancel(attempt, now_s)
         self.responder.remove(request)
 
+    def on_head(self, event: ResponseHeadRead, now_s: float) -> None:
+        """Record the request limit that a replica states, or no longer states, in a response."""
+        attempt = self.attempts.by_id.get(event.attempt_id)
+        if attempt is None:
+            return
+        state, stated = attempt.state, event.requests_max_per_s
+        name = state.replica.replica_id
+        if isinstance(stated, MalformedHeader):
+            fields = (("replica", name), ("text", stated.text[:HEADER_LOGGED_MAX_CHARACTERS]))
+            self.emit(LogLine("request limit not understood", fields))
+        elif stated != state.requests_max_per_s:
+            state.requests_max_per_s = stated
+            self.emit(IncrementCounter("request_limits", "lifted" if stated is None else "stated"))
+            running = (("running", state.running_count), ("own_running", len(state.in_flight)))
+            self.emit(
+                LogLine("replica's request limit", (("replica", name), ("per_s", stated), *running))
+            )
+
     def on_response(self, event: AnswerRead, now_s: float) -> None:
         """Forward a replica's response, or retry if that is allowed."""
         attempt = self.attempts.by_id.get(event.attempt_id)
--- a/tests/cover/test_platform_borders.py
+++ b/tests/cover/test_platform_borders.py
@@ -425,3 +425,24 @@
             assert not replica.received
 
     run(scenario)
+
+
+@pytest.mark.parametrize("text, logged", [("3.4", ("per_s", 3.4)), ("soon", ("text", "soon"))])
+def test_the_request_limit_in_an_answer_is_logged_and_not_passed_on(text, logged):
+    async def scenario() -> None:
+        async def state_limit(request: ReceivedRequest, connection: ReplicaConnection) -> None:
+            head = response_head(request, Server_Limit=text)
+            await connection.send(head + b"Content-Length: 4\r\n\r\ndone")
+
+        async with Site() as site:
+            await site.add_replica("plain", state_limit, "r-1")
+            client = await site.connect()
+            client.send("/book/1")
+            response = await client.read()
+            assert (response.status, response.body) == (200, b"done")
+            assert "server-limit" not in response.headers
+            (line,) = [line for line in site.logs() if "request limit" in str(line["event"])]
+            assert line["replica"] == "r-1"
+            assert line[logged[0]] == logged[1]
+
+    run(scenario)
