--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/callers.py
@@ -51,6 +51,11 @@
     return "".join(f"id: {number}\ndata: {request_id} {number}\n\n" for number in numbers).encode()
 
 
+def vm_of_request(request_id: str, vm_count: int) -> int:
+    """Return the entry VM that a caller sends a request to."""
+    return int(request_id.split("-")[1]) % vm_count
+
+
 class SoakCaller:
     """Sends requests to one entry VM, one after another on a persistent connection."""
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -15,6 +15,9 @@
 from coriandershelf_rig.internal.relay import Relay
 
 SLOW_RELAY_DELAY_S = 0.15
+# A stated request limit binds only some seconds after it was first stated.
+LIMIT_PER_S = 3.0
+LIMIT_EXTRA_S = 6.0
 POLL_PERIOD_S = 0.05
 # After its start a VM first reads the configuration and the registry.
 STARTUP_S = 2.0
@@ -32,6 +35,8 @@
         self._stop_limit_s = stop_limit_s
         self._busy_vms: set[int] = set()
         self.disturbances: list[Disturbance] = []
+        # Index of a replica with the period in which the path to it was disturbed.
+        self.replica_disturbances: list[tuple[int, float, float]] = []
         self.revoked_at_s: dict[str, float] = {}
         self.violations: list[str] = []
         self.counts: dict[str, int] = {}
@@ -49,7 +54,9 @@
         elif component == "replica" and mode in ("cut", "silent", "slow"):
             relay = self._site.replicas[fault.target].relay
             assert relay is not None, "every replica of the site must have been started"
+            from_s = time.monotonic()
             await _inject_relay_fault(relay, mode, fault.duration_s)
+            self.replica_disturbances.append((fault.target, from_s, time.monotonic()))
         elif component == "replica":
             await self._inject_replica_fault(
                 self._site.replicas[fault.target], mode, fault.duration_s
@@ -148,6 +155,11 @@
         if mode in ("restart", "leave"):
             await self._restart_replica(replica, drains=mode == "leave", duration_s=duration_s)
             return
+        if mode == "limits":
+            replica.state_limit(LIMIT_PER_S)
+            await asyncio.sleep(duration_s + LIMIT_EXTRA_S)
+            replica.end_limit()
+            return
         replica.fault_mode = mode
         await asyncio.sleep(duration_s)
         replica.fault_mode = ""
@@ -161,6 +173,7 @@
             self._site.register(replica, "draining")
             await asyncio.sleep(duration_s)
         self._site.unregister(replica)
+        replica.end_limit()
         replica.incarnation += 1
         await asyncio.sleep(0.1)
         self._site.register(replica)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/judge.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/judge.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from coriandershelf_rig.internal.fault_soak.callers import (
     DEADLINE_S,
     RequestRecord,
     expected_events,
+    vm_of_request,
+)
+from coriandershelf_rig.internal.fault_soak.replicas import SoakReplica
+from coriandershelf_rig.internal.replica_rules import (
+    ArrivedRequest,
+    ExcusedPeriod,
+    limit_violations,
 )
 
 # Statuses which guarantee that the request was not executed and never will be.
@@ -16,6 +23,7 @@
 # A response must arrive within this time after the request's deadline.
 RESPONSE_SLACK_S = 1.0
 REVOCATION_LIMIT_S = 5.0
+CONTACT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,3 +114,38 @@
         for item in disturbances
     )
     return duration_s > DEADLINE_S + RESPONSE_SLACK_S and not was_disturbed and not record.abandoned
+
+
+def judge_limits(
+    replicas: list[SoakReplica],
+    vm_count: int,
+    disturbances: list[Disturbance],
+    replica_disturbances: list[tuple[int, float, float]],
+) -> list[str]:
+    """Return a line for each window in which a replica got more requests than it stated.
+
+    :param replica_disturbances: index of a replica, with the period in which the path to it was
+        disturbed; requests that were held up then arrive together.
+    """
+    vms = [str(vm) for vm in range(vm_count)]
+    violations = []
+    for index, replica in enumerate(replicas):
+        excused = [ExcusedPeriod(str(item.vm), item.from_s, item.to_s) for item in disturbances]
+        excused += [
+            ExcusedPeriod(vm, from_s, to_s)
+            for target, from_s, to_s in replica_disturbances
+            for vm in vms
+            if target == index
+        ]
+        for period in replica.limits:
+            informed_at_s: dict[str, float] = {}
+            for request_id, at_s in period.informed_at_s.items():
+                informed_at_s.setdefault(str(vm_of_request(request_id, vm_count)), at_s)
+            arrivals = [
+                ArrivedRequest(at_s, str(vm_of_request(request_id, vm_count)))
+                for at_s, request_id, incarnation in replica.arrivals
+                if period.replica.endswith(f"-{incarnation}")
+            ]
+            by_vm = replace(period, informed_at_s=informed_at_s)
+            violations += limit_violations(by_vm, arrivals, excused, CONTACT_S)
+    return violations
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/plan.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/plan.py
@@ -26,6 +26,7 @@
     "replica-refuses": "replica",
     "replica-loses-answers": "replica",
     "replica-garbles": "replica",
+    "replica-limits": "replica",
     "store-refuses": "site",
     "store-loses-answers": "site",
     "store-drops-history": "site",
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/replicas.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/replicas.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from coriandershelf_rig.internal.relay import Relay
+from coriandershelf_rig.internal.replica_rules import LimitedPeriod
 from coriandershelf_rig.internal.standin_replica import (
     ReceivedRequest,
     Replica,
@@ -39,6 +40,8 @@
 
     :param fault_mode: how the replica misbehaves at the moment, empty if it works.
     :param incarnation: number of this start; each start has a new id.
+    :param limits: the periods in which it states a request limit; VMs by request id.
+    :param arrivals: time, id and incarnation of each request that reached it.
     """
 
     number: int
@@ -46,6 +49,8 @@
     executions: Executions
     fault_mode: str = ""
     incarnation: int = 1
+    limits: list[LimitedPeriod] = field(default_factory=list)
+    arrivals: list[tuple[float, str, int]] = field(default_factory=list)
     server: Replica | None = None
     relay: Relay | None = None
     address: str = ""
@@ -55,6 +60,21 @@
         """Return the id of the current start."""
         return f"{self.service}-{self.number}-{self.incarnation}"
 
+    @property
+    def limit(self) -> LimitedPeriod | None:
+        """Return the limit that the current start states at the moment."""
+        return self.limits[-1] if self.limits and self.limits[-1].to_s == float("inf") else None
+
+    def state_limit(self, per_s: float) -> None:
+        """State a request limit in all responses from now on."""
+        self.end_limit()
+        self.limits.append(LimitedPeriod(self.replica_id, per_s, time.monotonic()))
+
+    def end_limit(self) -> None:
+        """State no request limit any more."""
+        if self.limit is not None:
+            self.limit.to_s = time.monotonic()
+
     async def start(self, port: int) -> None:
         """Listen behind a relay on a port."""
         self.server = await Replica(self._handle).start()
@@ -76,18 +96,29 @@
                 b"HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
             return
+        request_id = request.headers.get("x-request-id", "")
+        self.arrivals.append((time.monotonic(), request_id, self.incarnation))
         if self.fault_mode == "refuses":
-            await connection.send(
-                b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            head = "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+            head += "".join(
+                f"{name}: {value}\r\n" for name, value in self._stated(request_id).items()
             )
+            await connection.send(f"{head}Content-Length: 0\r\n\r\n".encode())
             return
-        request_id = request.headers.get("x-request-id", "")
         self.executions.record_start(request_id)
         if request.target.startswith(("/plan/", "/ask/")):
             await self._send_stream(request, request_id, connection)
         else:
             await self._send_plain(request, request_id, connection)
 
+    def _stated(self, request_id: str) -> dict[str, str]:
+        """Return the headers by which a response states the limit."""
+        limit = self.limit
+        if limit is None:
+            return {}
+        limit.informed_at_s.setdefault(request_id, time.monotonic())
+        return {"Server-Limit": f"{limit.per_s:g}"}
+
     async def _send_plain(
         self, request: ReceivedRequest, request_id: str, connection: ReplicaConnection
     ) -> None:
@@ -96,9 +127,13 @@
             connection.reset()
             return
         if self.fault_mode == "errors":
-            await connection.send(receipt_response(request, b"error", 500))
+            await connection.send(
+                receipt_response(request, b"error", 500, **self._stated(request_id))
+            )
             return
-        answer = receipt_response(request, f"done {request_id}".encode())
+        answer = receipt_response(
+            request, f"done {request_id}".encode(), 200, **self._stated(request_id)
+        )
         if self.fault_mode == "garbles":
             answer = answer.replace(b"X-Response-Seal", b"X-Response-Sea1", 1)
         await connection.send(answer)
@@ -107,10 +142,13 @@
         self, request: ReceivedRequest, request_id: str, connection: ReplicaConnection
     ) -> None:
         if self.fault_mode == "errors":
-            await connection.send(receipt_response(request, b"error", 500))
+            await connection.send(
+                receipt_response(request, b"error", 500, **self._stated(request_id))
+            )
             return
         first = int(request.headers.get("last-event-id", "0")) + 1
-        head = receipt_head(request, Content_Type="text/event-stream")
+        stated = self._stated(request_id)
+        head = receipt_head(request, 200, Content_Type="text/event-stream", **stated)
         await connection.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_PERIOD_S)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
@@ -12,7 +12,7 @@
 
 from coriandershelf_rig.internal.fault_soak.callers import REQUEST_KINDS, RequestRecord, SoakCaller
 from coriandershelf_rig.internal.fault_soak.faults import FaultInjector
-from coriandershelf_rig.internal.fault_soak.judge import Verdict, judge
+from coriandershelf_rig.internal.fault_soak.judge import Verdict, judge, judge_limits
 from coriandershelf_rig.internal.fault_soak.plan import Fault, make_plan
 from coriandershelf_rig.internal.fault_soak.site import SoakSite
 
@@ -92,6 +92,9 @@
         check_times,
     )
     verdict.violations += injector.violations
+    verdict.violations += judge_limits(
+        site.replicas, site.vm_count, injector.disturbances, injector.replica_disturbances
+    )
     if unserved:
         verdict.violations.append(
             f"not served {RECOVERY_LIMIT_S} s after the last fault: {unserved}"
--- /dev/null
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -0,0 +1,304 @@
+"""Gateways, replicas and callers of one site in virtual time; all randomness is seeded.
+
+Gateways exchange their messages over a network that delays and loses them.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from coriandershelf_core.internal.gateway.actions import (
+    Action,
+    CancelAttempt,
+    ForwardEvents,
+    RejectRequest,
+    ScheduleTick,
+    SendDigest,
+    SendLoadMessage,
+    StartAttempt,
+)
+from coriandershelf_core.internal.gateway.deployment import (
+    Backend,
+    Deployment,
+    Replica,
+    Route,
+    RouteKind,
+    Service,
+)
+from coriandershelf_core.internal.gateway.events import (
+    AnswerRead,
+    AttemptFailed,
+    ConfigurationProved,
+    DeploymentRead,
+    DigestArrived,
+    EntryVmsRead,
+    Event,
+    FailureCause,
+    ReplicasRead,
+    RequestArrived,
+    ResponseHeadRead,
+    RoomMessageArrived,
+    StreamEnded,
+    StreamOpened,
+    StreamRead,
+    Tick,
+)
+from coriandershelf_core.internal.gateway.gateway import Gateway
+from coriandershelf_core.internal.gateway.request import Arrival
+from coriandershelf_core.internal.gateway.settings import GatewaySettings
+from coriandershelf_rig.internal.replica_rules import (
+    ArrivedRequest,
+    ExcusedPeriod,
+    LimitedPeriod,
+    limit_violations,
+)
+from coriandershelf_rig.internal.virtual_time import VirtualTime
+
+HOST = "site.example"
+SERVICE = "engine"
+PLAN = Route(
+    "plan", HOST, "/plan/", RouteKind.STREAM, 0.8, 15.0, 2, 1, (Backend(SERVICE, 1.0),),
+    public=True, resumable=True, gap_objective_s=0.5,
+)  # fmt: skip
+TICK_S = 0.05
+ZONES = ("zone-0", "zone-1", "zone-2")
+LINK_DELAY_S = 0.002
+FIRST_EVENT_S = 0.1
+EVENT_PERIOD_S = 0.1
+CONTACT_S = 3.0
+CALLER_TIMEOUT_S = 12.0
+CLOCK_OFFSET_S = 1_700_000_000.0
+# Requests that a replica turns away say so this long after they arrive.
+REFUSAL_S = 0.005
+
+
+@dataclass
+class ModelReplica:
+    """A replica that streams events and records what reaches it.
+
+    :param limits: the periods in which it states a limit; the last one may be open.
+    :param running: requests in execution: attempt id by VM and attempt.
+    """
+
+    registration: Replica
+    arrivals: list[ArrivedRequest] = field(default_factory=list)
+    limits: list[LimitedPeriod] = field(default_factory=list)
+    running: set[tuple[str, int]] = field(default_factory=set)
+
+    @property
+    def limit(self) -> LimitedPeriod | None:
+        """Return the limit that it states at the moment."""
+        return self.limits[-1] if self.limits and self.limits[-1].to_s == float("inf") else None
+
+
+class GatewayBench:
+    """A site of entry VMs, model replicas and callers.
+
+    :param events_count: events of each stream.
+    :param loss_share: share of the messages between VMs that is lost.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        vms_count: int,
+        replicas_count: int,
+        events_count: int = 5,
+        loss_share: float = 0.02,
+    ) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.time = VirtualTime(100.0)
+        self.events_count = events_count
+        self.refusals_count = 0
+        self.requests_count = 0
+        self._loss_share = loss_share
+        self._vms_count = vms_count
+        self.replicas = {
+            f"replica-{number}": ModelReplica(
+                Replica(
+                    f"replica-{number}", SERVICE, f"10.0.0.{number}:80",
+                    ZONES[number % len(ZONES)], 16, started_at_ms=1,
+                )
+            )
+            for number in range(replicas_count)
+        }  # fmt: skip
+        self.gateways: dict[str, Gateway] = {}
+        self.excused: list[ExcusedPeriod] = []
+        self._incarnation = 0
+        for number in range(vms_count):
+            self.start_vm(f"vm-{number:02}")
+
+    def start_vm(self, vm_id: str) -> None:
+        """Start an entry VM's gateway, or replace it as after a restart."""
+        self._incarnation += 1
+        number = int(vm_id.removeprefix("vm-"))
+        gateway = Gateway(
+            vm_id, f"{vm_id}:7500", ZONES[number % len(ZONES)], self._incarnation,
+            GatewaySettings(), random.Random(f"{self.seed}/{vm_id}"), CLOCK_OFFSET_S,
+        )  # fmt: skip
+        self.gateways[vm_id] = gateway
+        route_services = {SERVICE: Service(SERVICE, 1000, engine_slots_count=16)}
+        self._post(vm_id, gateway, DeploymentRead(Deployment(1, (PLAN,), route_services, ())))
+        self.register_all(vm_id)
+        addresses = {f"vm-{index:02}": f"vm-{index:02}:7500" for index in range(self._vms_count)}
+        self._post(vm_id, gateway, EntryVmsRead(addresses))
+        self.time.at(self.rng.uniform(0.0, TICK_S), lambda: self._tick(vm_id, gateway))
+
+    def register_all(self, vm_id: str) -> None:
+        """Let a VM read the whole registry."""
+        registrations = {name: item.registration for name, item in self.replicas.items()}
+        self._post(vm_id, self.gateways[vm_id], ReplicasRead(dict(registrations), complete=True))
+
+    def load(self, requests_per_s: float, duration_s: float) -> None:
+        """Send requests to random VMs at random times, and run for the duration."""
+        at_s = self.rng.expovariate(requests_per_s)
+        while at_s < duration_s:
+            self.time.at(at_s, self._send_request)
+            at_s += self.rng.expovariate(requests_per_s)
+        self.time.run(duration_s)
+
+    def state_limit(self, replica_id: str, per_s: float | None) -> None:
+        """Let a replica state a limit in its responses from now on; ``None`` ends it."""
+        replica = self.replicas[replica_id]
+        if replica.limit is not None:
+            replica.limit.to_s = self.time.now_s
+        if per_s is not None:
+            replica.limits.append(LimitedPeriod(replica_id, per_s, self.time.now_s))
+
+    def violations(self) -> list[str]:
+        """Return what reached the replicas against their limits."""
+        return [
+            line
+            for replica in self.replicas.values()
+            for period in replica.limits
+            for line in limit_violations(period, replica.arrivals, self.excused, CONTACT_S)
+        ]
+
+    def _send_request(self) -> None:
+        self.requests_count += 1
+        number = self.requests_count
+        vm_id = self.rng.choice(sorted(self.gateways))
+        arrival = Arrival(
+            number, f"id-{number}", "POST", HOST, "/plan/x", None, CALLER_TIMEOUT_S, number,
+            prompt_tokens=500, output_tokens=50,
+        )  # fmt: skip
+        self._post(vm_id, self.gateways[vm_id], RequestArrived(arrival))
+
+    def _tick(self, vm_id: str, gateway: Gateway) -> None:
+        if self.gateways.get(vm_id) is not gateway:
+            return
+        self._post(vm_id, gateway, ConfigurationProved(self.time.now_s))
+        self._post(vm_id, gateway, Tick())
+        self.time.at(TICK_S, lambda: self._tick(vm_id, gateway))
+
+    def _post(self, vm_id: str, gateway: Gateway, event: Event) -> None:
+        """Pass an event to a gateway, unless its VM was restarted meanwhile."""
+        if self.gateways.get(vm_id) is not gateway:
+            return
+        now_s = self.time.now_s
+        for action in gateway.step(event, now_s, now_s + CLOCK_OFFSET_S):
+            self._perform(vm_id, gateway, action)
+
+    def _perform(self, vm_id: str, gateway: Gateway, action: Action) -> None:
+        match action:
+            case SendDigest(addresses, digest):
+                for address in addresses:
+                    self._send_message(address, DigestArrived(digest))
+            case SendLoadMessage(address, message):
+                self._send_message(address, RoomMessageArrived(message))
+            case ScheduleTick(after_s):
+                self.time.at(after_s, lambda: self._post(vm_id, gateway, Tick()))
+            case StartAttempt():
+                self.time.at(LINK_DELAY_S, lambda: self._receive(vm_id, gateway, action))
+            case CancelAttempt(attempt_id):
+                self._cancel(vm_id, attempt_id)
+            case RejectRequest():
+                self.refusals_count += 1
+            case ForwardEvents():
+                pass
+            case _:
+                pass
+
+    def _send_message(self, address: str, event: Event) -> None:
+        vm_id = address.removesuffix(":7500")
+        if vm_id not in self.gateways or self.rng.random() < self._loss_share:
+            return
+        gateway = self.gateways[vm_id]
+        delay_s = LINK_DELAY_S * self.rng.uniform(0.5, 3.0)
+        self.time.at(delay_s, lambda: self._post(vm_id, gateway, event))
+
+    def _receive(self, vm_id: str, gateway: Gateway, action: StartAttempt) -> None:
+        replica = self.replicas[action.replica_id]
+        replica.arrivals.append(ArrivedRequest(self.time.now_s, vm_id))
+        if len(replica.running) >= 2 * replica.registration.slots_count:
+            self._respond(replica, vm_id, gateway, action, REFUSAL_S, self._refuse)
+            return
+        replica.running.add((vm_id, action.attempt_id))
+        self._respond(replica, vm_id, gateway, action, FIRST_EVENT_S, self._open)
+
+    def _respond(
+        self,
+        replica: ModelReplica,
+        vm_id: str,
+        gateway: Gateway,
+        action: StartAttempt,
+        after_s: float,
+        response: Callable[[ModelReplica, str, Gateway, StartAttempt], None],
+    ) -> None:
+        def send_head() -> None:
+            limit = replica.limit
+            per_s = None if limit is None else limit.per_s
+            self._post(vm_id, gateway, ResponseHeadRead(action.attempt_id, True, per_s))
+            if limit is not None:
+                limit.informed_at_s.setdefault(vm_id, self.time.now_s)
+            response(replica, vm_id, gateway, action)
+
+        self.time.at(after_s, send_head)
+
+    def _refuse(
+        self, replica: ModelReplica, vm_id: str, gateway: Gateway, action: StartAttempt
+    ) -> None:
+        self._post(vm_id, gateway, AnswerRead(action.attempt_id, 503, (), b"", True, False))
+
+    def _open(
+        self, replica: ModelReplica, vm_id: str, gateway: Gateway, action: StartAttempt
+    ) -> None:
+        if (vm_id, action.attempt_id) not in replica.running:
+            return
+        self._post(vm_id, gateway, StreamOpened(action.attempt_id, 200, ()))
+        self._send_event(replica, vm_id, gateway, action, (action.last_event_id or 0) + 1)
+
+    def _send_event(
+        self,
+        replica: ModelReplica,
+        vm_id: str,
+        gateway: Gateway,
+        action: StartAttempt,
+        number: int,
+    ) -> None:
+        if (vm_id, action.attempt_id) not in replica.running:
+            return
+        if number > self.events_count:
+            replica.running.discard((vm_id, action.attempt_id))
+            self._post(vm_id, gateway, StreamEnded(action.attempt_id))
+            return
+        payload = f"id: {number}\ndata: x\n\n".encode()
+        self._post(vm_id, gateway, StreamRead(action.attempt_id, payload, 1, number))
+        self.time.at(
+            EVENT_PERIOD_S, lambda: self._send_event(replica, vm_id, gateway, action, number + 1)
+        )
+
+    def _cancel(self, vm_id: str, attempt_id: int) -> None:
+        for replica in self.replicas.values():
+            replica.running.discard((vm_id, attempt_id))
+
+    def crash(self, replica_id: str) -> None:
+        """Break off everything that runs at a replica."""
+        replica = self.replicas[replica_id]
+        running, replica.running = sorted(replica.running), set()
+        for vm_id, attempt_id in running:
+            event = AttemptFailed(attempt_id, FailureCause.CLOSED, sent=True)
+            self._post(vm_id, self.gateways[vm_id], event)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_replica.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_replica.py
@@ -127,9 +127,11 @@
     return ("\r\n".join(lines) + "\r\n").encode()
 
 
-def receipt_response(request: ReceivedRequest, body: bytes = b"done", status: int = 200) -> bytes:
+def receipt_response(
+    request: ReceivedRequest, body: bytes = b"done", status: int = 200, **extra: str
+) -> bytes:
     """Return a complete response with ``Content-Length``."""
-    head = receipt_head(request, status)
+    head = receipt_head(request, status, **extra)
     return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
