Replicas get no more requests from all VMs than the limit that they state

Ruled out: 2, each VM kept to the limit and the sum was too high (no fall at limits as low as 1.0); 3, retries go around it (all excess requests were first attempts). Class of fault: what a replica states about itself in a response is dropped at the border, except load; and a bound over all VMs needs a part for each VM that holds without the others.

Change: core module request_limits. A limit is divided among as many VMs as it allows requests a second, chosen by rendezvous hashing, and each sends at its share of the rate; so the sum stays below 5/4 of the limit plus one in any 4 s without a message. Requests sent before the limit was known count against it, those of other VMs through digests, which also spread the limit and its end. A response without the header ends a limit only if it answers a request sent after the limit was known. All attempts, also retries, resumed streams and requests that waited for load replies, pass the same check.

Weighed and left: equal parts for all VMs (one request each is 77 at once at a limit of 3); one VM per replica that grants sends (a round trip, and nothing while it is gone); pausing all sends for 4 s after a statement (an outage where all replicas of a service state one).

A limit of the soak's replicas is now 12 a second, and the check names the worst window of a period only: at 3 the second before the statement alone exceeded what is allowed.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from coriandershelf_core.internal.gateway.request_limits import LimitDigest
+
 
 @dataclass(frozen=True, slots=True)
 class HolderInfo:
@@ -64,6 +66,7 @@
     :param work: arrival rates at the sender, by service.
     :param left: start times (Unix milliseconds) of replicas that the sender recently saw leaving or
         gone in the registry, by replica id.
+    :param limits: the request limits that replicas state, by replica id.
     :param holder: the sender itself, while it holds the lease.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     """
@@ -83,5 +86,6 @@
     crashes: dict[int, int] = field(default_factory=dict)
     work: dict[str, ServiceRates] = field(default_factory=dict)
     left: dict[str, int] = field(default_factory=dict)
+    limits: dict[str, LimitDigest] = field(default_factory=dict)
     holder: HolderInfo | None = None
     complete: bool = False
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -12,6 +12,7 @@
 from coriandershelf_core.internal.gateway.peers import SMALL_SITE_PEERS_COUNT, Peers
 from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool
+from coriandershelf_core.internal.gateway.request_limits import EntryVms, LimitDigest
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
 
@@ -63,6 +64,7 @@
     usage: UsageCounts
     arrival_rates: ArrivalRates
     load_queries: LoadQueries
+    entry_vms: EntryVms
     emit: Callable[[Action], None]
     _sequence: int = 0
     _merged_at_s: float = 0.0
@@ -74,11 +76,16 @@
         self._merged_at_s = now_s
         self._update_trackers(stopping, now_s)
         by_replica: dict[str, list[ReplicaDigest]] = {}
+        limits: dict[str, list[LimitDigest]] = {}
         for digest in self.peers.live_digests(now_s):
             for name, item in digest.replicas.items():
                 by_replica.setdefault(name, []).append(item)
+            for name, limit in digest.limits.items():
+                limits.setdefault(name, []).append(limit)
         for state in self.pool:
-            state.on_peer_digests(by_replica.get(state.replica.replica_id, ()), now_s)
+            name = state.replica.replica_id
+            state.on_peer_digests(by_replica.get(name, ()), now_s)
+            state.limit.peers_sent_count = sum(limit.sent_count for limit in limits.get(name, ()))
 
     def _update_trackers(self, stopping: bool, now_s: float) -> None:
         live = [digest for digest in self.peers.live_digests(now_s) if not digest.stopping]
@@ -88,6 +95,7 @@
         }
         for digest in live:
             zones.setdefault(digest.zone, []).append(digest.vm_id)
+        self.entry_vms.ids = tuple(sorted(vm_id for vms in zones.values() for vm_id in vms))
         self.load_queries.assignment.set_vms(
             {zone: tuple(sorted(vms)) for zone, vms in zones.items()}
         )
@@ -144,5 +152,6 @@
             replicas=replicas,
             crashes=self.poison_requests.own_counts(),
             left=self.pool.recently_left(now_s),
+            limits=self.pool.limits(now_s),
             holder=vm_status.holder,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -51,6 +51,7 @@
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.relay import Relay
 from coriandershelf_core.internal.gateway.request import ActiveRequest, Arrival
+from coriandershelf_core.internal.gateway.request_limits import EntryVms
 from coriandershelf_core.internal.gateway.responder import RETRY_AFTER_SHARE, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
 from coriandershelf_core.internal.gateway.route_table import RouteTable, pick_service
@@ -109,6 +110,7 @@
         self._registry_read = False
         self._stop_at_s = 0.0
         self._stopped = False
+        entry_vms = EntryVms(vm_id, (vm_id,))
         self.load_queries = LoadQueries(vm_id, address, incarnation, self.pool, self._outbox.append)
         emit = self._outbox.append
         self._digest_exchange = DigestExchange(
@@ -120,9 +122,10 @@
             self.usage,
             self.arrival_rates,
             self.load_queries,
+            entry_vms,
             emit,
         )
-        selector = ReplicaSelector(zone, rng)
+        selector = ReplicaSelector(zone, rng, entry_vms)
         self.relay = Relay(
             self.pool,
             selector,
@@ -332,6 +335,8 @@
         for state in self.pool.on_left(digest.left):
             fields = (("replica", state.replica.replica_id), ("told_by", digest.vm_id))
             self._outbox.append(LogLine("replica leaves, as another VM read", fields))
+        for state in self.pool.on_limits(digest.limits, now_s):
+            self.relay.log_limit(state, digest.vm_id)
         self.clock_estimate.on_clock(digest.vm_id, digest.clock_s, now_s)
         self._update_entry_vms_count()
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -9,6 +9,7 @@
 from coriandershelf_core.internal.gateway.deployment import Replica
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
 from coriandershelf_core.internal.gateway.events import ReportedLoad
+from coriandershelf_core.internal.gateway.request_limits import LimitDigest, RequestLimit
 
 # Registrations that expired during a store outage return within about two seconds of its end; a
 # longer grace period would keep replicas that really left while this VM was cut off.
@@ -57,8 +58,7 @@
     :param peer_latency_ratio: mean of the other entry VMs' ratios.
     :param slowdown: current ÷ usual service time, from the latest report of the replica to any VM.
     :param own_slowdown: the same, from the latest report to this VM.
-    :param requests_max_per_s: rate of requests from all VMs together that the replica last stated
-        to accept; ``None`` if it states none.
+    :ivar limit: the request limit that the replica states.
     :param backoff_until_s: no requests are sent until then because the replica refused one.
     :param missing_since_s: when its registration vanished during a store outage.
     """
@@ -78,7 +78,6 @@
     slowdown_at_s: float = -math.inf
     own_slowdown: float = 1.0
     own_slowdown_at_s: float = -math.inf
-    requests_max_per_s: float | None = None
     leaving: bool = False
     backoff_until_s: float = 0.0
     ejected_until_s: float = 0.0
@@ -87,6 +86,10 @@
     failures: float = 0.0
     failures_at_s: float = 0.0
     missing_since_s: float | None = None
+    limit: RequestLimit = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.limit = RequestLimit(self.replica.replica_id)
 
     @property
     def running_count(self) -> int:
@@ -151,6 +154,7 @@
         """Add an attempt that is sent to the replica."""
         self.in_flight[attempt_id] = InFlightAttempt(waiting_tokens, now_s)
         self.own_waiting_tokens += waiting_tokens
+        self.limit.on_sent(now_s)
 
     def on_first_event(self, attempt_id: int) -> InFlightAttempt | None:
         """Record that the prefill of an attempt is complete."""
@@ -319,6 +323,24 @@
                 marked.append(state)
         return marked
 
+    def on_limits(self, limits: dict[str, LimitDigest], now_s: float) -> list[ReplicaState]:
+        """Apply the limits that another VM knows; return the replicas whose limit changed."""
+        changed = []
+        for name, digest in limits.items():
+            state = self._states.get(name)
+            same = state is not None and state.replica.started_at_ms == digest.started_at_ms
+            if state is not None and same and state.limit.on_digest(digest, now_s):
+                changed.append(state)
+        return changed
+
+    def limits(self, now_s: float) -> dict[str, LimitDigest]:
+        """Return the request limits for this VM's digests, by replica id."""
+        digests = {
+            name: state.limit.digest(state.replica.started_at_ms, now_s)
+            for name, state in self._states.items()
+        }
+        return {name: digest for name, digest in digests.items() if digest is not None}
+
     def mark_leaving(self, replica_id: str) -> None:
         """Send no more requests to a replica, because its address belongs to another one."""
         state = self._states.get(replica_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -102,17 +102,28 @@
         if attempt is None:
             return
         state, stated = attempt.state, event.requests_max_per_s
-        name = state.replica.replica_id
         if isinstance(stated, MalformedHeader):
-            fields = (("replica", name), ("text", stated.text[:HEADER_LOGGED_MAX_CHARACTERS]))
+            text = stated.text[:HEADER_LOGGED_MAX_CHARACTERS]
+            fields = (("replica", state.replica.replica_id), ("text", text))
             self.emit(LogLine("request limit not understood", fields))
-        elif stated != state.requests_max_per_s:
-            state.requests_max_per_s = stated
-            self.emit(IncrementCounter("request_limits", "lifted" if stated is None else "stated"))
-            running = (("running", state.running_count), ("own_running", len(state.in_flight)))
-            self.emit(
-                LogLine("replica's request limit", (("replica", name), ("per_s", stated), *running))
-            )
+        elif state.limit.on_response(stated, attempt.started_at_s, event.has_receipt, now_s):
+            self.log_limit(state)
+
+    def log_limit(self, state: ReplicaState, told_by: str | None = None) -> None:
+        """Log that a replica's request limit has changed.
+
+        :param told_by: the VM that told it, or ``None`` if the replica did.
+        """
+        per_s = state.limit.per_s
+        self.emit(IncrementCounter("request_limits", "lifted" if per_s is None else "stated"))
+        fields = (
+            ("replica", state.replica.replica_id),
+            ("per_s", per_s),
+            ("told_by", told_by),
+            ("running", state.running_count),
+            ("own_running", len(state.in_flight)),
+        )
+        self.emit(LogLine("replica's request limit", fields))
 
     def on_response(self, event: AnswerRead, now_s: float) -> None:
         """Forward a replica's response, or retry if that is allowed."""
@@ -216,6 +227,7 @@
         self.attempts.end(attempt, now_s)
         request.last_failure = event.cause.value
         if not event.sent:
+            state.limit.on_unsent()
             request.sent_count -= 1
             request.connect_failures_count += 1
             if event.cause is FailureCause.CONNECT:
@@ -399,5 +411,6 @@
         "replicas": len(states),
         "shut_out": sum(1 for state in states if now_s < state.ejected_until_s),
         "just_refused": sum(1 for state in states if now_s < state.backoff_until_s),
+        "limited": sum(1 for state in states if state.limit.per_s is not None),
         "least_running": min((state.running_count for state in states), default=None),
     }
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -13,6 +13,7 @@
 from coriandershelf_core.internal.gateway.pool import ReplicaState
 from coriandershelf_core.internal.gateway.prompt_cache_index import PromptCacheIndex
 from coriandershelf_core.internal.gateway.request import ActiveRequest, PromptPart
+from coriandershelf_core.internal.gateway.request_limits import EntryVms
 
 # Expected times on an idle replica of nominal speed: an engine's time to first event without
 # prefill, and a plain server's response time.
@@ -175,11 +176,13 @@
     """Selects by expected time to first event, from this VM's and the peers' counts.
 
     :param zone: this VM's availability zone.
+    :param entry_vms: the VMs among which the request limits of replicas are divided.
     """
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(self, zone: str, rng: random.Random, entry_vms: EntryVms) -> None:
         self._zone = zone
         self._rng = rng
+        self._entry_vms = entry_vms
         self.prompt_cache = PromptCacheIndex()
         self.reuse = PromptReuse()
         self.prompt_lengths = PromptLengths()
@@ -191,7 +194,9 @@
         candidates = [
             state
             for state in _not_ejected(states, now_s)
-            if state.replica.replica_id not in request.tried_ids and now_s >= state.backoff_until_s
+            if state.replica.replica_id not in request.tried_ids
+            and now_s >= state.backoff_until_s
+            and state.limit.accepts(self._entry_vms, now_s)
         ]
         if not candidates:
             return None
@@ -221,7 +226,12 @@
         :param tracked_loads: loads by replica id, from their trackers; if any of these replicas has
             capacity, only they are considered.
         """
-        candidates = [state for state in candidate_set.candidates if not state.leaving]
+        # Both may have changed while the loads were queried.
+        candidates = [
+            state
+            for state in candidate_set.candidates
+            if not state.leaving and state.limit.accepts(self._entry_vms, now_s)
+        ]
         known_loads = tracked_loads or {}
         tracked_candidates = [
             state
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -16,7 +16,7 @@
 
 SLOW_RELAY_DELAY_S = 0.15
 # A stated request limit binds only some seconds after it was first stated.
-LIMIT_PER_S = 3.0
+LIMIT_PER_S = 12.0
 LIMIT_EXTRA_S = 6.0
 POLL_PERIOD_S = 0.05
 # After its start a VM first reads the configuration and the registry.
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
@@ -50,13 +50,13 @@
     to_s: float
 
 
-def limit_violations(
+def limit_violation(
     period: LimitedPeriod,
     arrivals: Sequence[ArrivedRequest],
     excused: Sequence[ExcusedPeriod],
     contact_s: float,
-) -> list[str]:
-    """Return one line for each window in which a replica got too many requests.
+) -> str | None:
+    """Return a line about the worst window in which a replica got too many requests, if any.
 
     Windows end ``contact_s`` after the limit was first stated, or later, and so may begin before.
 
@@ -64,7 +64,7 @@
     """
     allowed_count = LIMIT_FACTOR * LIMIT_WINDOW_S * period.per_s + LIMIT_SLACK_COUNT
     window: deque[ArrivedRequest] = deque()
-    violations = []
+    worst_count, worst_at_s = 0, 0.0
     for arrival in arrivals:
         window.append(arrival)
         while window[0].at_s <= arrival.at_s - LIMIT_WINDOW_S:
@@ -82,9 +82,11 @@
                 for item in excused
             )
         )
-        if count > allowed_count:
-            violations.append(
-                f"{period.replica} stated {period.per_s:g} requests a second and got {count} in "
-                f"{LIMIT_WINDOW_S:g} s until {arrival.at_s:.2f} s; allowed {allowed_count:g}"
-            )
-    return violations
+        if count > worst_count:
+            worst_count, worst_at_s = count, arrival.at_s
+    if worst_count <= allowed_count:
+        return None
+    return (
+        f"{period.replica} stated {period.per_s:g} requests a second and got {worst_count} in "
+        f"{LIMIT_WINDOW_S:g} s until {worst_at_s:.2f} s; allowed {allowed_count:g}"
+    )
