Read and log the software versions of replicas and of resumed streams

The registry entry's version and the caller's Resumes header are decoded; 'replica registered' names the version, and 'stream resumed' the version that began a stream and the one that goes on. Nothing is decided by them yet. An entry without a version, or with one of another type, names no replica, as the users' page says of missing fields.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/deployment.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/deployment.py
@@ -134,6 +134,7 @@
     :param reclaimable: whether it is a spot instance, which the provider may reclaim.
     :param started_at_ms: Unix time of its start, which tells restarts under one id apart.
     :param leaves_in_s: time until it shuts down, if it announced one.
+    :param software_version: version of its software; a stream continues only at the same one.
     """
 
     replica_id: str
@@ -145,3 +146,4 @@
     reclaimable: bool = False
     started_at_ms: int = 0
     leaves_in_s: float | None = None
+    software_version: str = ""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -309,6 +309,7 @@
                     ("replica", name),
                     ("service", replica.service),
                     ("zone", replica.zone),
+                    ("version", replica.software_version),
                     ("leaving", int(replica.leaving)),
                     ("reclaimable", int(replica.reclaimable)),
                 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -190,6 +190,7 @@
         if attempt.first_event_at_s is None:
             attempt.first_event_at_s = now_s
             self.responder.mark_started(request, now_s)
+            self._check_version(request, state, now_s)
             state.on_first_event(attempt.attempt_id)
             taken_s = now_s - attempt.started_at_s
             baseline_s = attempt.baseline_s * state.current_slowdown(now_s)
@@ -387,6 +388,21 @@
         if late:
             self.responder.mark_late(request, now_s)
 
+    def _check_version(self, request: ActiveRequest, state: ReplicaState, now_s: float) -> None:
+        """Note the version that began a stream; log a stream that continues at another one."""
+        version = state.replica.software_version
+        if request.software_version is None:
+            request.software_version = version
+        if request.arrival.resumes_id is not None or request.software_version != version:
+            self.responder.log(
+                "stream resumed",
+                request,
+                now_s,
+                resumes=request.arrival.resumes_id,
+                begun_at_version=request.software_version,
+                version=version,
+            )
+
     def _record_failure(
         self, state: ReplicaState, now_s: float, error_route_kind: RouteKind | None = None
     ) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -23,6 +23,7 @@
     :param time_left_s: how long the caller waits, or ``None`` if it does not say.
     :param fingerprint: hash of caller, path and body, the same when a caller resends the request.
     :param last_event_id: the event after which the caller resumes a stream.
+    :param resumes_id: id of the request that brought that stream's first event.
     """
 
     handle: int
@@ -39,6 +40,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    resumes_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,7 @@
     :param missed_objective: whether it has missed its latency objective.
     :param tried_ids: ids of the replicas it was sent to.
     :param replica_id: the replica it was last sent to.
+    :param software_version: version of the replica that made the caller's first event.
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
     """
@@ -84,5 +87,6 @@
     tried_ids: set[str] = field(default_factory=set)
     connect_failures_count: int = 0
     replica_id: str | None = None
+    software_version: str | None = None
     last_failure: str | None = None
     error_response: ReplicaResponse | None = None
--- a/tests/cover/test_platform_parts.py
+++ b/tests/cover/test_platform_parts.py
@@ -119,13 +119,14 @@
     replica = decode_replica("i-1", json.dumps({**ENTRY, "spot": True, "leaves_ms": 900}).encode())
     assert replica is not None
     assert replica.reclaimable and replica.leaves_in_s == 0.9 and replica.started_at_ms == 17
+    assert replica.software_version == "v1"
 
 
 @pytest.mark.parametrize(
     "change",
     [
         {"address": "here"}, {"slots": "8"}, {"slots": 0}, {"state": "asleep"}, {"service": None},
-        {"zone": 3}, {"born": "now"}, {"spot": 1},
+        {"zone": 3}, {"born": "now"}, {"spot": 1}, {"version": 2}, {"version": None},
     ],
 )  # fmt: skip
 def test_an_entry_of_another_writer_names_no_replica(change):
