Failing test: streams go on at another software version

The bench in virtual time now has replicas of two versions and callers that resume; the check reads the versions from the events that callers hold. The same module judges LOST: of 12 or more streams that are resumed while two replicas of their version serve, at least half the share of new streams that begin.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -7,11 +7,13 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from coriandershelf_core.internal.gateway.actions import (
+    AbortStream,
     Action,
     CancelAttempt,
+    EndStream,
     ForwardEvents,
     RejectRequest,
     ScheduleTick,
@@ -52,7 +54,10 @@
     ArrivedRequest,
     ExcusedPeriod,
     LimitedPeriod,
+    ObservedStream,
+    ResumptionCounts,
     limit_violation,
+    version_violations,
 )
 from coriandershelf_rig.internal.virtual_time import VirtualTime
 
@@ -70,6 +75,8 @@
 CONTACT_S = 3.0
 CALLER_TIMEOUT_S = 12.0
 CLOCK_OFFSET_S = 1_700_000_000.0
+CALLER_TRIES_MAX_COUNT = 3
+CALLER_RETRY_S = 0.1
 # Requests that a replica turns away say so this long after they arrive.
 REFUSAL_S = 0.005
 
@@ -87,12 +94,32 @@
     limits: list[LimitedPeriod] = field(default_factory=list)
     running: set[tuple[str, int]] = field(default_factory=set)
 
+    @property
+    def version(self) -> str:
+        """Return its software version."""
+        return self.registration.software_version
+
     @property
     def limit(self) -> LimitedPeriod | None:
         """Return the limit that it states at the moment."""
         return self.limits[-1] if self.limits and self.limits[-1].to_s == float("inf") else None
 
 
+@dataclass(slots=True)
+class CallerRequest:
+    """One request of a caller.
+
+    :param served: whether an event has arrived for it.
+    """
+
+    request_id: str
+    vm_id: str
+    stream: ObservedStream
+    tries_count: int
+    is_judged: bool
+    served: bool = False
+
+
 class GatewayBench:
     """A site of entry VMs, model replicas and callers.
 
@@ -114,13 +141,16 @@
         self.events_count = events_count
         self.refusals_count = 0
         self.requests_count = 0
+        self.streams: list[ObservedStream] = []
+        self.resumptions = ResumptionCounts()
+        self._requests: dict[int, CallerRequest] = {}
         self._loss_share = loss_share
         self._vms_count = vms_count
         self.replicas = {
             f"replica-{number}": ModelReplica(
                 Replica(
                     f"replica-{number}", SERVICE, f"10.0.0.{number}:80",
-                    ZONES[number % len(ZONES)], 16, started_at_ms=1,
+                    ZONES[number % len(ZONES)], 16, started_at_ms=1, software_version="v1",
                 )
             )
             for number in range(replicas_count)
@@ -132,7 +162,8 @@
             self.start_vm(f"vm-{number:02}")
 
     def start_vm(self, vm_id: str) -> None:
-        """Start an entry VM's gateway, or replace it as after a restart."""
+        """Start an entry VM's gateway, or replace it as after a kill."""
+        self._break_off(vm_id)
         self._incarnation += 1
         number = int(vm_id.removeprefix("vm-"))
         gateway = Gateway(
@@ -168,6 +199,21 @@
         if per_s is not None:
             replica.limits.append(LimitedPeriod(replica_id, per_s, self.time.now_s))
 
+    def change_version(self, replica_id: str, version: str) -> None:
+        """Replace a replica by one of another version, as after a crash."""
+        replica = self.replicas[replica_id]
+        started_at_ms = replica.registration.started_at_ms + 1
+        replica.registration = replace(
+            replica.registration, software_version=version, started_at_ms=started_at_ms
+        )
+        self.crash(replica_id)
+        for vm_id, gateway in self.gateways.items():
+            self._post(vm_id, gateway, ReplicasRead({replica_id: replica.registration}))
+
+    def version_violations(self) -> list[str]:
+        """Return streams of two versions, and too few resumed ones."""
+        return version_violations(self.streams, self.resumptions)
+
     def violations(self) -> list[str]:
         """Return what reached the replicas against their limits."""
         lines = [
@@ -177,16 +223,64 @@
         ]
         return [line for line in lines if line is not None]
 
-    def _send_request(self) -> None:
+    def _send_request(self, stream: ObservedStream | None = None, tries_count: int = 1) -> None:
+        """Send a request for a new stream, or one that resumes a stream."""
         self.requests_count += 1
         number = self.requests_count
+        if stream is None:
+            stream = ObservedStream()
+            self.streams.append(stream)
         vm_id = self.rng.choice(sorted(self.gateways))
+        resumes_id = stream.first_id or None
+        request = CallerRequest(f"id-{number}", vm_id, stream, tries_count, self._is_judged(stream))
+        self._requests[number] = request
         arrival = Arrival(
-            number, f"id-{number}", "POST", HOST, "/plan/x", None, CALLER_TIMEOUT_S, number,
-            prompt_tokens=500, output_tokens=50,
+            number, request.request_id, "POST", HOST, "/plan/x", None, CALLER_TIMEOUT_S, number,
+            prompt_tokens=500, output_tokens=50, last_event_id=stream.events_count or None,
+            resumes_id=resumes_id,
         )  # fmt: skip
         self._post(vm_id, self.gateways[vm_id], RequestArrived(arrival))
 
+    def _is_judged(self, stream: ObservedStream) -> bool:
+        """Return whether two replicas of a stream's version serve."""
+        if not stream.versions:
+            return True
+        versions = [replica.version for replica in self.replicas.values()]
+        return versions.count(stream.versions[0]) >= 2
+
+    def _break_off(self, vm_id: str) -> None:
+        """Break the connections of a VM's callers, and free its replicas."""
+        for replica in self.replicas.values():
+            replica.running = {item for item in replica.running if item[0] != vm_id}
+        for handle, request in list(self._requests.items()):
+            if request.vm_id == vm_id:
+                self._on_ended(handle, complete=False)
+
+    def _on_ended(self, handle: int, complete: bool) -> None:
+        """End a request at its caller, who resumes an incomplete stream at another VM."""
+        request = self._requests.pop(handle, None)
+        if request is None:
+            return
+        is_new = request.stream.first_id in ("", request.request_id)
+        if is_new and request.served:
+            self.resumptions.begun += 1
+        elif is_new:
+            self.resumptions.not_begun += 1
+        elif request.is_judged and (request.served or complete):
+            self.resumptions.resumed += 1
+        elif request.is_judged:
+            self.resumptions.not_resumed += 1
+        if not complete and request.tries_count < CALLER_TRIES_MAX_COUNT:
+            stream, tries_count = request.stream, request.tries_count + 1
+            self.time.at(CALLER_RETRY_S, lambda: self._send_request(stream, tries_count))
+
+    def _on_event(self, handle: int, payload: bytes) -> None:
+        request = self._requests.get(handle)
+        if request is not None:
+            request.served = True
+            version = payload.decode().rpartition("data: ")[2].strip()
+            request.stream.add_event(request.request_id, version)
+
     def _tick(self, vm_id: str, gateway: Gateway) -> None:
         if self.gateways.get(vm_id) is not gateway:
             return
@@ -215,10 +309,15 @@
                 self.time.at(LINK_DELAY_S, lambda: self._receive(vm_id, gateway, action))
             case CancelAttempt(attempt_id):
                 self._cancel(vm_id, attempt_id)
-            case RejectRequest():
+            case RejectRequest(handle):
                 self.refusals_count += 1
-            case ForwardEvents():
-                pass
+                self._on_ended(handle, complete=False)
+            case ForwardEvents(handle, payload):
+                self._on_event(handle, payload)
+            case EndStream(handle):
+                self._on_ended(handle, complete=True)
+            case AbortStream(handle):
+                self._on_ended(handle, complete=False)
             case _:
                 pass
 
@@ -285,7 +384,7 @@
             replica.running.discard((vm_id, action.attempt_id))
             self._post(vm_id, gateway, StreamEnded(action.attempt_id))
             return
-        payload = f"id: {number}\ndata: x\n\n".encode()
+        payload = f"id: {number}\ndata: {replica.version}\n\n".encode()
         self._post(vm_id, gateway, StreamRead(action.attempt_id, payload, 1, number))
         self.time.at(
             EVENT_PERIOD_S, lambda: self._send_event(replica, vm_id, gateway, action, number + 1)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
@@ -90,3 +90,61 @@
         f"{period.replica} stated {period.per_s:g} requests a second and got {worst_count} in "
         f"{LIMIT_WINDOW_S:g} s until {worst_at_s:.2f} s; allowed {allowed_count:g}"
     )
+
+
+RESUMED_MIN_COUNT = 12
+RESUMED_SHARE_MIN = 0.5
+MIXED_MAX_COUNT = 2
+
+
+@dataclass(slots=True)
+class ObservedStream:
+    """A stream as its caller sees it, over all of its requests.
+
+    :param first_id: id of the request that brought the first event.
+    :param versions: software versions of the replicas that made its events, without repeats.
+    :param events_count: events received; they are numbered from 1.
+    """
+
+    first_id: str = ""
+    versions: list[str] = field(default_factory=list)
+    events_count: int = 0
+
+    def add_event(self, request_id: str, version: str) -> None:
+        """Add an event."""
+        if not self.first_id:
+            self.first_id = request_id
+        if version not in self.versions:
+            self.versions.append(version)
+        self.events_count += 1
+
+
+@dataclass(slots=True)
+class ResumptionCounts:
+    """Outcomes of new streams, and of streams that were resumed at a version that still serves."""
+
+    begun: int = 0
+    not_begun: int = 0
+    resumed: int = 0
+    not_resumed: int = 0
+
+
+def version_violations(streams: Sequence[ObservedStream], counts: ResumptionCounts) -> list[str]:
+    """Return a line if streams joined events of two versions, and one if too few were resumed."""
+    violations = []
+    mixed = [stream for stream in streams if len(stream.versions) > 1]
+    if len(mixed) > MIXED_MAX_COUNT:
+        violations.append(
+            f"{len(mixed)} streams went on at another version, first {mixed[0].first_id} with "
+            f"{', '.join(mixed[0].versions)}"
+        )
+    tries_count = counts.resumed + counts.not_resumed
+    begun_share = counts.begun / max(1, counts.begun + counts.not_begun)
+    if tries_count >= RESUMED_MIN_COUNT:
+        resumed_share = counts.resumed / tries_count
+        if resumed_share < RESUMED_SHARE_MIN * begun_share:
+            violations.append(
+                f"{counts.resumed} of {tries_count} streams were resumed, while {begun_share:.0%} "
+                "of new ones began"
+            )
+    return violations
