--- a/tests/cover/test_replica_limits.py
+++ b/tests/cover/test_replica_limits.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.request_limits import (
@@ -99,6 +101,34 @@
     assert not bench.violations(), f"seed {bench.seed}: {bench.violations()}"
 
 
+@given(st.floats(0.0, 60.0), st.integers(1, 80))
+@settings(max_examples=40)
+def test_vms_that_hear_nothing_of_each_other_keep_to_the_limit_together(per_s, vms_count):
+    ids = tuple(f"vm-{number}" for number in range(vms_count))
+    limits = {vm_id: RequestLimit("replica-1") for vm_id in ids}
+    arrivals = []
+    for limit in limits.values():
+        limit.on_response(per_s, 0.0, True, 0.0)
+    for step in range(200):
+        now_s = 0.05 * step
+        for vm_id, limit in limits.items():
+            while limit.accepts(EntryVms(vm_id, ids), now_s):
+                limit.on_sent(now_s)
+                arrivals.append(ArrivedRequest(now_s, vm_id))
+    period = LimitedPeriod("replica-1", per_s, -3.0, informed_at_s=dict.fromkeys(ids, -3.0))
+    assert limit_violation(period, arrivals, [], 3.0) is None
+    # The limit is used, too.
+    assert len(arrivals) >= 0.9 * per_s * 10.0
+
+
+def test_requests_that_peers_sent_count_against_the_limit():
+    limit, alone = make_limit(2.0, 10.0), EntryVms("vm-1", ("vm-1",))
+    limit.peers_sent_count = 8
+    assert not limit.accepts(alone, 10.0)
+    limit.peers_sent_count = 7
+    assert limit.accepts(alone, 10.0)
+
+
 def make_limit(per_s: float, now_s: float) -> RequestLimit:
     limit = RequestLimit("replica-1")
     assert limit.on_response(per_s, now_s, True, now_s)
