Fault soak: replicas change their software version, callers resume streams

Real entry VMs, replicas that are replaced by ones of another version, callers whose streams break off and that come back to any VM with Resumes. Request ids name the VM that they were sent to.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -152,8 +152,8 @@
     async def _inject_replica_fault(
         self, replica: SoakReplica, mode: str, duration_s: float
     ) -> None:
-        if mode in ("restart", "leave"):
-            await self._restart_replica(replica, drains=mode == "leave", duration_s=duration_s)
+        if mode in ("restart", "leave", "upgrade"):
+            await self._restart_replica(replica, mode, duration_s)
             return
         if mode == "limits":
             replica.state_limit(LIMIT_PER_S)
@@ -164,17 +164,20 @@
         await asyncio.sleep(duration_s)
         replica.fault_mode = ""
 
-    async def _restart_replica(self, replica: SoakReplica, drains: bool, duration_s: float) -> None:
+    async def _restart_replica(self, replica: SoakReplica, mode: str, duration_s: float) -> None:
         """Register a replica anew under another id at the same address, as after a restart.
 
-        :param drains: whether the replica is announced as draining first.
+        :param mode: ``leave`` and ``upgrade`` announce it as draining first; ``upgrade`` also
+            changes its software version.
         """
-        if drains:
+        if mode != "restart":
             self._site.register(replica, "draining")
             await asyncio.sleep(duration_s)
         self._site.unregister(replica)
         replica.end_limit()
         replica.incarnation += 1
+        if mode == "upgrade":
+            replica.version += 1
         await asyncio.sleep(0.1)
         self._site.register(replica)
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/judge.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/judge.py
@@ -15,7 +15,10 @@
 from coriandershelf_rig.internal.replica_rules import (
     ArrivedRequest,
     ExcusedPeriod,
+    ObservedStream,
+    ResumptionCounts,
     limit_violation,
+    version_violations,
 )
 
 # Statuses which guarantee that the request was not executed and never will be.
@@ -66,7 +69,11 @@
         load from other processes delays them.
     """
     verdict = Verdict()
+    streams: dict[str, ObservedStream] = {}
     for record in records:
+        stream = streams.setdefault(record.resumes_id or record.request_id, ObservedStream())
+        for version in record.versions:
+            stream.add_event(record.request_id, version)
         run_times_s = started_at_s.get(record.request_id, [])
         verdict.count(f"{record.kind} {_describe_outcome(record)}")
         violations = list(_violations_of(record, run_times_s, revoked_at_s))
@@ -74,10 +81,14 @@
             violations.append(f"had no response for {record.ended_at_s - record.sent_at_s:.1f} s")
         for violation in violations:
             verdict.violations.append(f"{record.request_id} at VM {record.vm}: {violation}")
+    # Too few resumed streams are no fault here: versions often have a single replica.
+    verdict.violations += version_violations(list(streams.values()), ResumptionCounts())
     return verdict
 
 
 def _describe_outcome(record: RequestRecord) -> str:
+    if record.resumes_id is not None and record.is_correct:
+        return "resumed"
     if record.abandoned:
         return "left"
     if record.status is None:
@@ -97,8 +108,8 @@
     if record.status == 200 and record.is_complete and not record.is_correct:
         yield f"got a body that its replica did not send: {record.body[:120]!r}"
     if record.status == 200 and record.kind in ("plan", "ask") and not record.is_complete:
-        complete_events = record.body[: record.body.rfind(b"\n\n") + 2]
-        if not expected_events(record.request_id).startswith(complete_events):
+        expected = expected_events(record.request_id, record.last_event_id)
+        if not expected.startswith(record.events):
             yield f"its events are missing, out of order or duplicated: {record.body[-120:]!r}"
     key_revoked_at_s = revoked_at_s.get(record.key)
     if key_revoked_at_s is not None and any(
@@ -140,9 +151,9 @@
         for period in replica.limits:
             informed_at_s: dict[str, float] = {}
             for request_id, at_s in period.informed_at_s.items():
-                informed_at_s.setdefault(str(vm_of_request(request_id, vm_count)), at_s)
+                informed_at_s.setdefault(str(vm_of_request(request_id)), at_s)
             arrivals = [
-                ArrivedRequest(at_s, str(vm_of_request(request_id, vm_count)))
+                ArrivedRequest(at_s, str(vm_of_request(request_id)))
                 for at_s, request_id, incarnation in replica.arrivals
                 if period.replica.endswith(f"-{incarnation}")
             ]
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/plan.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/plan.py
@@ -22,6 +22,7 @@
     "replica-slow": "replica-way",
     "replica-restart": "replica",
     "replica-leave": "replica",
+    "replica-upgrade": "replica",
     "replica-errors": "replica",
     "replica-refuses": "replica",
     "replica-loses-answers": "replica",
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/replicas.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/replicas.py
@@ -40,6 +40,7 @@
 
     :param fault_mode: how the replica misbehaves at the moment, empty if it works.
     :param incarnation: number of this start; each start has a new id.
+    :param version: number of its software version.
     :param limits: the periods in which it states a request limit; VMs by request id.
     :param arrivals: time, id and incarnation of each request that reached it.
     """
@@ -49,6 +50,7 @@
     executions: Executions
     fault_mode: str = ""
     incarnation: int = 1
+    version: int = 1
     limits: list[LimitedPeriod] = field(default_factory=list)
     arrivals: list[tuple[float, str, int]] = field(default_factory=list)
     server: Replica | None = None
@@ -146,6 +148,7 @@
                 receipt_response(request, b"error", 500, **self._stated(request_id))
             )
             return
+        version = self.version
         first = int(request.headers.get("last-event-id", "0")) + 1
         stated = self._stated(request_id)
         head = receipt_head(request, 200, Content_Type="text/event-stream", **stated)
@@ -156,6 +159,6 @@
                 await connection.send(b"zz\r\n" if self.fault_mode == "garbles" else b"")
                 connection.reset()
                 return
-            event = f"id: {number}\ndata: {request_id} {number}\n\n"
+            event = f"id: {number}\ndata: {request_id} {number} v{version}\n\n"
             await connection.send(chunk(event.encode()))
         await connection.send(b"0\r\n\r\n")
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
@@ -65,8 +65,8 @@
     injector = FaultInjector(site, STOP_LIMIT_S * limit_factor)
     records: list[RequestRecord] = []
     callers = [
-        SoakCaller(number, number % site.vm_count, port, seed, records)
-        for number, port in enumerate(site.front_ports * CALLERS_PER_VM)
+        SoakCaller(number, number % site.vm_count, site.front_ports, seed, records)
+        for number in range(site.vm_count * CALLERS_PER_VM)
     ]
     for caller in callers:
         caller.api_keys = site.api_keys
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
@@ -118,7 +118,7 @@
         """Write a replica's registry entry."""
         entry = {
             "service": replica.service, "address": replica.address, "zone": "zone-1",
-            "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0,
+            "version": f"v{replica.version}", "slots": 16, "state": state, "cold_left_ms": 0,
             "seq": 1, "born": replica.incarnation,
         }  # fmt: skip
         self.store.put(REGISTRY_TOPIC, replica.replica_id, entry)
--- a/tests/cover/test_fault_soak.py
+++ b/tests/cover/test_fault_soak.py
@@ -72,6 +72,33 @@
     assert not find_violations(replace(STREAM, body=part, is_complete=False), [10.05])
 
 
+def test_streams_of_two_software_versions_are_seen_also_over_two_requests():
+    def stream_of(name: str, version: str, first: int, last: int, **changes: object):
+        events = [f"id: {n}\ndata: {name} {n} {version}\n\n" for n in range(first, last + 1)]
+        body = "".join(events).encode()
+        return replace(
+            STREAM, request_id=name, kind="plan", body=body, is_complete=False, **changes
+        )
+
+    def violations_of(second_version: str) -> list[str]:
+        records = []
+        for number in range(3):
+            begun, resumed = f"plan-{number}", f"plan-{number}-resumed"
+            records.append(stream_of(begun, "v1", 1, 4))
+            records.append(
+                stream_of(resumed, second_version, 5, 12, resumes_id=begun, last_event_id=4)
+            )
+        return judge(records, {}, {}, []).violations
+
+    assert not violations_of("v1")
+    assert len(violations_of("v2")) == 1
+
+
+def test_a_body_with_bytes_after_its_last_event_is_not_correct():
+    assert STREAM.is_correct
+    assert not replace(STREAM, body=STREAM.body + b"id: 13").is_correct
+
+
 def test_a_run_long_after_the_key_was_taken_away_is_seen():
     assert find_violations(BOOKING, [10.05], revoked_at_s={"key-0": 5.0})
     assert not find_violations(BOOKING, [10.05], revoked_at_s={"key-0": 9.0})
