A replica that states that it leaves, or wants a pause, gets what it asks for

Change: both are decoded with the request limit, in any response of the expected replica. Leaving is final for one start of the replica: a registration that says ready again, or the same from a delayed read, does not undo it, and digests tell it to the other VMs as they tell leaves read in the registry. A pause only extends the back-off after a refusal, which is now checked again after a query of loads; nothing is queued for a replica, so nothing arrives as one burst when it ends. Pauses beyond 300 s are cut to that. Requests in flight go on. A flapping header means the first statement.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -66,11 +66,15 @@
     :param has_receipt: whether the response carries the replica's receipt header.
     :param requests_max_per_s: rate of requests from all entry VMs together that the replica states
         to accept; ``None`` if it states none.
+    :param leaving: whether the replica states that it is shutting down.
+    :param pause_s: how long the replica wants no requests from this VM, if it refused one so.
     """
 
     attempt_id: int
     has_receipt: bool
     requests_max_per_s: float | MalformedHeader | None = None
+    leaving: bool = False
+    pause_s: float | MalformedHeader | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -358,6 +358,15 @@
         }
         return {name: digest for name, digest in digests.items() if digest is not None}
 
+    def on_stated_leaving(self, state: ReplicaState, now_s: float) -> bool:
+        """Record that a replica stated in a response that it leaves; false if known before."""
+        if state.leaving:
+            return False
+        state.leaving = True
+        replica = state.replica
+        self._left_at.setdefault(replica.replica_id, (replica.started_at_ms, now_s))
+        return True
+
     def mark_leaving(self, replica_id: str) -> None:
         """Send no more requests to a replica, because its address belongs to another one."""
         state = self._states.get(replica_id)
@@ -376,7 +385,9 @@
             state = ReplicaState(replica)
             self._states[name] = state
         state.replica = replica
-        state.leaving = replica.leaving
+        # A replica never comes back from leaving; a delayed registration may still say that it is
+        # ready.
+        state.leaving = state.leaving or replica.leaving
         state.missing_since_s = None
 
     def _note_version_left(self, state: ReplicaState, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -46,6 +46,8 @@
 
 # No requests are sent to a replica for this long after it refused one.
 REJECTED_BACKOFF_S = 0.15
+# Longest pause that a replica may ask for; a longer one is more likely an error.
+PAUSE_MAX_S = 300.0
 # A request with less time left is not retried.
 RETRY_TIME_LEFT_MIN_S = 0.05
 # Replicas tried after the first one that could not be connected.
@@ -103,18 +105,42 @@
         self.responder.remove(request)
 
     def on_head(self, event: ResponseHeadRead, now_s: float) -> None:
-        """Record the request limit that a replica states, or no longer states, in a response."""
+        """Record what a replica states about itself in a response."""
         attempt = self.attempts.by_id.get(event.attempt_id)
         if attempt is None:
             return
         state, stated = attempt.state, event.requests_max_per_s
+        if event.leaving and self.pool.on_stated_leaving(state, now_s):
+            fields = (
+                ("replica", state.replica.replica_id),
+                ("in_flight", len(state.in_flight)),
+            )
+            self.emit(LogLine("replica leaves, as it states", fields))
+        if isinstance(event.pause_s, MalformedHeader):
+            self._log_malformed("pause not understood", state, event.pause_s)
+        elif event.pause_s is not None:
+            self._pause(state, event.pause_s, now_s)
         if isinstance(stated, MalformedHeader):
-            text = stated.text[:HEADER_LOGGED_MAX_CHARACTERS]
-            fields = (("replica", state.replica.replica_id), ("text", text))
-            self.emit(LogLine("request limit not understood", fields))
+            self._log_malformed("request limit not understood", state, stated)
         elif state.limit.on_response(stated, attempt.started_at_s, event.has_receipt, now_s):
             self.log_limit(state)
 
+    def _pause(self, state: ReplicaState, pause_s: float, now_s: float) -> None:
+        """Send nothing to a replica for as long as it asked."""
+        bounded_s = min(pause_s, PAUSE_MAX_S)
+        state.backoff_until_s = max(state.backoff_until_s, now_s + bounded_s)
+        self.emit(IncrementCounter("pauses"))
+        fields = (
+            ("replica", state.replica.replica_id),
+            ("pause_s", pause_s),
+            ("own_running", len(state.in_flight)),
+        )
+        self.emit(LogLine("replica wants a pause", fields))
+
+    def _log_malformed(self, event: str, state: ReplicaState, header: MalformedHeader) -> None:
+        text = header.text[:HEADER_LOGGED_MAX_CHARACTERS]
+        self.emit(LogLine(event, (("replica", state.replica.replica_id), ("text", text))))
+
     def log_limit(self, state: ReplicaState, told_by: str | None = None) -> None:
         """Log that a replica's request limit has changed.
 
@@ -148,7 +174,7 @@
             self._retry(request, RetryReason.MISDIRECTED, now_s)
             return
         if event.not_run:
-            state.backoff_until_s = now_s + REJECTED_BACKOFF_S
+            state.backoff_until_s = max(state.backoff_until_s, now_s + REJECTED_BACKOFF_S)
             self._retry(request, RetryReason.NOT_RUN, now_s)
             return
         self.responder.mark_started(request, attempt.started_at_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -226,11 +226,13 @@
         :param tracked_loads: loads by replica id, from their trackers; if any of these replicas has
             capacity, only they are considered.
         """
-        # Both may have changed while the loads were queried.
+        # All of this may have changed while the loads were queried.
         candidates = [
             state
             for state in candidate_set.candidates
-            if not state.leaving and state.limit.accepts(self._entry_vms, now_s)
+            if not state.leaving
+            and now_s >= state.backoff_until_s
+            and state.limit.accepts(self._entry_vms, now_s)
         ]
         known_loads = tracked_loads or {}
         tracked_candidates = [
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -58,7 +58,10 @@
     LimitedPeriod,
     ObservedStream,
     ResumptionCounts,
+    StatedPause,
+    leaving_violation,
     limit_violation,
+    pause_violation,
     version_violations,
 )
 from coriandershelf_rig.internal.virtual_time import VirtualTime
@@ -75,6 +78,7 @@
 FIRST_EVENT_S = 0.1
 EVENT_PERIOD_S = 0.1
 DRAIN_S = 2.5
+LEAVING_NOTICE_S = 2.0
 CONTACT_S = 3.0
 CALLER_TIMEOUT_S = 12.0
 CLOCK_OFFSET_S = 1_700_000_000.0
@@ -90,12 +94,19 @@
 
     :param limits: the periods in which it states a limit; the last one may be open.
     :param running: requests in execution: attempt id by VM and attempt.
+    :param states_leaving: whether its responses state that it leaves.
+    :param informed_at_s: when each VM first received such a response.
+    :param pause_s: length of the pause that it asks for; it refuses all requests then.
     """
 
     registration: Replica
     arrivals: list[ArrivedRequest] = field(default_factory=list)
     limits: list[LimitedPeriod] = field(default_factory=list)
     running: set[tuple[str, int]] = field(default_factory=set)
+    states_leaving: bool = False
+    informed_at_s: dict[str, float] = field(default_factory=dict)
+    pause_s: float | None = None
+    pauses: list[StatedPause] = field(default_factory=list)
 
     @property
     def version(self) -> str:
@@ -227,8 +238,14 @@
         return version_violations(self.streams, self.resumptions)
 
     def violations(self) -> list[str]:
-        """Return what reached the replicas against their limits."""
-        lines = [
+        """Return what reached the replicas against what they stated."""
+        lines: list[str | None] = []
+        for name, replica in self.replicas.items():
+            lines.append(
+                leaving_violation(name, replica.arrivals, replica.informed_at_s, LEAVING_NOTICE_S)
+            )
+            lines += [pause_violation(pause, replica.arrivals) for pause in replica.pauses]
+        lines += [
             limit_violation(period, replica.arrivals, self.excused, CONTACT_S)
             for replica in self.replicas.values()
             for period in replica.limits
@@ -352,7 +369,10 @@
             self._post(vm_id, gateway, event)
             return
         replica.arrivals.append(ArrivedRequest(self.time.now_s, vm_id))
-        if len(replica.running) >= 2 * replica.registration.slots_count:
+        if (
+            replica.pause_s is not None
+            or len(replica.running) >= 2 * replica.registration.slots_count
+        ):
             self._respond(replica, vm_id, gateway, action, REFUSAL_S, self._refuse)
             return
         replica.running.add((vm_id, action.attempt_id))
@@ -370,7 +390,17 @@
         def send_head() -> None:
             limit = replica.limit
             per_s = None if limit is None else limit.per_s
-            self._post(vm_id, gateway, ResponseHeadRead(action.attempt_id, True, per_s))
+            refused = response == self._refuse
+            pause_s = replica.pause_s if refused else None
+            head = ResponseHeadRead(
+                action.attempt_id, not refused, per_s, replica.states_leaving, pause_s
+            )
+            self._post(vm_id, gateway, head)
+            if replica.states_leaving:
+                replica.informed_at_s.setdefault(vm_id, self.time.now_s)
+            if pause_s is not None:
+                name = replica.registration.replica_id
+                replica.pauses.append(StatedPause(name, vm_id, self.time.now_s, pause_s))
             if limit is not None:
                 limit.informed_at_s.setdefault(vm_id, self.time.now_s)
             response(replica, vm_id, gateway, action)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
@@ -148,3 +148,47 @@
                 "of new ones began"
             )
     return violations
+
+
+PAUSE_NOTICE_S = 0.5
+PAUSED_MAX_COUNT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class StatedPause:
+    """A refusal by which a replica asked a VM for a pause."""
+
+    replica: str
+    vm: str
+    from_s: float
+    pause_s: float
+
+
+def leaving_violation(
+    replica: str,
+    arrivals: Sequence[ArrivedRequest],
+    informed_at_s: dict[str, float],
+    drain_s: float,
+) -> str | None:
+    """Return a line about the first request that a leaving replica got too late, if any.
+
+    :param informed_at_s: when each VM first received a response that states the leaving.
+    """
+    for arrival in arrivals:
+        known_at_s = informed_at_s.get(arrival.vm)
+        if known_at_s is not None and arrival.at_s > known_at_s + drain_s:
+            late_s = arrival.at_s - known_at_s
+            return f"{replica} got a request {late_s:.2f} s after it told {arrival.vm} that it left"
+    return None
+
+
+def pause_violation(pause: StatedPause, arrivals: Sequence[ArrivedRequest]) -> str | None:
+    """Return a line if a replica got too many requests in a pause that it asked for.
+
+    :param arrivals: the requests that reached the replica.
+    """
+    from_s, to_s = pause.from_s + PAUSE_NOTICE_S, pause.from_s + pause.pause_s
+    count = sum(1 for item in arrivals if item.vm == pause.vm and from_s <= item.at_s <= to_s)
+    if count <= PAUSED_MAX_COUNT:
+        return None
+    return f"{pause.replica} asked {pause.vm} for {pause.pause_s:g} s and got {count} requests"
--- a/tests/cover/test_platform_borders.py
+++ b/tests/cover/test_platform_borders.py
@@ -474,3 +474,32 @@
                 assert used in ([*used[:1] * 2], ["r-1", "r-3"], ["r-2", "r-4"]), used
 
     run(scenario)
+
+
+def test_a_leaving_replica_and_one_that_asks_for_a_pause_get_no_more_requests():
+    async def scenario() -> None:
+        async def leave(request: ReceivedRequest, connection: ReplicaConnection) -> None:
+            head = response_head(request, Server_Leaving="1")
+            await connection.send(head + b"Content-Length: 4\r\n\r\nlast")
+
+        async def refuse(request: ReceivedRequest, connection: ReplicaConnection) -> None:
+            await connection.send(
+                b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nRetry-After: 30\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        for script, first_status in ((leave, 200), (refuse, 503)):
+            async with Site() as site:
+                replica = await site.add_replica("plain", script)
+                client = await site.connect()
+                client.send("/book/1")
+                response = await client.read()
+                assert response.status == first_status
+                assert "server-leaving" not in response.headers
+                await site.add_replica("plain", respond_done)
+                for number in range(10):
+                    client.send("/book/1", f"id-{number}")
+                    assert (await client.read()).body == b"done"
+                assert len(replica.received) == 1
+
+    run(scenario)
