A limit whose requests in 4 s are no whole number is used in full

Callers were refused more than the replica asked for. The case stands as an example: Hypothesis drew it only in the whole run, where it takes constants from more imported modules; it passed alone.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
@@ -104,7 +104,7 @@
         share_per_s = self._share(per_s, entry_vms)
         if share_per_s <= 0.0:
             return False
-        if len(self._sent_at_s) + self.peers_sent_count + 1 > max(1.0, per_s * WINDOW_S):
+        if len(self._sent_at_s) + self.peers_sent_count >= math.ceil(per_s * WINDOW_S):
             return False
         return self._level(share_per_s, now_s) >= 1.0
 
--- a/tests/cover/test_replica_limits.py
+++ b/tests/cover/test_replica_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
@@ -102,6 +102,7 @@
 
 
 @given(st.floats(0.0, 60.0), st.integers(1, 80))
+@example(0.375, 1)
 @settings(max_examples=40)
 def test_vms_that_hear_nothing_of_each_other_keep_to_the_limit_together(per_s, vms_count):
     ids = tuple(f"vm-{number}" for number in range(vms_count))
