--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -170,6 +170,7 @@
             for number in range(replicas_count)
         }  # fmt: skip
         self.departed: dict[str, ModelReplica] = {}
+        self._started_at_s: dict[str, float] = {}
         self.gateways: dict[str, Gateway] = {}
         self.excused: list[ExcusedPeriod] = []
         self._incarnation = 0
@@ -179,6 +180,11 @@
     def start_vm(self, vm_id: str) -> None:
         """Start an entry VM's gateway, or replace it as after a kill."""
         self._break_off(vm_id)
+        self._started_at_s[vm_id] = self.time.now_s
+        for replica in self.replicas.values():
+            # A new process knows nothing of what its predecessor was told.
+            replica.informed_at_s.pop(vm_id, None)
+            replica.pauses = [pause for pause in replica.pauses if pause.vm != vm_id]
         self._incarnation += 1
         number = int(vm_id.removeprefix("vm-"))
         gateway = Gateway(
@@ -261,7 +267,8 @@
             self.streams.append(stream)
         vm_id = self.rng.choice(sorted(self.gateways))
         resumes_id = stream.first_id or None
-        request = CallerRequest(f"id-{number}", vm_id, stream, tries_count, self._is_judged(stream))
+        is_judged = self._is_judged(stream, vm_id)
+        request = CallerRequest(f"id-{number}", vm_id, stream, tries_count, is_judged)
         self._requests[number] = request
         arrival = Arrival(
             number, request.request_id, "POST", HOST, "/plan/x", None, CALLER_TIMEOUT_S, number,
@@ -270,10 +277,12 @@
         )  # fmt: skip
         self._post(vm_id, self.gateways[vm_id], RequestArrived(arrival))
 
-    def _is_judged(self, stream: ObservedStream) -> bool:
-        """Return whether two replicas of a stream's version serve."""
+    def _is_judged(self, stream: ObservedStream, vm_id: str) -> bool:
+        """Return whether two replicas of a stream's version serve, and the VM is no fresh start."""
         if not stream.versions:
             return True
+        if self.time.now_s - self._started_at_s[vm_id] < CONTACT_S:
+            return False
         versions = [
             item.version for item in self.replicas.values() if not item.registration.leaving
         ]
