A late response to another request does not end a replica's request limit

Found by reading. A response without Server-Limit ends a limit if it answers a request sent after the limit was known; a response that belongs to an earlier request but arrives on this request's connection was taken for one. Its receipt no longer counts. What it states still does, since the replica has said it. The new test failed before: the limit was gone.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -63,7 +63,8 @@
 
     Not posted for a response of another replica that now has the address.
 
-    :param has_receipt: whether the response carries the replica's receipt header.
+    :param has_receipt: whether the response belongs to the request and carries the replica's
+        receipt header.
     :param requests_max_per_s: rate of requests from all entry VMs together that the replica states
         to accept; ``None`` if it states none.
     :param leaving: whether the replica states that it is shutting down.
--- a/tests/cover/test_platform_borders.py
+++ b/tests/cover/test_platform_borders.py
@@ -503,3 +503,26 @@
                 assert len(replica.received) == 1
 
     run(scenario)
+
+
+# Guards against a limit that ends early: a late response to another request was made before it.
+def test_a_late_response_to_another_request_does_not_end_a_request_limit():
+    async def scenario() -> None:
+        async def limit_once(request: ReceivedRequest, connection: ReplicaConnection) -> None:
+            if request.headers["x-request-id"] == "id-1":
+                head = response_head(request, Server_Limit="50")
+                await connection.send(head + b"Content-Length: 4\r\n\r\ndone")
+                return
+            earlier = ReceivedRequest("POST", "/book/0", {"x-request-id": "id-0"}, b"")
+            await connection.send(receipt_response(earlier))
+
+        async with Site() as site:
+            await site.add_replica("plain", limit_once, "r-1")
+            for request_id in ("id-1", "id-2"):
+                client = await site.connect()
+                client.send("/book/1", request_id)
+                await client.read()
+            state = site.application._gateway.pool.get("r-1")
+            assert state is not None and state.limit.per_s == 50.0
+
+    run(scenario)
