--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -276,7 +276,10 @@
             return
         self._record_failure(state, now_s)
         if event.cause is FailureCause.CLOSED:
-            self.poison_requests.on_crash(request.arrival.fingerprint, now_s)
+            count = self.poison_requests.on_crash(request.arrival.fingerprint, now_s)
+            parts = ",".join(part.part_id for part in request.arrival.parts)
+            fields = {"parts": parts, "crashes": count, "first_ms": first_ms(attempt)}
+            self.responder.log("request on a crashed replica", request, now_s, **fields)
         self._recover(request, RetryReason.FAILED, now_s)
 
     def on_tick(self, now_s: float) -> None:
