--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -278,8 +278,10 @@
         if event.cause is FailureCause.CLOSED:
             count = self.poison_requests.on_crash(request.arrival.fingerprint, now_s)
             parts = ",".join(part.part_id for part in request.arrival.parts)
-            fields = {"parts": parts, "crashes": count, "first_ms": first_ms(attempt)}
-            self.responder.log("request on a crashed replica", request, now_s, **fields)
+            self.responder.log(
+                "request on a crashed replica", request, now_s,
+                parts=parts, crashes=count, first_ms=first_ms(attempt),
+            )  # fmt: skip
         self._recover(request, RetryReason.FAILED, now_s)
 
     def on_tick(self, now_s: float) -> None:
