Failing test: replicas keep crashing under one part of prompts

The bench in virtual time now draws routes and prompt parts, has parts under which each replica crashes that begins to answer, and replicas that come back later under another id. Two judges see arrivals, crashes and first tries only: BUDGET (three arrivals at most from contact_ms after the fifth crash) and LOST (requests beside the part begin half as often as before, or more).

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -50,8 +50,9 @@
     Tick,
 )
 from coriandershelf_core.internal.gateway.gateway import Gateway
-from coriandershelf_core.internal.gateway.request import Arrival
+from coriandershelf_core.internal.gateway.request import Arrival, PromptPart
 from coriandershelf_core.internal.gateway.settings import GatewaySettings
+from coriandershelf_rig.internal.part_rules import CrashingPart, FirstTry
 from coriandershelf_rig.internal.replica_rules import (
     ArrivedRequest,
     ExcusedPeriod,
@@ -72,6 +73,11 @@
     "plan", HOST, "/plan/", RouteKind.STREAM, 0.8, 15.0, 2, 1, (Backend(SERVICE, 1.0),),
     public=True, resumable=True, gap_objective_s=0.5,
 )  # fmt: skip
+# Its streams may not be resumed.
+ASK = Route(
+    "ask", HOST, "/ask/", RouteKind.STREAM, 0.5, 3.0, 1, 0, (Backend(SERVICE, 1.0),),
+    public=True, gap_objective_s=0.5,
+)  # fmt: skip
 TICK_S = 0.05
 ZONES = ("zone-0", "zone-1", "zone-2")
 LINK_DELAY_S = 0.002
@@ -86,6 +92,9 @@
 CALLER_RETRY_S = 0.1
 # Requests that a replica turns away say so this long after they arrive.
 REFUSAL_S = 0.005
+# A replica that crashes under a prompt part does so this long after its first event.
+CRASH_S = 0.04
+RESTART_S = 3.0
 
 
 @dataclass
@@ -119,11 +128,20 @@
         return self.limits[-1] if self.limits and self.limits[-1].to_s == float("inf") else None
 
 
+@dataclass(frozen=True, slots=True)
+class RequestShape:
+    """Route and prompt parts of a request; the last part is its own."""
+
+    route: Route = PLAN
+    parts: tuple[str, ...] = ()
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """One request of a caller.
 
     :param served: whether an event has arrived for it.
+    :param first_try: its outcome, if it is a first try beside a crashing part.
     """
 
     request_id: str
@@ -131,7 +149,9 @@
     stream: ObservedStream
     tries_count: int
     is_judged: bool
+    shape: RequestShape
     served: bool = False
+    first_try: FirstTry | None = None
 
 
 class GatewayBench:
@@ -139,6 +159,9 @@
 
     :param events_count: events of each stream.
     :param loss_share: share of the messages between VMs that is lost.
+    :param draw_shape: draws route and prompt parts of each new request.
+    :ivar crashing_parts: prompt parts under which replicas crash, by id.
+    :ivar first_tries: first tries of all requests without such a part.
     """
 
     def __init__(
@@ -148,6 +171,7 @@
         replicas_count: int,
         events_count: int = 5,
         loss_share: float = 0.02,
+        draw_shape: Callable[[random.Random], RequestShape] = lambda _: RequestShape(),
     ) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
@@ -158,6 +182,9 @@
         self.streams: list[ObservedStream] = []
         self.resumptions = ResumptionCounts()
         self._requests: dict[int, CallerRequest] = {}
+        self.crashing_parts: dict[str, CrashingPart] = {}
+        self.first_tries: list[FirstTry] = []
+        self._draw_shape = draw_shape
         self._loss_share = loss_share
         self._vms_count = vms_count
         self.replicas = {
@@ -193,7 +220,7 @@
         )  # fmt: skip
         self.gateways[vm_id] = gateway
         route_services = {SERVICE: Service(SERVICE, 1000, engine_slots_count=16)}
-        self._post(vm_id, gateway, DeploymentRead(Deployment(1, (PLAN,), route_services, ())))
+        self._post(vm_id, gateway, DeploymentRead(Deployment(1, (PLAN, ASK), route_services, ())))
         self.register_all(vm_id)
         addresses = {f"vm-{index:02}": f"vm-{index:02}:7500" for index in range(self._vms_count)}
         self._post(vm_id, gateway, EntryVmsRead(addresses))
@@ -258,25 +285,48 @@
         ]
         return [line for line in lines if line is not None]
 
-    def _send_request(self, stream: ObservedStream | None = None, tries_count: int = 1) -> None:
+    def _send_request(
+        self,
+        stream: ObservedStream | None = None,
+        tries_count: int = 1,
+        shape: RequestShape | None = None,
+    ) -> None:
         """Send a request for a new stream, or one that resumes a stream."""
         self.requests_count += 1
         number = self.requests_count
         if stream is None:
             stream = ObservedStream()
             self.streams.append(stream)
+        shape = shape or self._draw_shape(self.rng)
         vm_id = self.rng.choice(sorted(self.gateways))
         resumes_id = stream.first_id or None
         is_judged = self._is_judged(stream, vm_id)
-        request = CallerRequest(f"id-{number}", vm_id, stream, tries_count, is_judged)
+        request = CallerRequest(f"id-{number}", vm_id, stream, tries_count, is_judged, shape)
         self._requests[number] = request
+        self._note_parts(request)
+        parts = tuple(PromptPart(part_id, 100) for part_id in shape.parts)
         arrival = Arrival(
-            number, request.request_id, "POST", HOST, "/plan/x", None, CALLER_TIMEOUT_S, number,
-            prompt_tokens=500, output_tokens=50, last_event_id=stream.events_count or None,
-            resumes_id=resumes_id,
+            number, request.request_id, "POST", HOST, f"{shape.route.path_prefix}x", None,
+            CALLER_TIMEOUT_S, number, prompt_tokens=500, output_tokens=50, parts=parts,
+            last_event_id=stream.events_count or None, resumes_id=resumes_id,
         )  # fmt: skip
         self._post(vm_id, self.gateways[vm_id], RequestArrived(arrival))
 
+    def _note_parts(self, request: CallerRequest) -> None:
+        """Record a request for the judges of crashing parts."""
+        now_s = self.time.now_s
+        crashing = self._crashing_part(request.shape.parts)
+        if crashing is not None:
+            crashing.asked_at_s.append(now_s)
+        elif request.tries_count == 1:
+            request.first_try = FirstTry(now_s, request.vm_id)
+            self.first_tries.append(request.first_try)
+
+    def _crashing_part(self, parts: tuple[str, ...]) -> CrashingPart | None:
+        return next(
+            (self.crashing_parts[part] for part in parts if part in self.crashing_parts), None
+        )
+
     def _is_judged(self, stream: ObservedStream, vm_id: str) -> bool:
         """Return whether two replicas of a stream's version serve, and the VM is no fresh start."""
         if not stream.versions:
@@ -310,14 +360,19 @@
             self.resumptions.resumed += 1
         elif request.is_judged:
             self.resumptions.not_resumed += 1
-        if not complete and request.tries_count < CALLER_TRIES_MAX_COUNT:
+        may_resume = request.shape.route.resumable or not request.served
+        if not complete and may_resume and request.tries_count < CALLER_TRIES_MAX_COUNT:
             stream, tries_count = request.stream, request.tries_count + 1
-            self.time.at(CALLER_RETRY_S, lambda: self._send_request(stream, tries_count))
+            self.time.at(
+                CALLER_RETRY_S, lambda: self._send_request(stream, tries_count, request.shape)
+            )
 
     def _on_event(self, handle: int, payload: bytes) -> None:
         request = self._requests.get(handle)
         if request is not None:
             request.served = True
+            if request.first_try is not None:
+                request.first_try.begun = True
             version = payload.decode().rpartition("data: ")[2].strip()
             request.stream.add_event(request.request_id, version)
 
@@ -377,7 +432,12 @@
             event = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
             self._post(vm_id, gateway, event)
             return
-        replica.arrivals.append(ArrivedRequest(self.time.now_s, vm_id))
+        arrived = ArrivedRequest(self.time.now_s, vm_id)
+        replica.arrivals.append(arrived)
+        asked = self._requests.get(action.handle)
+        crashing = self._crashing_part(asked.shape.parts) if asked is not None else None
+        if crashing is not None:
+            crashing.arrivals.append(arrived)
         if (
             replica.pause_s is not None
             or len(replica.running) >= 2 * replica.registration.slots_count
@@ -443,6 +503,10 @@
             replica.running.discard((vm_id, action.attempt_id))
             self._post(vm_id, gateway, StreamEnded(action.attempt_id))
             return
+        asked = self._requests.get(action.handle)
+        crashing = self._crashing_part(asked.shape.parts) if asked is not None else None
+        if crashing is not None:
+            self.time.at(CRASH_S, lambda: self._crash_under(replica, crashing))
         payload = f"id: {number}\ndata: {replica.version}\n\n".encode()
         self._post(vm_id, gateway, StreamRead(action.attempt_id, payload, 1, number))
         self.time.at(
@@ -453,6 +517,25 @@
         for replica in self.replicas.values():
             replica.running.discard((vm_id, attempt_id))
 
+    def _crash_under(self, replica: ModelReplica, part: CrashingPart) -> None:
+        if self.replicas.get(replica.registration.replica_id) is replica:
+            part.crashes_at_s.append(self.time.now_s)
+            self.crash_and_restart(replica.registration.replica_id)
+
+    def crash_and_restart(self, replica_id: str) -> None:
+        """Crash a replica, which comes back later under another id."""
+        self.crash(replica_id)
+        crashed = self.departed[replica_id] = self.replicas.pop(replica_id)
+        name, _, starts = replica_id.partition("+")
+        new_id = f"{name}+{int(starts or 0) + 1}"
+        registration = replace(crashed.registration, replica_id=new_id)
+
+        def restart() -> None:
+            self.replicas[new_id] = ModelReplica(registration)
+            self._register({replica_id: None, new_id: registration})
+
+        self.time.at(RESTART_S, restart)
+
     def crash(self, replica_id: str) -> None:
         """Break off everything that runs at a replica."""
         replica = self.replicas[replica_id]
