Requests with a prompt part that crashes replicas are refused

Cause: crashes were counted by the hash of a whole request; requests with the part are no two alike, so no count passed 1. Evidence: no refusal as poison in any log, all crashing requests first attempts. Ruled out: counts that arrive late (none was refused anywhere), repeats (none).

poison_parts counts crashes by part, but the last one. A crash counts once for each start of a replica, and only if the attempt was sent after the crash counted before it: connections that break at one moment are one crash, and so is a replica that breaks off everything. Any completed request clears its parts, here and through digests at the peers, which is what keeps the parts shared by all requests out. Three crashes refuse a part, five one that was sound before, and only if others were completed meanwhile (else six, and never one that was sound). Crashes under a part found so are no evidence against the parts beside it. One VM tries a refused part after 30 s, doubled with each crash.

Weighed: counting by part without evidence of soundness (refuses the system prompt of a route); the sum of counts of the VMs (one crash counts once a VM); a test run of suspects alone on one replica (costs crashes beyond the fifth).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from coriandershelf_core.internal.gateway.poison_parts import PartDigest
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
 
 
@@ -67,6 +68,7 @@
     :param left: start times (Unix milliseconds) of replicas that the sender recently saw leaving or
         gone in the registry, by replica id.
     :param limits: the request limits that replicas state, by replica id.
+    :param parts: evidence on prompt parts that crash replicas, by hash of the part.
     :param holder: the sender itself, while it holds the lease.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     """
@@ -87,5 +89,6 @@
     work: dict[str, ServiceRates] = field(default_factory=dict)
     left: dict[str, int] = field(default_factory=dict)
     limits: dict[str, LimitDigest] = field(default_factory=dict)
+    parts: dict[int, PartDigest] = field(default_factory=dict)
     holder: HolderInfo | None = None
     complete: bool = False
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -11,6 +11,7 @@
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
 from coriandershelf_core.internal.gateway.peers import SMALL_SITE_PEERS_COUNT, Peers
+from coriandershelf_core.internal.gateway.poison_parts import PoisonParts
 from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
@@ -62,6 +63,7 @@
     peers: Peers
     caps: UsageCaps
     poison_requests: PoisonRequests
+    poison_parts: PoisonParts
     usage: UsageCounts
     arrival_rates: ArrivalRates
     load_queries: LoadQueries
@@ -155,5 +157,6 @@
             crashes=self.poison_requests.own_counts(),
             left=self.pool.recently_left(now_s),
             limits=self.pool.limits(now_s),
+            parts=self.poison_parts.digest(now_s),
             holder=vm_status.holder,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -17,6 +17,7 @@
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
 from coriandershelf_core.internal.gateway.attempts import Attempts
 from coriandershelf_core.internal.gateway.clock_estimate import ClockEstimate
+from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Customer, Deployment, Route
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo
 from coriandershelf_core.internal.gateway.digest_exchange import DigestExchange, Identity, VmStatus
@@ -49,6 +50,7 @@
     LoadReply,
 )
 from coriandershelf_core.internal.gateway.peers import Peers
+from coriandershelf_core.internal.gateway.poison_parts import PoisonParts
 from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.relay import Relay
@@ -115,12 +117,18 @@
         entry_vms = EntryVms(vm_id, (vm_id,))
         self.load_queries = LoadQueries(vm_id, address, incarnation, self.pool, self._outbox.append)
         emit = self._outbox.append
+        poison_parts = PoisonParts(entry_vms)
+        responder = Responder(
+            self.caps, emit, self._count_started, self.arrival_rates.add_late, rng.random
+        )
+        self.crash_suspects = CrashSuspects(self.poison_requests, poison_parts, responder, emit)
         self._digest_exchange = DigestExchange(
             Identity(vm_id, address, zone, incarnation),
             self.pool,
             self.peers,
             self.caps,
             self.poison_requests,
+            poison_parts,
             self.usage,
             self.arrival_rates,
             self.load_queries,
@@ -133,15 +141,13 @@
             selector,
             self.load_queries,
             Attempts(selector, self.load_queries, emit),
-            Responder(
-                self.caps, emit, self._count_started, self.arrival_rates.add_late, rng.random
-            ),
+            responder,
             RetryAllowance(
                 settings.retry_ratio * RETRY_BUDGET_SHARE,
                 settings.retry_slack_count * RETRY_BUDGET_SHARE,
                 settings.retry_window_s,
             ),
-            self.poison_requests,
+            self.crash_suspects,
             StreamOrigins(address, entry_vms, emit),
             emit,
         )
@@ -250,8 +256,9 @@
         self, arrival: Arrival, route: Route, customer: Customer | None, now_s: float
     ) -> None:
         request = _make_request(arrival, route, customer, now_s)
-        if self.poison_requests.is_poison(arrival.fingerprint):
-            self._refuse(arrival, Refusal.POISON, REFUSED_RETRY_AFTER_S, now_s)
+        detail = self.crash_suspects.refusal_detail(arrival, now_s)
+        if detail is not None:
+            self._refuse(arrival, Refusal.POISON, REFUSED_RETRY_AFTER_S, now_s, detail)
             return
         if self.stopping and now_s - self._stop_at_s > STOP_ADMISSION_AFTER_S:
             self._refuse(arrival, Refusal.STOPPING, STOPPING_RETRY_AFTER_S, now_s)
@@ -334,7 +341,7 @@
             self.arrival_rates.on_digest(digest)
         else:
             self.caps.on_minimal_digest(digest, now_s)
-        self.poison_requests.on_digest(digest, now_s)
+        self.crash_suspects.on_digest(digest, now_s)
         self.usage.on_digest(digest)
         if digest.holder is not None:
             self.last_holder = digest.holder
@@ -359,7 +366,7 @@
         self._digest_exchange.merge_peer_digests(self.stopping, now_s)
         self.relay.on_tick(now_s)
         self.caps.on_tick(now_s)
-        self.poison_requests.on_tick(now_s)
+        self.crash_suspects.on_tick(now_s)
         self.clock_estimate.update(clock_s, now_s)
         self.usage.expire(self.clock_estimate.time_of_day_s(now_s))
         self._on_left(self.pool.expire(now_s))
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -22,6 +22,7 @@
     first_ms,
     silence_timeout_s,
 )
+from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
 from coriandershelf_core.internal.gateway.events import (
     AnswerRead,
@@ -36,7 +37,6 @@
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries, PendingQuery
 from coriandershelf_core.internal.gateway.load_tracking import AttemptStep, LoadReply, TrackedLoad
 from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
-from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
@@ -69,7 +69,7 @@
     attempts: Attempts
     responder: Responder
     retries: RetryAllowance
-    poison_requests: PoisonRequests
+    crash_suspects: CrashSuspects
     origins: StreamOrigins
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
@@ -184,6 +184,7 @@
             state.on_success(now_s)
             baseline_s = attempt.baseline_s * state.current_slowdown(now_s)
             state.on_latency(taken_s, baseline_s, now_s, attempt.low_load)
+            self.crash_suspects.on_completed(request, now_s)
         elif event.status >= SERVER_ERROR:
             self._record_failure(state, now_s, request.route.kind)
             if request.route.repeatable and self._take_retry(request, now_s):
@@ -248,6 +249,7 @@
         attempt.state.on_success(now_s)
         self.attempts.end(attempt, now_s)
         request = attempt.request
+        self.crash_suspects.on_completed(request, now_s)
         inputs = dict(attempt.inputs)
         self.responder.end_stream(request, now_s, first_ms=first_ms(attempt), **inputs)
 
@@ -276,12 +278,7 @@
             return
         self._record_failure(state, now_s)
         if event.cause is FailureCause.CLOSED:
-            count = self.poison_requests.on_crash(request.arrival.fingerprint, now_s)
-            parts = ",".join(part.part_id for part in request.arrival.parts)
-            self.responder.log(
-                "request on a crashed replica", request, now_s,
-                parts=parts, crashes=count, first_ms=first_ms(attempt),
-            )  # fmt: skip
+            self.crash_suspects.on_crash(attempt, now_s)
         self._recover(request, RetryReason.FAILED, now_s)
 
     def on_tick(self, now_s: float) -> None:
@@ -407,7 +404,7 @@
             refusal = Refusal.REPLICA_REFUSED
             self.responder.refuse(request, refusal, now_s)
             return
-        if self.poison_requests.is_poison(request.arrival.fingerprint):
+        if self.crash_suspects.refusal_detail(request.arrival, now_s) is not None:
             self.responder.refuse(request, Refusal.POISON, now_s)
             return
         self.emit(IncrementCounter("retries", reason.value))
@@ -438,7 +435,7 @@
             return False
         if request.deadline_s - now_s < RETRY_TIME_LEFT_MIN_S:
             return False
-        if self.poison_requests.is_poison(request.arrival.fingerprint):
+        if self.crash_suspects.refusal_detail(request.arrival, now_s) is not None:
             return False
         return self.retries.take(request.service, self.entry_vms_count, now_s)
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -327,6 +327,10 @@
             (self.crashing_parts[part] for part in parts if part in self.crashing_parts), None
         )
 
+    def _crashing_part_of(self, action: StartAttempt) -> CrashingPart | None:
+        asked = self._requests.get(action.handle)
+        return None if asked is None else self._crashing_part(asked.shape.parts)
+
     def _is_judged(self, stream: ObservedStream, vm_id: str) -> bool:
         """Return whether two replicas of a stream's version serve, and the VM is no fresh start."""
         if not stream.versions:
@@ -434,8 +438,7 @@
             return
         arrived = ArrivedRequest(self.time.now_s, vm_id)
         replica.arrivals.append(arrived)
-        asked = self._requests.get(action.handle)
-        crashing = self._crashing_part(asked.shape.parts) if asked is not None else None
+        crashing = self._crashing_part_of(action)
         if crashing is not None:
             crashing.arrivals.append(arrived)
         if (
@@ -487,6 +490,9 @@
         if (vm_id, action.attempt_id) not in replica.running:
             return
         self._post(vm_id, gateway, StreamOpened(action.attempt_id, 200, ()))
+        crashing = self._crashing_part_of(action)
+        if crashing is not None:
+            self.time.at(CRASH_S, lambda: self._crash_under(replica, crashing))
         self._send_event(replica, vm_id, gateway, action, (action.last_event_id or 0) + 1)
 
     def _send_event(
@@ -500,13 +506,12 @@
         if (vm_id, action.attempt_id) not in replica.running:
             return
         if number > self.events_count:
+            if self._crashing_part_of(action) is not None:
+                # A resumed stream may be at its end before the replica crashes.
+                return
             replica.running.discard((vm_id, action.attempt_id))
             self._post(vm_id, gateway, StreamEnded(action.attempt_id))
             return
-        asked = self._requests.get(action.handle)
-        crashing = self._crashing_part(asked.shape.parts) if asked is not None else None
-        if crashing is not None:
-            self.time.at(CRASH_S, lambda: self._crash_under(replica, crashing))
         payload = f"id: {number}\ndata: {replica.version}\n\n".encode()
         self._post(vm_id, gateway, StreamRead(action.attempt_id, payload, 1, number))
         self.time.at(
