--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -53,6 +53,7 @@
 from coriandershelf_core.internal.gateway.request import Arrival, PromptPart
 from coriandershelf_core.internal.gateway.settings import GatewaySettings
 from coriandershelf_rig.internal.part_rules import CrashingPart, FirstTry
+from coriandershelf_rig.internal.path_rules import CutPeriod
 from coriandershelf_rig.internal.replica_rules import (
     ArrivedRequest,
     ExcusedPeriod,
@@ -95,6 +96,7 @@
 # A replica that crashes under a prompt part does so this long after its first event.
 CRASH_S = 0.04
 RESTART_S = 3.0
+CONNECT_TIMEOUT_S = 0.3
 
 
 @dataclass
@@ -161,6 +163,7 @@
     :param loss_share: share of the messages between VMs that is lost.
     :param draw_shape: draws route and prompt parts of each new request.
     :ivar crashing_parts: prompt parts under which replicas crash, by id.
+    :ivar cuts: periods in which VMs had no path to replicas.
     :ivar first_tries: first tries of all requests without such a part.
     """
 
@@ -184,6 +187,8 @@
         self._requests: dict[int, CallerRequest] = {}
         self.crashing_parts: dict[str, CrashingPart] = {}
         self.first_tries: list[FirstTry] = []
+        self.cuts: list[CutPeriod] = []
+        self._cut_vms: dict[str, str] = {}
         self._draw_shape = draw_shape
         self._loss_share = loss_share
         self._vms_count = vms_count
@@ -247,6 +252,27 @@
         if per_s is not None:
             replica.limits.append(LimitedPeriod(replica_id, per_s, self.time.now_s))
 
+    def cut_off(self, vm_ids: list[str], how: str) -> None:
+        """Partition VMs from all replicas.
+
+        :param how: what becomes of their connections: "hang", "reset", or "live" while new ones
+            are refused.
+        """
+        self.cuts.append(CutPeriod(frozenset(vm_ids), self.time.now_s))
+        self._cut_vms = dict.fromkeys(vm_ids, how)
+        if how == "reset":
+            for replica in list(self.replicas.values()):
+                for vm_id, attempt_id in sorted(replica.running):
+                    if vm_id in vm_ids:
+                        replica.running.discard((vm_id, attempt_id))
+                        event = AttemptFailed(attempt_id, FailureCause.CLOSED, sent=True)
+                        self._post(vm_id, self.gateways[vm_id], event)
+
+    def heal(self) -> None:
+        """End the partition."""
+        self.cuts[-1].to_s = self.time.now_s
+        self._cut_vms = {}
+
     def release(self, replica_id: str, version: str) -> None:
         """Replace a replica by one of another version: the new one starts, the old one drains."""
         old = self.replicas[replica_id]
@@ -432,6 +458,12 @@
 
     def _receive(self, vm_id: str, gateway: Gateway, action: StartAttempt) -> None:
         replica = self.replicas.get(action.replica_id)
+        how = self._cut_vms.get(vm_id)
+        if how is not None:
+            delay_s = CONNECT_TIMEOUT_S if how == "hang" else LINK_DELAY_S
+            failed = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
+            self.time.at(delay_s, lambda: self._post(vm_id, gateway, failed))
+            return
         if replica is None:
             event = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
             self._post(vm_id, gateway, event)
@@ -512,6 +544,8 @@
             replica.running.discard((vm_id, action.attempt_id))
             self._post(vm_id, gateway, StreamEnded(action.attempt_id))
             return
+        if self._cut_vms.get(vm_id) == "hang":
+            return
         payload = f"id: {number}\ndata: {replica.version}\n\n".encode()
         self._post(vm_id, gateway, StreamRead(action.attempt_id, payload, 1, number))
         self.time.at(
