A VM without a path to the replicas reaches them through other VMs

Cause: a VM could serve a caller only over its own connections to replicas. Each request tried five replicas for 300 ms each; nothing told a lost path from lost replicas. Evidence: no attempt of these VMs was answered after the first second, while three others used the same replicas. Ruled out: ejections that leave too few (none answered); readiness (a zone with fewer than half of its VMs ready gets all callers again, and open connections stay).

replica_paths: when three replicas accept no connection, or are silent, within 1.5 s and none accepts one in between, this VM's path counts as lost. Attempts then go through a random VM that has one by its digests, over HTTP's CONNECT (replica_tunnels); all decisions stay with the VM that has the caller. Probes each 300 ms, the first at once, end it. Replicas seen as unreachable meanwhile are not ejected, nor told to the load trackers.

Weighed: passing whole requests on (two VMs decide on caps, retries and resumption; loops); saying not ready (the balancer uses the whole zone again; open connections stay); asking peers for each replica (messages in calm times).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -75,6 +75,7 @@
     :param needs_recent_connection: whether only a new connection or one that answered very recently
         may be used.
     :param last_event_id: the event after which the replica resumes the stream.
+    :param relay_address: the entry VM through which the replica is reached; ``None`` if directly.
     """
 
     attempt_id: int
@@ -87,6 +88,14 @@
     stream: bool
     needs_recent_connection: bool
     last_event_id: int | None = None
+    relay_address: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeReplica:
+    """Find out whether a replica accepts a direct connection, and close it again."""
+
+    address: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +229,7 @@
 
 Action = (
     StartAttempt
+    | ProbeReplica
     | CancelAttempt
     | SendResponse
     | StartStream
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -10,6 +10,7 @@
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
 from coriandershelf_core.internal.gateway.load_tracking import AttemptStep
 from coriandershelf_core.internal.gateway.pool import ReplicaState
+from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest
 from coriandershelf_core.internal.gateway.responder import LogValue
 from coriandershelf_core.internal.gateway.selection import ReplicaSelector, ScoredReplica
@@ -39,6 +40,7 @@
     :param was_queued: whether other prompts awaited prefill on the replica when it was sent.
     :param inputs: figures that the choice of the replica was based on, for the log.
     :param slowdown: the replica's slowdown, reported in the response headers.
+    :param relay_address: the entry VM through which the replica is reached, if any.
     """
 
     attempt_id: int
@@ -54,6 +56,7 @@
     first_event_at_s: float | None = None
     last_event_at_s: float = 0.0
     slowdown: float | None = None
+    relay_address: str | None = None
 
 
 @dataclass(slots=True)
@@ -65,6 +68,7 @@
 
     selector: ReplicaSelector
     load_queries: LoadQueries
+    paths: ReplicaPaths
     emit: Callable[[Action], None]
     by_id: dict[int, AttemptState] = field(default_factory=dict)
     _next_id: int = 1
@@ -100,7 +104,7 @@
         )
         attempt = AttemptState(
             attempt_id, request, state, now_s, selected.baseline_s, silence_deadline_s, low_load,
-            selected.waiting_tokens > 0, inputs,
+            selected.waiting_tokens > 0, inputs, relay_address=self.paths.relay_address(now_s),
         )  # fmt: skip
         self.by_id[attempt_id] = attempt
         request.attempt_id = attempt_id
@@ -129,6 +133,7 @@
                 stream,
                 not request.route.repeatable,
                 resume_id if resume_id is not None else request.arrival.last_event_id,
+                attempt.relay_address,
             )
         )
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -69,6 +69,7 @@
         gone in the registry, by replica id.
     :param limits: the request limits that replicas state, by replica id.
     :param parts: evidence on prompt parts that crash replicas, by hash of the part.
+    :param no_path: whether the sender has no path of its own to the replicas.
     :param holder: the sender itself, while it holds the lease.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     """
@@ -90,5 +91,6 @@
     left: dict[str, int] = field(default_factory=dict)
     limits: dict[str, LimitDigest] = field(default_factory=dict)
     parts: dict[int, PartDigest] = field(default_factory=dict)
+    no_path: bool = False
     holder: HolderInfo | None = None
     complete: bool = False
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -14,6 +14,7 @@
 from coriandershelf_core.internal.gateway.poison_parts import PoisonParts
 from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool
+from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
@@ -64,6 +65,7 @@
     caps: UsageCaps
     poison_requests: PoisonRequests
     poison_parts: PoisonParts
+    paths: ReplicaPaths
     usage: UsageCounts
     arrival_rates: ArrivalRates
     load_queries: LoadQueries
@@ -102,6 +104,9 @@
         self.entry_vms.ids = tuple(sorted(vm_id for vms in zones.values() for vm_id in vms))
         self.entry_vms.ids_by_zone = ids_by_zone
         self.entry_vms.addresses = {digest.vm_id: digest.address for digest in live}
+        self.entry_vms.relay_addresses = tuple(
+            digest.address for digest in live if not digest.no_path
+        )
         self.load_queries.assignment.set_vms(ids_by_zone)
         self.load_queries.addresses = self.entry_vms.addresses
         processes = {
@@ -158,5 +163,6 @@
             left=self.pool.recently_left(now_s),
             limits=self.pool.limits(now_s),
             parts=self.poison_parts.digest(now_s),
+            no_path=self.paths.lost,
             holder=vm_status.holder,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
@@ -12,9 +12,11 @@
     :param ids: their ids in order; this VM is among them unless it is stopping.
     :param ids_by_zone: the same by availability zone.
     :param addresses: where the other ones are reached.
+    :param relay_addresses: the same, of those that have a path to the replicas.
     """
 
     own_id: str
     ids: tuple[str, ...] = ()
     ids_by_zone: dict[str, tuple[str, ...]] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
+    relay_addresses: tuple[str, ...] = ()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -18,6 +18,7 @@
     """Why an attempt ended without a response from the replica."""
 
     CONNECT = "connect"
+    RELAY = "relay"
     CLOSED = "closed"
     MALFORMED = "malformed"
     MISMATCHED = "mismatched"
@@ -68,6 +69,7 @@
     :param requests_max_per_s: rate of requests from all entry VMs together that the replica states
         to accept; ``None`` if it states none.
     :param leaving: whether the replica states that it is shutting down.
+    :param new_connection: whether the request was the first one on its connection.
     :param pause_s: how long the replica wants no requests from this VM, if it refused one so.
     """
 
@@ -76,6 +78,14 @@
     requests_max_per_s: float | MalformedHeader | None = None
     leaving: bool = False
     pause_s: float | MalformedHeader | None = None
+    new_connection: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaProbed:
+    """A replica accepted a direct connection, or did not."""
+
+    connected: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +220,7 @@
     | StreamRead
     | StreamEnded
     | AttemptFailed
+    | ReplicaProbed
     | DeploymentRead
     | ConfigurationProved
     | ReplicasRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -32,6 +32,7 @@
     EntryVmsRead,
     Event,
     OriginMessageArrived,
+    ReplicaProbed,
     ReplicasRead,
     RequestArrived,
     ResponseHeadRead,
@@ -54,6 +55,7 @@
 from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.relay import Relay
+from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest, Arrival
 from coriandershelf_core.internal.gateway.responder import RETRY_AFTER_SHARE, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
@@ -121,6 +123,7 @@
         responder = Responder(
             self.caps, emit, self._count_started, self.arrival_rates.add_late, rng.random
         )
+        paths = ReplicaPaths(self.pool, entry_vms, rng, emit)
         self.crash_suspects = CrashSuspects(self.poison_requests, poison_parts, responder, emit)
         self._digest_exchange = DigestExchange(
             Identity(vm_id, address, zone, incarnation),
@@ -129,6 +132,7 @@
             self.caps,
             self.poison_requests,
             poison_parts,
+            paths,
             self.usage,
             self.arrival_rates,
             self.load_queries,
@@ -140,7 +144,7 @@
             self.pool,
             selector,
             self.load_queries,
-            Attempts(selector, self.load_queries, emit),
+            Attempts(selector, self.load_queries, paths, emit),
             responder,
             RetryAllowance(
                 settings.retry_ratio * RETRY_BUDGET_SHARE,
@@ -149,6 +153,7 @@
             ),
             self.crash_suspects,
             StreamOrigins(address, entry_vms, emit),
+            paths,
             emit,
         )
 
@@ -200,6 +205,9 @@
                 self.relay.on_ended(event, now_s)
             case AttemptFailed():
                 self.relay.on_failed(event, now_s)
+            case ReplicaProbed(connected):
+                if connected:
+                    self.relay.paths.on_connected(now_s)
             case CallerLeft(handle):
                 self.relay.on_caller_left(handle, now_s)
             case DigestArrived(digest):
@@ -365,6 +373,7 @@
     def _on_tick(self, now_s: float, clock_s: float) -> None:
         self._digest_exchange.merge_peer_digests(self.stopping, now_s)
         self.relay.on_tick(now_s)
+        self.relay.paths.on_tick(now_s)
         self.caps.on_tick(now_s)
         self.crash_suspects.on_tick(now_s)
         self.clock_estimate.update(clock_s, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -245,6 +245,10 @@
         """Return the ids of the registered replicas."""
         return set(self._states)
 
+    def has_address(self, address: str) -> bool:
+        """Return whether a registered replica has this address."""
+        return any(state.replica.address == address for state in self._states.values())
+
     def own_running(self) -> dict[str, int]:
         """Return this VM's requests in flight, by service."""
         running: dict[str, int] = {}
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -38,6 +38,7 @@
 from coriandershelf_core.internal.gateway.load_tracking import AttemptStep, LoadReply, TrackedLoad
 from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
+from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
@@ -71,6 +72,7 @@
     retries: RetryAllowance
     crash_suspects: CrashSuspects
     origins: StreamOrigins
+    paths: ReplicaPaths
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
@@ -110,6 +112,8 @@
         if attempt is None:
             return
         state, stated = attempt.state, event.requests_max_per_s
+        if event.new_connection and attempt.relay_address is None:
+            self.paths.on_connected(now_s)
         if event.leaving and self.pool.on_stated_leaving(state, now_s):
             fields = (
                 ("replica", state.replica.replica_id),
@@ -264,11 +268,7 @@
         if not event.sent:
             state.limit.on_unsent()
             request.sent_count -= 1
-            request.connect_failures_count += 1
-            if event.cause is FailureCause.CONNECT:
-                self.load_queries.notify(state, event.attempt_id, AttemptStep.UNREACHABLE, now_s)
-                if state.eject(now_s):
-                    self._log_replica("replica unreachable", state)
+            self._on_unsent(attempt, event.cause, now_s)
             self._retry(request, RetryReason.CONNECT, now_s)
             return
         request.may_have_run = True
@@ -276,11 +276,37 @@
             # A leaving replica aborts unfinished requests; this does not count as a failure.
             self._recover(request, RetryReason.LEFT, now_s)
             return
-        self._record_failure(state, now_s)
-        if event.cause is FailureCause.CLOSED:
-            self.crash_suspects.on_crash(attempt, now_s)
+        if attempt.relay_address is not None:
+            # It may have been the other VM that ended.
+            self.paths.on_relay_failed(attempt.relay_address, now_s)
+        else:
+            self._record_failure(state, now_s)
+            if event.cause is FailureCause.CLOSED:
+                self.crash_suspects.on_crash(attempt, now_s)
         self._recover(request, RetryReason.FAILED, now_s)
 
+    def _on_unsent(self, attempt: AttemptState, cause: FailureCause, now_s: float) -> None:
+        """Record why an attempt could not be sent."""
+        request, state = attempt.request, attempt.state
+        if attempt.relay_address is not None:
+            request.connect_failures_count += 1
+            self.paths.on_relay_failed(attempt.relay_address, now_s)
+            if cause is FailureCause.CONNECT:
+                # The other VM may have no path either.
+                state.backoff_until_s = max(state.backoff_until_s, now_s + REJECTED_BACKOFF_S)
+            return
+        if cause is FailureCause.CONNECT:
+            self.paths.on_unreachable(state.replica.replica_id, now_s)
+        if self.paths.lost:
+            # Nothing is known of the replica; it may be reached through another VM.
+            request.tried_ids.clear()
+            return
+        request.connect_failures_count += 1
+        if cause is FailureCause.CONNECT:
+            self.load_queries.notify(state, attempt.attempt_id, AttemptStep.UNREACHABLE, now_s)
+            if state.eject(now_s):
+                self._log_replica("replica unreachable", state)
+
     def on_tick(self, now_s: float) -> None:
         """Handle query time-outs, silent replicas and expired deadlines."""
         for pending in self.load_queries.pop_overdue(now_s):
@@ -386,6 +412,8 @@
             return
         self.attempts.cancel(attempt, now_s)
         request.may_have_run = True
+        if attempt.relay_address is None and not attempt.headers_received:
+            self.paths.on_unreachable(attempt.state.replica.replica_id, now_s)
         self._record_failure(attempt.state, now_s)
         self._retry(request, RetryReason.SILENT, now_s, budgeted=True)
 
