Paths are lost and found again by replica

Now each replica is lost and found by itself, once three are out of reach together; all lost ones are probed each 500 ms. A replica that another VM cannot reach either is ejected.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -95,6 +95,7 @@
 class ProbeReplica:
     """Find out whether a replica accepts a direct connection, and close it again."""
 
+    replica_id: str
     address: str
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -104,7 +104,8 @@
         )
         attempt = AttemptState(
             attempt_id, request, state, now_s, selected.baseline_s, silence_deadline_s, low_load,
-            selected.waiting_tokens > 0, inputs, relay_address=self.paths.relay_address(now_s),
+            selected.waiting_tokens > 0, inputs,
+            relay_address=self.paths.relay_address(name, now_s),
         )  # fmt: skip
         self.by_id[attempt_id] = attempt
         request.attempt_id = attempt_id
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -69,7 +69,7 @@
         gone in the registry, by replica id.
     :param limits: the request limits that replicas state, by replica id.
     :param parts: evidence on prompt parts that crash replicas, by hash of the part.
-    :param no_path: whether the sender has no path of its own to the replicas.
+    :param no_path: whether the sender has no path of its own to some replicas.
     :param holder: the sender itself, while it holds the lease.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     """
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -163,6 +163,6 @@
             left=self.pool.recently_left(now_s),
             limits=self.pool.limits(now_s),
             parts=self.poison_parts.digest(now_s),
-            no_path=self.paths.lost,
+            no_path=self.paths.any_lost,
             holder=vm_status.holder,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
@@ -12,7 +12,7 @@
     :param ids: their ids in order; this VM is among them unless it is stopping.
     :param ids_by_zone: the same by availability zone.
     :param addresses: where the other ones are reached.
-    :param relay_addresses: the same, of those that have a path to the replicas.
+    :param relay_addresses: the same, of those that have a path to all replicas.
     """
 
     own_id: str
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -85,6 +85,7 @@
 class ReplicaProbed:
     """A replica accepted a direct connection, or did not."""
 
+    replica_id: str
     connected: bool
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -205,9 +205,9 @@
                 self.relay.on_ended(event, now_s)
             case AttemptFailed():
                 self.relay.on_failed(event, now_s)
-            case ReplicaProbed(connected):
+            case ReplicaProbed(replica_id, connected):
                 if connected:
-                    self.relay.paths.on_connected(now_s)
+                    self.relay.paths.on_connected(replica_id, now_s)
             case CallerLeft(handle):
                 self.relay.on_caller_left(handle, now_s)
             case DigestArrived(digest):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -113,7 +113,7 @@
             return
         state, stated = attempt.state, event.requests_max_per_s
         if event.new_connection and attempt.relay_address is None:
-            self.paths.on_connected(now_s)
+            self.paths.on_connected(state.replica.replica_id, now_s)
         if event.leaving and self.pool.on_stated_leaving(state, now_s):
             fields = (
                 ("replica", state.replica.replica_id),
@@ -291,15 +291,14 @@
         if attempt.relay_address is not None:
             request.connect_failures_count += 1
             self.paths.on_relay_failed(attempt.relay_address, now_s)
-            if cause is FailureCause.CONNECT:
-                # The other VM may have no path either.
-                state.backoff_until_s = max(state.backoff_until_s, now_s + REJECTED_BACKOFF_S)
+            if cause is FailureCause.CONNECT and state.eject(now_s):
+                self._log_replica("replica unreachable", state)
             return
         if cause is FailureCause.CONNECT:
             self.paths.on_unreachable(state.replica.replica_id, now_s)
-        if self.paths.lost:
+        if self.paths.is_lost(state.replica.replica_id):
             # Nothing is known of the replica; it may be reached through another VM.
-            request.tried_ids.clear()
+            request.tried_ids.discard(state.replica.replica_id)
             return
         request.connect_failures_count += 1
         if cause is FailureCause.CONNECT:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/replica_paths.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/replica_paths.py
@@ -15,18 +15,18 @@
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.pool import Pool
 
-# The path counts as lost once this many replicas, or all if there are fewer, accepted no connection
-# within the period and none accepted one.
+# Replicas count as out of reach once this many, or all if there are fewer, accepted no connection
+# within the period, so that a single replica that is down is not looked for through other VMs.
 UNREACHABLE_MIN_COUNT = 3
 UNREACHABLE_PERIOD_S = 1.5
-PROBE_PERIOD_S = 0.3
+PROBE_PERIOD_S = 0.5
 # A VM that could not connect to a replica, or that could not be reached, is not asked again for
 # this long.
 RELAY_AVOIDED_S = 1.0
 
 
 class ReplicaPaths:
-    """Whether replicas are reached directly or through other entry VMs.
+    """Which replicas are reached directly and which through other entry VMs.
 
     :param emit: receives the actions for the process.
     """
@@ -40,37 +40,38 @@
         self._emit = emit
         self._unreachable_at_s: dict[str, float] = {}
         self._avoided_until_s: dict[str, float] = {}
-        self._lost_at_s: float | None = None
+        self._lost_at_s: dict[str, float] = {}
         self._probed_at_s = 0.0
 
     @property
-    def lost(self) -> bool:
-        """Return whether this VM has no path of its own."""
-        return self._lost_at_s is not None
+    def any_lost(self) -> bool:
+        """Return whether this VM has no path of its own to some replicas."""
+        return bool(self._lost_at_s)
 
-    def relay_address(self, now_s: float) -> str | None:
-        """Return the VM through which to send a request; ``None`` to send it directly."""
-        if not self.lost:
+    def is_lost(self, replica_id: str) -> bool:
+        """Return whether this VM has no path of its own to a replica."""
+        return replica_id in self._lost_at_s
+
+    def relay_address(self, replica_id: str, now_s: float) -> str | None:
+        """Return the VM through which to reach a replica; ``None`` to reach it directly."""
+        if not self.is_lost(replica_id):
             return None
         addresses = self._entry_vms.relay_addresses
         usable = [item for item in addresses if now_s >= self._avoided_until_s.get(item, 0.0)]
         choices = usable or addresses
         return self._rng.choice(choices) if choices else None
 
-    def on_connected(self, now_s: float) -> None:
+    def on_connected(self, replica_id: str, now_s: float) -> None:
         """Record that a replica accepted a direct connection."""
-        self._unreachable_at_s.clear()
-        if self._lost_at_s is None:
-            return
-        lost_s = now_s - self._lost_at_s
-        self._lost_at_s = None
-        self._emit(IncrementCounter("replica_paths", "back"))
-        self._emit(LogLine("path to replicas is back", (("lost_ms", round(lost_s * 1e3)),)))
+        self._unreachable_at_s.pop(replica_id, None)
+        lost_at_s = self._lost_at_s.pop(replica_id, None)
+        if lost_at_s is not None:
+            self._emit(IncrementCounter("replica_paths", "back"))
+            fields = (("replica", replica_id), ("lost_ms", round((now_s - lost_at_s) * 1e3)))
+            self._emit(LogLine("path to replica is back", fields))
 
     def on_unreachable(self, replica_id: str, now_s: float) -> None:
-        """Record that a replica did not accept a direct connection."""
-        if self.lost:
-            return
+        """Record that a replica did not accept a direct connection, or was silent."""
         known = {
             name: at_s
             for name, at_s in self._unreachable_at_s.items()
@@ -79,35 +80,36 @@
         known[replica_id] = now_s
         self._unreachable_at_s = known
         needed_count = max(2, min(UNREACHABLE_MIN_COUNT, len(self._pool.ids())))
-        if len(known) >= needed_count and self._entry_vms.relay_addresses:
-            self._on_lost(now_s)
+        if not self._entry_vms.relay_addresses:
+            return
+        if len(known.keys() | self._lost_at_s.keys()) >= needed_count:
+            for name in known:
+                if not self.is_lost(name):
+                    self._on_lost(name, now_s)
 
     def on_relay_failed(self, address: str, now_s: float) -> None:
         """Record that a VM could not pass a request on."""
         self._avoided_until_s[address] = now_s + RELAY_AVOIDED_S
 
     def on_tick(self, now_s: float) -> None:
-        """Try from time to time whether the path is back."""
-        if self.lost and now_s - self._probed_at_s >= PROBE_PERIOD_S:
-            self._probe(now_s)
-
-    def _on_lost(self, now_s: float) -> None:
-        self._lost_at_s = now_s
+        """Forget replicas that are gone, and try from time to time whether paths are back."""
+        if not self._lost_at_s or now_s - self._probed_at_s < PROBE_PERIOD_S:
+            return
+        self._probed_at_s = now_s
+        for name in list(self._lost_at_s):
+            state = self._pool.get(name)
+            if state is None or state.leaving:
+                del self._lost_at_s[name]
+            else:
+                self._emit(ProbeReplica(name, state.replica.address))
+
+    def _on_lost(self, replica_id: str, now_s: float) -> None:
+        self._lost_at_s[replica_id] = now_s
         self._emit(IncrementCounter("replica_paths", "lost"))
-        fields = (
-            ("unreachable", ",".join(self._unreachable_at_s)),
-            ("relays", len(self._entry_vms.relay_addresses)),
-        )
-        self._emit(LogLine("no path to replicas", fields))
-        for state in self._pool:
+        fields = (("replica", replica_id), ("relays", len(self._entry_vms.relay_addresses)))
+        self._emit(LogLine("no path to replica", fields))
+        state = self._pool.get(replica_id)
+        if state is not None:
             # What looked like the replica's fault was the path's; idle connections may be silent.
-            if state.replica.replica_id in self._unreachable_at_s:
-                state.ejected_until_s = state.ejection_s = 0.0
+            state.ejected_until_s = state.ejection_s = 0.0
             self._emit(CloseIdleConnections(state.replica.address))
-        self._probe(now_s)
-
-    def _probe(self, now_s: float) -> None:
-        self._probed_at_s = now_s
-        addresses = [state.replica.address for state in self._pool if not state.leaving]
-        if addresses:
-            self._emit(ProbeReplica(self._rng.choice(addresses)))
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -436,8 +436,8 @@
                 self.time.at(after_s, lambda: self._post(vm_id, gateway, Tick()))
             case StartAttempt():
                 self.time.at(LINK_DELAY_S, lambda: self._receive(vm_id, gateway, action))
-            case ProbeReplica(address):
-                self._probe(vm_id, gateway, address)
+            case ProbeReplica(replica_id):
+                self._probe(vm_id, gateway, replica_id)
             case CancelAttempt(attempt_id):
                 self._cancel(vm_id, attempt_id)
             case RejectRequest(handle):
@@ -460,9 +460,9 @@
         delay_s = LINK_DELAY_S * self.rng.uniform(0.5, 3.0)
         self.time.at(delay_s, lambda: self._post(vm_id, gateway, event))
 
-    def _probe(self, vm_id: str, gateway: Gateway, address: str) -> None:
-        up = any(item.registration.address == address for item in self.replicas.values())
-        event = ReplicaProbed(up and vm_id not in self._cut_vms)
+    def _probe(self, vm_id: str, gateway: Gateway, replica_id: str) -> None:
+        connected = replica_id in self.replicas and vm_id not in self._cut_vms
+        event = ReplicaProbed(replica_id, connected)
         self.time.at(LINK_DELAY_S, lambda: self._post(vm_id, gateway, event))
 
     def _receive(self, vm_id: str, gateway: Gateway, action: StartAttempt) -> None:
