gateway: msgspec.Struct instead of data classes

The gateway has about a hundred of them, created anew at each start of a VM.

Change: all classes of gateway/ but two. ReplicaState (a field without init) and ScalingOrder (a field that is not compared) use options that Struct does not have. Deployment.customer_of_key is compared now: it is derived from customers, so the result is the same. dataclasses.replace becomes msgspec.structs.replace in the gateway's callers and tests.

Core depends on msgspec, which every process already loads.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.events import Headers
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
@@ -65,8 +66,7 @@
     LEFT = "left"
 
 
-@dataclass(frozen=True, slots=True)
-class StartAttempt:
+class StartAttempt(Struct, frozen=True):
     """Send a request to a replica.
 
     :param time_left_s: time limit sent to the replica, which stops work when it expires.
@@ -91,23 +91,20 @@
     relay_address: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeReplica:
+class ProbeReplica(Struct, frozen=True):
     """Find out whether a replica accepts a direct connection, and close it again."""
 
     replica_id: str
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAttempt:
+class CancelAttempt(Struct, frozen=True):
     """Close an attempt's connection and ignore whatever still arrives on it."""
 
     attempt_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class SendResponse:
+class SendResponse(Struct, frozen=True):
     """Send a replica's complete response to the caller."""
 
     handle: int
@@ -116,8 +113,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class StartStream:
+class StartStream(Struct, frozen=True):
     """Send the status and headers of a stream to the caller."""
 
     handle: int
@@ -125,30 +121,26 @@
     headers: Headers
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardEvents:
+class ForwardEvents(Struct, frozen=True):
     """Send complete events of a stream to the caller."""
 
     handle: int
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class EndStream:
+class EndStream(Struct, frozen=True):
     """End a stream normally."""
 
     handle: int
 
 
-@dataclass(frozen=True, slots=True)
-class AbortStream:
+class AbortStream(Struct, frozen=True):
     """Abort a caller's connection so that the caller sees an incomplete stream."""
 
     handle: int
 
 
-@dataclass(frozen=True, slots=True)
-class RejectRequest:
+class RejectRequest(Struct, frozen=True):
     """Reject a request.
 
     :param detail: what is wrong with the request and how to fix it, if the caller can.
@@ -160,54 +152,47 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class SendDigest:
+class SendDigest(Struct, frozen=True):
     """Send this VM's digest to other entry VMs, without delivery guarantee."""
 
     addresses: tuple[str, ...]
     digest: Digest
 
 
-@dataclass(frozen=True, slots=True)
-class SendLoadMessage:
+class SendLoadMessage(Struct, frozen=True):
     """Send another entry VM a message on replica load, without delivery guarantee."""
 
     address: str
     message: LoadMessage
 
 
-@dataclass(frozen=True, slots=True)
-class SendOriginMessage:
+class SendOriginMessage(Struct, frozen=True):
     """Send another entry VM a message on a stream's origin, without delivery guarantee."""
 
     address: str
     message: OriginMessage
 
 
-@dataclass(frozen=True, slots=True)
-class ScheduleTick:
+class ScheduleTick(Struct, frozen=True):
     """Post an extra tick after this time, before the next regular one."""
 
     after_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class CloseIdleConnections:
+class CloseIdleConnections(Struct, frozen=True):
     """Close idle connections to an address whose replica is gone or was replaced by another."""
 
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class IncrementCounter:
+class IncrementCounter(Struct, frozen=True):
     """Increment a counter."""
 
     name: str
     label: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class RecordLatency:
+class RecordLatency(Struct, frozen=True):
     """Record the time to the end of a response in the latency histograms."""
 
     kind: str
@@ -215,16 +200,14 @@
     duration_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
+class LogLine(Struct, frozen=True):
     """Write a log line; fields never contain API keys or prompts."""
 
     event: str
     fields: tuple[tuple[str, str | int | float | None], ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Stopped:
+class Stopped(Struct, frozen=True):
     """Nothing is in flight any more; the process may exit."""
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/arrival_rates.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/arrival_rates.py
@@ -4,7 +4,8 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.digest import Digest, ServiceRates
 
@@ -18,8 +19,7 @@
 NO_ARRIVALS = ServiceRates(0.0, 0.0)
 
 
-@dataclass(slots=True)
-class ArrivalRates:
+class ArrivalRates(Struct):
     """This VM's recent arrivals and the rates from other VMs' digests."""
 
     _arrivals: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.actions import Action, CancelAttempt, StartAttempt
 from coriandershelf_core.internal.gateway.deployment import RouteKind, Service
@@ -30,8 +31,7 @@
 PRIORITY_LEVELS = 3
 
 
-@dataclass(slots=True)
-class AttemptState:
+class AttemptState(Struct):
     """One attempt at a replica.
 
     :param baseline_s: expected time to the first event or response on a replica of nominal speed.
@@ -59,8 +59,7 @@
     relay_address: str | None = None
 
 
-@dataclass(slots=True)
-class Attempts:
+class Attempts(Struct):
     """Owns the attempts of one entry VM.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from coriandershelf_core.internal.gateway.actions import Action, IncrementCounter, LogLine
 from coriandershelf_core.internal.gateway.attempts import AttemptState, first_ms
@@ -14,8 +15,7 @@
 from coriandershelf_core.internal.gateway.responder import Responder
 
 
-@dataclass(slots=True)
-class CrashSuspects:
+class CrashSuspects(Struct):
     """Evidence of this VM and its peers on what crashes replicas.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/deployment.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/deployment.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 
 class RouteKind(Enum):
     """Whether and how requests of a route may be retried."""
@@ -14,16 +15,14 @@
     STREAM = "stream"
 
 
-@dataclass(frozen=True, slots=True)
-class Backend:
+class Backend(Struct, frozen=True):
     """One service of a route and its weight in the traffic split."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Routing, retry and latency settings for one host and path prefix.
 
     :param objective_s: latency objective to the response, or to a stream's first event.
@@ -53,8 +52,7 @@
         return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
 
-@dataclass(frozen=True, slots=True)
-class ScaleLimits:
+class ScaleLimits(Struct, frozen=True):
     """Limits and prices for scaling a service.
 
     :param min_count: minimum number of replicas per zone, spot and on-demand together.
@@ -71,8 +69,7 @@
     zone_prices: dict[str, float]
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """A service: model engines if ``engine_slots_count`` is set, plain servers otherwise."""
 
     name: str
@@ -87,8 +84,7 @@
         return self.engine_slots_count > 0
 
 
-@dataclass(frozen=True, slots=True)
-class Customer:
+class Customer(Struct, frozen=True):
     """A customer with its API keys and usage cap.
 
     :param rank: priority, 0 first; ``None`` to use only the route's.
@@ -107,8 +103,7 @@
     default_tokens: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class Deployment:
+class Deployment(Struct, frozen=True):
     """One version of the operator's configuration."""
 
     version: int
@@ -118,7 +113,7 @@
     header_max_bytes: int = 16_384
     body_max_bytes: int = 4_194_304
     idle_timeout_s: float = 15.0
-    customer_of_key: dict[str, Customer] = field(default_factory=dict, compare=False)
+    customer_of_key: dict[str, Customer] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for customer in self.customers:
@@ -126,8 +121,7 @@
                 self.customer_of_key[key] = customer
 
 
-@dataclass(frozen=True, slots=True)
-class Replica:
+class Replica(Struct, frozen=True):
     """A replica's registration.
 
     :param leaving: whether it is shutting down and takes no new work.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.poison_parts import PartDigest
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
 
 
-@dataclass(frozen=True, slots=True)
-class HolderInfo:
+class HolderInfo(Struct, frozen=True):
     """The lease holder as known to a VM.
 
     :param number: its fencing token.
@@ -19,8 +18,7 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaDigest:
+class ReplicaDigest(Struct, frozen=True):
     """The sender's requests and measurements at one replica.
 
     :param running_count: requests in flight.
@@ -38,8 +36,7 @@
     pace_age_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceRates:
+class ServiceRates(Struct, frozen=True):
     """Arrival rates and load of one service at one entry VM.
 
     :param tokens_per_s: prompt tokens.
@@ -53,8 +50,7 @@
     running_count: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Digest:
+class Digest(Struct, frozen=True):
     """Snapshot of one entry VM's state.
 
     :param clock_s: the sender's wall-clock time.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import Action, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
@@ -28,8 +30,7 @@
 LATENCY_SHARED_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(Struct, frozen=True):
     """Identity of this process; ``address`` is where the peers reach it."""
 
     vm_id: str
@@ -38,8 +39,7 @@
     incarnation: int
 
 
-@dataclass(frozen=True, slots=True)
-class VmStatus:
+class VmStatus(Struct, frozen=True):
     """This VM's own status, sent in its digests.
 
     :param holder: this VM, while it holds the lease.
@@ -52,8 +52,7 @@
     last_holder: HolderInfo | None
 
 
-@dataclass(slots=True)
-class DigestExchange:
+class DigestExchange(Struct):
     """Merges peer digests and sends this VM's own.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -8,17 +8,17 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
+from msgspec import Struct
+
 from coriandershelf_core.internal.gateway.usage_counts import SourceCounts
 
 LEASE_KEY = "lease"
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRecord:
+class LeaseRecord(Struct, frozen=True):
     """The latest lease record in the store.
 
     :param fencing_number: fencing token, incremented whenever the holder changes.
@@ -81,8 +81,7 @@
     WRITE = "write"
 
 
-@dataclass(slots=True)
-class DutyLease:
+class DutyLease(Struct):
     """This VM's view of the lease.
 
     :param lease_s: lease duration, counted from when the last successful write was sent.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 
-@dataclass(slots=True)
-class EntryVms:
+class EntryVms(Struct):
     """This VM, and the live VMs that are not stopping.
 
     :param ids: their ids in order; this VM is among them unless it is stopping.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from coriandershelf_core.internal.gateway.deployment import Deployment, Replica
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
@@ -24,8 +25,7 @@
     MISMATCHED = "mismatched"
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
+class ReportedLoad(Struct, frozen=True):
     """A replica's load as reported in its response headers.
 
     :param slowdown: current service time ÷ usual service time.
@@ -37,29 +37,25 @@
     slowdown: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class RequestArrived:
+class RequestArrived(Struct, frozen=True):
     """A caller's request was read completely."""
 
     arrival: Arrival
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerLeft(Struct, frozen=True):
     """A caller closed its connection before its response was complete."""
 
     handle: int
 
 
-@dataclass(frozen=True, slots=True)
-class MalformedHeader:
+class MalformedHeader(Struct, frozen=True):
     """The value of a header that could not be decoded."""
 
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHeadRead:
+class ResponseHeadRead(Struct, frozen=True):
     """Status and headers of a response were read; posted before its other events.
 
     Not posted for a response of another replica that now has the address.
@@ -81,16 +77,14 @@
     new_connection: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaProbed:
+class ReplicaProbed(Struct, frozen=True):
     """A replica accepted a direct connection, or did not."""
 
     replica_id: str
     connected: bool
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerRead:
+class AnswerRead(Struct, frozen=True):
     """A replica's response was read completely.
 
     :param not_run: whether the replica stated that it did not run the request.
@@ -108,8 +102,7 @@
     load: ReportedLoad | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class StreamOpened:
+class StreamOpened(Struct, frozen=True):
     """Status and headers, with the replica's receipt, of a successful stream were read."""
 
     attempt_id: int
@@ -118,8 +111,7 @@
     load: ReportedLoad | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class StreamRead:
+class StreamRead(Struct, frozen=True):
     """Complete events of a stream were read.
 
     :param last_event_id: id of the last of them, or ``None`` if it has none.
@@ -131,15 +123,13 @@
     last_event_id: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEnded:
+class StreamEnded(Struct, frozen=True):
     """A stream ended cleanly at an event boundary."""
 
     attempt_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFailed:
+class AttemptFailed(Struct, frozen=True):
     """An attempt failed; ``sent`` if any byte of the request may have been sent."""
 
     attempt_id: int
@@ -147,22 +137,19 @@
     sent: bool
 
 
-@dataclass(frozen=True, slots=True)
-class DeploymentRead:
+class DeploymentRead(Struct, frozen=True):
     """A version of the operator's configuration was read from the store."""
 
     deployment: Deployment
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationProved:
+class ConfigurationProved(Struct, frozen=True):
     """A completed read proved that the store held no newer configuration at ``at_s``."""
 
     at_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicasRead:
+class ReplicasRead(Struct, frozen=True):
     """Registry changes; ``None`` for an entry that was removed or is not a valid replica.
 
     :param complete: whether this is a full snapshot rather than changes.
@@ -174,41 +161,35 @@
     after_outage: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class DigestArrived:
+class DigestArrived(Struct, frozen=True):
     """A digest from another entry VM was received."""
 
     digest: Digest
 
 
-@dataclass(frozen=True, slots=True)
-class RoomMessageArrived:
+class RoomMessageArrived(Struct, frozen=True):
     """A message on replica load from another entry VM was received."""
 
     message: LoadMessage
 
 
-@dataclass(frozen=True, slots=True)
-class OriginMessageArrived:
+class OriginMessageArrived(Struct, frozen=True):
     """A message on a stream's origin from another entry VM was received."""
 
     message: OriginMessage
 
 
-@dataclass(frozen=True, slots=True)
-class EntryVmsRead:
+class EntryVmsRead(Struct, frozen=True):
     """The registered entry VMs were read: addresses by id."""
 
     addresses: dict[str, str]
 
 
-@dataclass(frozen=True, slots=True)
-class StopAsked:
+class StopAsked(Struct, frozen=True):
     """The platform asked this process to stop."""
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(Struct, frozen=True):
     """Periodic timer tick."""
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_queries.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_queries.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
@@ -31,8 +32,7 @@
 UNRESPONSIVE_BACKOFF_S = 0.5
 
 
-@dataclass(slots=True)
-class PendingQuery:
+class PendingQuery(Struct):
     """A request that waits for the loads of its shortlisted replicas.
 
     :param due_at_s: when to select a replica without the missing replies.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_tracking.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_tracking.py
@@ -10,10 +10,10 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from enum import Enum
 
 import xxhash
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.prompt_cache_index import PromptCacheIndex
 from coriandershelf_core.internal.gateway.request import PromptPart
@@ -43,8 +43,7 @@
     UNREACHABLE = "unreachable"
 
 
-@dataclass(frozen=True, slots=True)
-class LoadQuery:
+class LoadQuery(Struct, frozen=True):
     """A query for the loads of some replicas.
 
     :param address: where to send the reply.
@@ -58,8 +57,7 @@
     parts: tuple[PromptPart, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class TrackedLoad:
+class TrackedLoad(Struct, frozen=True):
     """The tracked load of one replica.
 
     :param running_count: requests of all entry VMs in flight.
@@ -82,8 +80,7 @@
     slowness: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReply:
+class LoadReply(Struct, frozen=True):
     """The reply to a query."""
 
     vm_id: str
@@ -91,8 +88,7 @@
     rooms: tuple[TrackedLoad, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptUpdate:
+class AttemptUpdate(Struct, frozen=True):
     """An update on one attempt, sent to the VM that tracks its replica's load.
 
     :param tokens_count: prompt tokens that the replica has to prefill.
@@ -146,15 +142,13 @@
         return self._tracker_ids[replica_id]
 
 
-@dataclass(slots=True)
-class _TrackedAttempt:
+class _TrackedAttempt(Struct):
     tokens_count: int
     started_at_s: float
     expires_at_s: float
 
 
-@dataclass(slots=True)
-class _TrackedReplica:
+class _TrackedReplica(Struct):
     """State of one tracked replica.
 
     :param attempts: attempts in flight by VM id, incarnation and attempt id.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class StreamOrigin:
+class StreamOrigin(Struct, frozen=True):
     """Tells that the first event of a stream comes from a replica of a software version.
 
     :param stream_id: id of the caller's request that brings the first event.
@@ -16,8 +15,7 @@
     version: str
 
 
-@dataclass(frozen=True, slots=True)
-class OriginQuery:
+class OriginQuery(Struct, frozen=True):
     """Asks for the version that began a stream.
 
     :param address: where to send the reply.
@@ -29,8 +27,7 @@
     stream_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class OriginReply:
+class OriginReply(Struct, frozen=True):
     """The reply to a query; ``version`` is ``None`` if the VM does not know the stream."""
 
     vm_id: str
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from heapq import nlargest
 
+from msgspec import Struct, field
+
 from coriandershelf_core.internal.gateway.digest import Digest
 
 # A peer's last digest is used for this long, or for the given number of digest periods where these
@@ -32,8 +33,7 @@
 SILENT_PERIOD_S = 1.0
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """Another entry VM.
 
     :param received_at_s: when its last digest arrived.
@@ -48,8 +48,7 @@
     digest: Digest | None = None
 
 
-@dataclass(slots=True)
-class Peers:
+class Peers(Struct):
     """Other entry VMs by id.
 
     A starting VM reads the registrations and sends its digests to all of them, so each pair of VMs
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/poison_parts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/poison_parts.py
@@ -5,10 +5,11 @@
 import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 import xxhash
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.request import PromptPart
@@ -66,15 +67,13 @@
     replicas: tuple[int, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class _Crash:
+class _Crash(Struct, frozen=True):
     replica: int
     started_at_s: float
     ended_at_s: float
 
 
-@dataclass(slots=True)
-class _Evidence:
+class _Evidence(Struct):
     """Crashes of requests with a part since one was last completed.
 
     :param crashes: crashes of different replicas, each by an attempt sent after the one before, so
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/poison_requests.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/poison_requests.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.digest import Digest
 
@@ -13,8 +14,7 @@
 CRASHES_MAX_COUNT = 3
 
 
-@dataclass(slots=True)
-class _CrashCounts:
+class _CrashCounts(Struct):
     own_count: int = 0
     updated_at_s: float = 0.0
     peer_counts: dict[str, int] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct
 
 from coriandershelf_core.internal.gateway.deployment import Replica
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
@@ -35,8 +37,7 @@
 SLOWDOWN_SHARED_S = 0.6
 
 
-@dataclass(slots=True)
-class InFlightAttempt:
+class InFlightAttempt(Struct):
     """One attempt of this VM at a replica.
 
     :param waiting_tokens: prompt tokens that await prefill; 0 after the first event.
@@ -46,7 +47,7 @@
     started_at_s: float
 
 
-@dataclass(slots=True)
+@dataclasses.dataclass(slots=True)
 class ReplicaState:
     """Load, latency and health of one replica.
 
@@ -66,7 +67,7 @@
     """
 
     replica: Replica
-    in_flight: dict[int, InFlightAttempt] = field(default_factory=dict)
+    in_flight: dict[int, InFlightAttempt] = dataclasses.field(default_factory=dict)
     own_waiting_tokens: int = 0
     peer_running_count: int = 0
     peer_waiting_tokens: int = 0
@@ -88,7 +89,7 @@
     failures: float = 0.0
     failures_at_s: float = 0.0
     missing_since_s: float | None = None
-    limit: RequestLimit = field(init=False)
+    limit: RequestLimit = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.limit = RequestLimit(self.replica.replica_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
@@ -57,8 +58,7 @@
 HEADER_LOGGED_MAX_CHARACTERS = 40
 
 
-@dataclass(slots=True)
-class Relay:
+class Relay(Struct):
     """Sends each request to a replica and handles its response or failure.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Customer, Route
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(Struct, frozen=True):
     """A prompt segment that other requests may share."""
 
     part_id: str
     tokens_count: int
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
+class Arrival(Struct, frozen=True):
     """The properties of an incoming request that decisions depend on.
 
     :param handle: unique number within this process, since callers' request ids may repeat.
@@ -43,8 +41,7 @@
     resumes_id: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaResponse:
+class ReplicaResponse(Struct, frozen=True):
     """A replica's complete response."""
 
     status: int
@@ -52,8 +49,7 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class ActiveRequest:
+class ActiveRequest(Struct):
     """An admitted request, until its response is complete.
 
     :param cost: usage charged to its customer's cap.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
@@ -12,10 +12,10 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from heapq import nlargest
 
 import xxhash
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 
@@ -31,8 +31,7 @@
 KEPT_S = 30.0
 
 
-@dataclass(frozen=True, slots=True)
-class LimitDigest:
+class LimitDigest(Struct, frozen=True):
     """A replica's limit as known to a VM, in its digests.
 
     :param started_at_ms: the replica's start (Unix milliseconds).
@@ -47,8 +46,7 @@
     sent_count: int
 
 
-@dataclass(slots=True)
-class RequestLimit:
+class RequestLimit(Struct):
     """The limit that one start of a replica states, and this VM's part in it.
 
     :param per_s: requests a second from all VMs together; ``None`` without a limit.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
@@ -28,8 +29,7 @@
 LateCallback = Callable[[str, int, float], None]
 
 
-@dataclass(slots=True)
-class Responder:
+class Responder(Struct):
     """Owns the requests in flight of one entry VM and ends each with exactly one response.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/retry_allowance.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/retry_allowance.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 
+from msgspec import Struct, field
 
-@dataclass(slots=True)
-class _ServiceWindow:
+
+class _ServiceWindow(Struct):
     requests: deque[float] = field(default_factory=deque)
     retries: deque[float] = field(default_factory=deque)
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections import deque
-from dataclasses import dataclass, field
 from statistics import fmean
 
+from msgspec import Struct, field
+
 from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
 
 # Scaling uses the highest load in this window, since replicas take seconds to boot.
@@ -55,8 +57,7 @@
 SPOT_SHORTAGE_S = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLoad:
+class ServiceLoad(Struct, frozen=True):
     """Load of one service over all entry VMs.
 
     :param tokens_per_s: arriving prompt tokens.
@@ -72,8 +73,7 @@
     late_share: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class ScalingInputs:
+class ScalingInputs(Struct, frozen=True):
     """Figures that orders are based on.
 
     :param load: highest load in the window, but the mean of the noisier ``latency_ratio``.
@@ -89,7 +89,7 @@
     late_boost: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class ScalingOrder:
     """The desired number of spot or on-demand replicas of a service in a zone.
 
@@ -100,11 +100,10 @@
     zone: str
     count: int
     reclaimable: bool
-    inputs: ScalingInputs = field(compare=False)
+    inputs: ScalingInputs = dataclasses.field(compare=False)
 
 
-@dataclass(slots=True)
-class _ReplicaGroup:
+class _ReplicaGroup(Struct):
     """Spot or on-demand replicas of a service in a zone.
 
     :param ordered_count: count of the last accepted order, ``None`` if there is none.
@@ -126,8 +125,7 @@
         return self.present_count
 
 
-@dataclass(slots=True)
-class _LateBoost:
+class _LateBoost(Struct):
     """Factor on the number of spot replicas, raised while requests are late."""
 
     factor: float = 1.0
@@ -145,8 +143,7 @@
             self.changed_at_s = now_s
 
 
-@dataclass(slots=True)
-class Autoscaler:
+class Autoscaler(Struct):
     """Decides orders from the present replicas and the load; used only by the lease holder.
 
     Spot replicas are spread over zones so that the rest can serve the load when one zone loses all
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -4,9 +4,9 @@
 
 import random
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 import xxhash
+from msgspec import Struct
 
 from coriandershelf_core.internal.gateway.deployment import Service
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
@@ -55,8 +55,7 @@
 SAMPLED_OTHERS_COUNT = 5
 
 
-@dataclass(frozen=True, slots=True)
-class ScoredReplica:
+class ScoredReplica(Struct, frozen=True):
     """A candidate replica with the cost estimate for one request.
 
     :param uncached_tokens: prompt tokens that the replica has to prefill.
@@ -80,8 +79,7 @@
     is_tracked: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class CandidateSet:
+class CandidateSet(Struct, frozen=True):
     """The replicas that may run a request.
 
     :param affinity_ids: affinity replicas of the session, most preferred first.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
+class GatewaySettings(Struct, frozen=True):
     """Settings from the deployment; the defaults are those of the smaller sites.
 
     :param retry_ratio: retries allowed per request in ``retry_window_s``.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
@@ -11,10 +11,10 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from heapq import nlargest
 
 import xxhash
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
@@ -40,8 +40,7 @@
 REPLY_TIMEOUT_S = 0.04
 
 
-@dataclass(slots=True)
-class PendingOrigin:
+class PendingOrigin(Struct):
     """A request that waits for the origin of the stream that it resumes."""
 
     request: ActiveRequest
@@ -49,8 +48,7 @@
     awaited_ids: set[str]
 
 
-@dataclass(slots=True)
-class StreamOrigins:
+class StreamOrigins(Struct):
     """The origins of streams that this VM forwarded or was told of.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/topic_sharing.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/topic_sharing.py
@@ -15,9 +15,9 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 import xxhash
+from msgspec import Struct, field
 
 # VMs of a zone that may be queried: the reader, and one more if it does not help.
 QUERIED_PER_ZONE_COUNT = 2
@@ -28,16 +28,14 @@
 REPLY_MAX_BYTES = 16_000
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
+class KeyedRecord(Struct, frozen=True):
     """A key and its value, which is ``None`` if the key was deleted."""
 
     key: str
     value: bytes | None
 
 
-@dataclass(frozen=True, slots=True)
-class TopicQuery:
+class TopicQuery(Struct, frozen=True):
     """Asks another VM for the records of a topic from an offset onwards.
 
     :param address: where to send the reply.
@@ -50,8 +48,7 @@
     next_offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class TopicReply:
+class TopicReply(Struct, frozen=True):
     """The reply to a query.
 
     :param proof_age_s: time since the replying VM's knowledge was last proved to be current.
@@ -84,15 +81,13 @@
     return ranked[:QUERIED_PER_ZONE_COUNT]
 
 
-@dataclass(frozen=True, slots=True)
-class _KeptRecord:
+class _KeptRecord(Struct, frozen=True):
     offset: int
     record: KeyedRecord
     after_outage: bool
 
 
-@dataclass(slots=True)
-class SharedTopic:
+class SharedTopic(Struct):
     """What this VM knows of one topic, for its own decisions and for replies to others.
 
     :param max_age_s: oldest proof that is accepted in a reply.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Customer
 from coriandershelf_core.internal.gateway.digest import Digest
@@ -27,8 +27,7 @@
 LOCAL_BURST_S = 0.25
 
 
-@dataclass(slots=True)
-class _Peer:
+class _Peer(Struct):
     incarnation: int
     received_at_s: float
     spent: dict[str, float]
@@ -36,8 +35,7 @@
     charged_at_s: float = 0.0
 
 
-@dataclass(slots=True)
-class _Bucket:
+class _Bucket(Struct):
     """This VM's view of a token bucket shared by all entry VMs.
 
     :param local_level: level of the local limit, refilled at this VM's share of the rate.
@@ -54,8 +52,7 @@
     local_at_s: float = 0.0
 
 
-@dataclass(slots=True)
-class UsageCaps:
+class UsageCaps(Struct):
     """One token bucket per customer, shared by all entry VMs.
 
     Each VM's digests contain its usage. A silent VM is assumed to continue to use its share of the
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_counts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_counts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.digest import Digest
 
@@ -13,8 +13,7 @@
 WindowCounts = dict[int, dict[str, int]]
 
 
-@dataclass(frozen=True, slots=True)
-class SourceCounts:
+class SourceCounts(Struct, frozen=True):
     """Counts of one process of an entry VM: by window, then by customer."""
 
     vm_id: str
@@ -22,8 +21,7 @@
     windows: WindowCounts
 
 
-@dataclass(slots=True)
-class UsageCounts:
+class UsageCounts(Struct):
     """This VM's own counts and those from the digests of other VMs.
 
     :param window_s: length of a usage window.
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -7,7 +7,9 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
--- a/tests/cover/test_gateway_choice.py
+++ b/tests/cover/test_gateway_choice.py
@@ -8,9 +8,9 @@
 
 import itertools
 import random
-from dataclasses import replace
 
 from gateway_driver import ASK, ENGINE, PLAN, make_replicas
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.deployment import Service
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
--- a/tests/cover/test_gateway_lines.py
+++ b/tests/cover/test_gateway_lines.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
 from gateway_driver import ENGINE, GatewayDriver, make_deployment, make_replicas
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from gateway_driver import GatewayDriver, make_deployment
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     STATUS_OF,
--- a/tests/cover/test_gateway_room.py
+++ b/tests/cover/test_gateway_room.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
 import msgspec
 import pytest
 from gateway_driver import ENGINE, GatewayDriver, make_deployment
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import ScheduleTick, SendDigest, SendLoadMessage
 from coriandershelf_core.internal.gateway.deployment import Service
--- a/tests/cover/test_replica_statements.py
+++ b/tests/cover/test_replica_statements.py
@@ -6,6 +6,7 @@
 
 import pytest
 from gateway_driver import GatewayDriver, make_replicas
+from msgspec import structs
 
 from coriandershelf_core.internal.gateway.actions import IncrementCounter, LogLine, SendDigest
 from coriandershelf_core.internal.gateway.events import (
@@ -93,7 +94,7 @@
     registered = make_replicas()[name]
     driver.post(ReplicasRead({name: registered}))
     assert name not in replicas_used(driver)
-    driver.post(ReplicasRead({name: replace(registered, started_at_ms=2)}))
+    driver.post(ReplicasRead({name: structs.replace(registered, started_at_ms=2)}))
     assert name in replicas_used(driver, 40)
 
 
--- a/tests/support/gateway_driver.py
+++ b/tests/support/gateway_driver.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import Action, RejectRequest, StartAttempt
 from coriandershelf_core.internal.gateway.deployment import (
