A process that only serves does not import click

Messages and exit codes are the same; only a SIGINT before the process listens now shows Python's traceback in place of click's "Aborted!".

The test names the modules that a serving process must not have imported when it listens; it fails if the command line is always used.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/border.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/border.py
@@ -29,16 +29,30 @@
     return environment.get(BORDER_VARIABLE, OWN_BORDER)
 
 
+def has_other_arguments(arguments: Sequence[str]) -> bool:
+    """Return whether there are arguments besides one that names the border."""
+    both = [BORDER_FLAG, PLATFORM_BORDER]
+    return list(arguments) not in ([], both, ["=".join(both)])
+
+
 def main() -> None:
     """Start the process with the selected border."""
     # SIGHUP asks for a reload and must not end the process before the application handles it.
     # Nothing is lost by ignoring it: the settings are read after this.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    border = selected_border(sys.argv[1:], os.environ)
+    arguments = sys.argv[1:]
+    border = selected_border(arguments, os.environ)
     if border == PLATFORM_BORDER:
-        from coriandershelf_platform.cli import serve
+        if has_other_arguments(arguments):
+            from coriandershelf_platform.cli import serve
+
+            serve()
+        else:
+            # Without options there is nothing to parse, and the import of click would take 5 %
+            # of the processor time of a start.
+            from coriandershelf_platform.process import read_settings_or_exit, run
 
-        serve()
+            run(read_settings_or_exit())
         return
     from coriandershelf_entry.internal.cli import main as serve_own
 
--- a/tests/cover/test_border_start.py
+++ b/tests/cover/test_border_start.py
@@ -1,11 +1,19 @@
-"""Signals that arrive while the process is still starting."""
+"""The start of the process: signals that arrive during it, and what it imports."""
 
 from __future__ import annotations
 
+import json
+import os
 import signal
+import socket
 import subprocess
 import sys
 import time
+from pathlib import Path
+
+import pytest
+
+from coriandershelf_entry.internal.border import has_other_arguments
 
 PROGRAM = """
 import sys
@@ -36,3 +44,117 @@
     finally:
         child.kill()
         child.stdout.close()
+
+
+# Prints what a serving process has imported when it listens.
+SERVING_PROGRAM = """
+import json, sys
+before = set(sys.modules)
+from coriandershelf_entry.internal import border
+from coriandershelf_platform.application import PlatformApplication
+
+async def wait(self):
+    print(json.dumps(sorted(set(sys.modules) - before)), file=sys.stderr)
+    return 0
+
+PlatformApplication.wait = wait
+sys.argv = ["coriandershelfd", "--border", "platform"]
+border.main()
+"""
+# Modules that take processor time of a start but serve no request: command line, own border,
+# metrics page, console, file formats and helpers of the standard library.
+NOT_IMPORTED_TO_SERVE = {
+    "click",
+    "coriandershelf_platform.cli",
+    "coriandershelf_platform.deploy_file",
+    "coriandershelf_entry.internal.application",
+    "coriandershelf_wire",
+    "prometheus_client",
+    "pydantic",
+    "statsd",
+    "cryptography",
+    "grpc",
+    "google.protobuf",
+    "yaml",
+    "hdrh",
+    "numpy",
+    "rich",
+    "colorama",
+    "tornado.web",
+    "tornado.httpclient",
+    "tornado.simple_httpclient",
+    "tomllib",
+    "xml",
+    "tempfile",
+    "shutil",
+}
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def write_settings(folder: Path) -> Path:
+    front, ready, store = free_ports(3)
+    file = folder / "node.json"
+    settings = {
+        "node_name": "edge-a-1",
+        "ip": "127.0.73.1",
+        "zone": "a",
+        "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+        "internal_ports": [7500, 7515],
+        "provider": {"address": f"127.0.0.1:{store}"},
+        "cloud": {"address": f"127.0.0.1:{store}", "duties": ["autoscale", "report"]},
+    }
+    file.write_text(json.dumps(settings))
+    return file
+
+
+def test_a_serving_process_imports_no_module_that_it_does_not_need(tmp_path: Path):
+    # Guards against a start that takes longer because of an import at the top of some module.
+    environment = {**os.environ, "CORIANDERSHELF_NODE_FILE": str(write_settings(tmp_path))}
+    done = subprocess.run(
+        [sys.executable, "-c", SERVING_PROGRAM], env=environment, capture_output=True, check=True
+    )
+    imported = json.loads(done.stderr)
+    assert "coriandershelf_platform.application" in imported
+    assert not NOT_IMPORTED_TO_SERVE.intersection(imported)
+
+
+def test_a_wrong_setting_ends_a_serving_process_with_one_line(tmp_path: Path):
+    # Guards the message and exit code of a start without options, which does not use click.
+    file = tmp_path / "node.json"
+    file.write_text("{}")
+    done = subprocess.run(
+        [sys.executable, "-m", "coriandershelf_entry", "--border", "platform"],
+        env={**os.environ, "CORIANDERSHELF_NODE_FILE": str(file)},
+        capture_output=True,
+    )
+    assert done.returncode == 2
+    assert done.stdout == b""
+    [line] = done.stderr.decode().splitlines()
+    assert line.startswith(f"coriandershelfd: {file}: ") and "node_name" in line
+
+
+@pytest.mark.parametrize(
+    ("arguments", "parsed"),
+    [
+        ([], False),
+        (["--border", "platform"], False),
+        (["--border=platform"], False),
+        (["--border", "platform", "--check"], True),
+        (["--border=platform", "--settings-file", "x"], True),
+        (["--help"], True),
+        (["--border"], True),
+        (["--border=platform", "--border=platform"], True),
+    ],
+)
+def test_other_arguments_are_left_to_the_command_line(arguments, parsed):
+    # Guards against an option or a mistake that a serving process would ignore.
+    assert has_other_arguments(arguments) is parsed
--- a/tests/cover/test_platform_check.py
+++ b/tests/cover/test_platform_check.py
@@ -8,7 +8,8 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from coriandershelf_platform.cli import EXIT_BAD_SETTING, serve
+from coriandershelf_platform.cli import serve
+from coriandershelf_platform.process import EXIT_BAD_SETTING
 
 ROOT = Path(__file__).parents[2]
 SETTINGS = {
