--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -24,6 +24,7 @@
 from coriandershelf_rig.internal.standin_engine import serve_engine
 from coriandershelf_rig.internal.standin_plain import serve_plain
 from coriandershelf_rig.internal.standin_platform import serve_platform
+from coriandershelf_rig.internal.start_cost import compare_starts
 
 EXIT_FAILURE = 1
 deployment_option = click.option(
@@ -105,6 +106,15 @@
     click.echo(modules[name].run(seed))
 
 
+@main.command()
+@click.argument("python_paths", nargs=-1, required=True, metavar="PATH...")
+@click.option("--runs", type=click.IntRange(min=2), default=24, show_default=True)
+def start_cost(python_paths: tuple[str, ...], runs: int) -> None:
+    """Measure the processor time of a start until it listens, with each PATH as PYTHONPATH."""
+    for line in compare_starts(python_paths, runs):
+        click.echo(line)
+
+
 @main.command()
 @seed_option
 @click.option("--steps", type=int, default=100_000, show_default=True, help="Events to apply.")
--- a/tests/cover/test_border_start.py
+++ b/tests/cover/test_border_start.py
@@ -14,6 +14,7 @@
 import pytest
 
 from coriandershelf_entry.internal.border import has_other_arguments
+from coriandershelf_rig.internal.start_cost import compare_starts
 
 PROGRAM = """
 import sys
@@ -107,7 +108,8 @@
     file = folder / "node.json"
     settings = {
         "node_name": "edge-a-1",
-        "ip": "127.0.73.1",
+        # An address of its own for each run of the tests, so that the internal ports are free.
+        "ip": f"127.74.{os.getpid() // 250 % 250}.{os.getpid() % 250 + 1}",
         "zone": "a",
         "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
         "internal_ports": [7500, 7515],
@@ -162,3 +164,9 @@
 def test_other_arguments_are_left_to_the_command_line(arguments, parsed):
     # Guards against an option or a mistake that a serving process would ignore.
     assert has_other_arguments(arguments) is parsed
+
+
+def test_the_rig_measures_a_start():
+    # Guards the tool behind the figures in docs/measurements/platform.md.
+    lines = compare_starts([os.pathsep.join(filter(None, sys.path))], 2)
+    assert len(lines) == 1 and "2 starts, median" in lines[0]
