Requests wait for capacity at their VM, and refused callers return in order

Cause: a request for which no replica had free capacity at that instant was refused, and all callers were told the same random 0.15 to 0.45 s. Change: admission_control.py composes a bounded queue (waiting_requests.py), the measured rate at which capacity becomes free (room_rate.py) and the promises to refused callers (returning_callers.py). Attempts that end, ticks and registrations let the head of the queue look for capacity.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -64,12 +64,15 @@
     """Owns the attempts of one entry VM.
 
     :param emit: receives the actions for the process.
+    :ivar on_end: called with each attempt that has ended, whether its replica had accepted it, and
+        the time.
     """
 
     selector: ReplicaSelector
     load_queries: LoadQueries
     paths: ReplicaPaths
     emit: Callable[[Action], None]
+    on_end: Callable[[AttemptState, bool, float], None] = lambda *_: None
     by_id: dict[int, AttemptState] = field(default_factory=dict)
     _next_id: int = 1
 
@@ -143,11 +146,15 @@
         self.emit(CancelAttempt(attempt.attempt_id))
         self.end(attempt, now_s)
 
-    def end(self, attempt: AttemptState, now_s: float) -> None:
-        """Remove an attempt that has ended."""
+    def end(self, attempt: AttemptState, now_s: float, accepted: bool = True) -> None:
+        """Remove an attempt that has ended.
+
+        :param accepted: whether its replica had accepted the request.
+        """
         attempt.state.end(attempt.attempt_id)
         self.load_queries.notify(attempt.state, attempt.attempt_id, AttemptStep.ENDED, now_s)
         del self.by_id[attempt.attempt_id]
+        self.on_end(attempt, accepted, now_s)
 
 
 def silence_timeout_s(request: ActiveRequest, expected_s: float) -> float:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -14,6 +14,10 @@
     RejectRequest,
     Stopped,
 )
+from coriandershelf_core.internal.gateway.admission_control import (
+    STOPPING_RETRY_AFTER_S,
+    AdmissionControl,
+)
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
 from coriandershelf_core.internal.gateway.attempts import Attempts
 from coriandershelf_core.internal.gateway.clock_estimate import ClockEstimate
@@ -70,7 +74,6 @@
 # Time-out if the caller states none; the route's time-out applies as well.
 DEADLINE_DEFAULT_S = 60.0
 REFUSED_RETRY_AFTER_S = 0.3
-STOPPING_RETRY_AFTER_S = 0.05
 # After a stop request the load balancer may keep sending requests here for this long.
 LOAD_BALANCER_LAG_S = 3.2
 # Requests still in flight are aborted this long before the platform kills the process.
@@ -120,9 +123,7 @@
         self.load_queries = LoadQueries(vm_id, address, incarnation, self.pool, self._outbox.append)
         emit = self._outbox.append
         poison_parts = PoisonParts(entry_vms)
-        responder = Responder(
-            self.caps, emit, self._count_started, self.arrival_rates.add_late, rng.random
-        )
+        responder = Responder(self.caps, emit, self._count_started, self.arrival_rates.add_late)
         paths = ReplicaPaths(self.pool, entry_vms, rng, emit)
         self.crash_suspects = CrashSuspects(self.poison_requests, poison_parts, responder, emit)
         self._digest_exchange = DigestExchange(
@@ -140,11 +141,18 @@
             emit,
         )
         selector = ReplicaSelector(zone, rng, entry_vms)
+        attempts = Attempts(selector, self.load_queries, paths, emit)
+        self.admission = AdmissionControl(
+            self.pool, entry_vms, responder, self.crash_suspects, emit, rng.random
+        )
+        responder.retry_after_s = self.admission.retry_after_s
+        responder.on_removed = self.admission.on_removed
+        attempts.on_end = self.admission.on_attempt_end
         self.relay = Relay(
             self.pool,
             selector,
             self.load_queries,
-            Attempts(selector, self.load_queries, paths, emit),
+            attempts,
             responder,
             RetryAllowance(
                 settings.retry_ratio * RETRY_BUDGET_SHARE,
@@ -154,6 +162,7 @@
             self.crash_suspects,
             StreamOrigins(address, entry_vms, emit),
             paths,
+            self.admission,
             emit,
         )
 
@@ -169,6 +178,8 @@
         :param clock_s: wall-clock time, which may jump.
         """
         self._handle(event, now_s, clock_s)
+        if self.admission.may_send:
+            self.relay.send_waiting(now_s)
         actions = list(self._outbox)
         self._outbox.clear()
         return actions
@@ -323,6 +334,7 @@
         self._registry_read = True
         left = self.pool.apply(event.replicas, event.complete, event.after_outage, now_s)
         self._on_left(left)
+        self.admission.on_room_change()
         for name, replica in event.replicas.items():
             if replica is not None:
                 fields = (
@@ -390,6 +402,7 @@
         if not self.stopping:
             self.stopping = True
             self._stop_at_s = now_s
+            self.admission.on_stop(now_s + STOP_ADMISSION_AFTER_S, now_s)
             self._outbox.append(
                 LogLine("stop asked", (("in_flight", len(self.relay.active_requests)),))
             )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -15,6 +15,7 @@
     RetryReason,
     StartStream,
 )
+from coriandershelf_core.internal.gateway.admission_control import AdmissionControl
 from coriandershelf_core.internal.gateway.attempts import (
     TIMEOUT_GRACE_S,
     Attempts,
@@ -73,6 +74,7 @@
     crash_suspects: CrashSuspects
     origins: StreamOrigins
     paths: ReplicaPaths
+    admission: AdmissionControl
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
@@ -86,6 +88,7 @@
         """Send an admitted request to a replica, or refuse it."""
         self.responder.register(request)
         self.retries.note_request(request.service, now_s)
+        self.admission.on_request(request, now_s)
         if request.resumes_stream:
             self._resume(request, now_s)
         else:
@@ -104,6 +107,7 @@
         )
         if attempt is not None:
             self.attempts.cancel(attempt, now_s)
+        self.admission.on_caller_left(request)
         self.responder.remove(request)
 
     def on_head(self, event: ResponseHeadRead, now_s: float) -> None:
@@ -168,7 +172,7 @@
             return
         request, state = attempt.request, attempt.state
         state.on_load(event.load, now_s)
-        self.attempts.end(attempt, now_s)
+        self.attempts.end(attempt, now_s, accepted=not (event.misdirected or event.not_run))
         failed = event.misdirected or event.not_run or event.status >= SERVER_ERROR
         request.last_failure = f"status {event.status}" if failed else None
         if event.misdirected:
@@ -263,7 +267,7 @@
         if attempt is None:
             return
         request, state = attempt.request, attempt.state
-        self.attempts.end(attempt, now_s)
+        self.attempts.end(attempt, now_s, accepted=event.sent)
         request.last_failure = event.cause.value
         if not event.sent:
             state.limit.on_unsent()
@@ -318,9 +322,18 @@
                 self._time_out(attempt, now_s)
             elif attempt.silence_deadline_s is not None and now_s >= attempt.silence_deadline_s:
                 self._on_silence(attempt, now_s)
+        self.admission.on_tick(now_s)
+        self.send_waiting(now_s)
+        self.admission.refuse_unlikely(now_s)
+
+    def send_waiting(self, now_s: float) -> None:
+        """Send the waiting requests for which there is capacity now."""
+        for request in self.admission.due(now_s):
+            self._send(request, now_s)
 
     def abort_all(self, now_s: float) -> None:
         """End everything in flight because the process must exit now."""
+        self.admission.refuse_all(now_s)
         for request in list(self.responder.active_requests.values()):
             attempt = self.attempts.for_request(request)
             if attempt is not None:
@@ -365,14 +378,23 @@
             if not states:
                 self.responder.refuse(request, Refusal.NO_VERSION, now_s, version=version)
                 return
-        candidate_set = self.selector.find_candidates(request, service, states, now_s)
+        if not states:
+            fields = _capacity_fields(states, now_s)
+            self.responder.refuse(request, Refusal.NO_REPLICA, now_s, **fields)
+            return
+        if self.admission.holds_back(request, now_s):
+            self.admission.wait_or_refuse(request, now_s, **_capacity_fields(states, now_s))
+            return
+        is_new = not self.admission.is_waiting(request)
+        candidate_set = self.selector.find_candidates(request, service, states, now_s, is_new)
         if candidate_set is None:
-            refusal = Refusal.NO_ROOM if states else Refusal.NO_REPLICA
-            self.responder.refuse(request, refusal, now_s, **_capacity_fields(states, now_s))
+            self.admission.wait_or_refuse(request, now_s, **_capacity_fields(states, now_s))
             return
         pending = self.load_queries.query(request, candidate_set, now_s)
         if pending is None or not pending.awaited_ids:
             self._send_to_best(request, candidate_set, pending.loads if pending else None, now_s)
+        else:
+            self.admission.on_probe(request)
 
     def on_load_reply(self, reply: LoadReply, now_s: float) -> None:
         """Handle a reply to a load query and send its request once all replies are in."""
@@ -399,8 +421,9 @@
         selected = self.selector.select(request, candidate_set, now_s, tracked_loads)
         if selected is None:
             fields = _capacity_fields(candidate_set.candidates, now_s)
-            self.responder.refuse(request, Refusal.NO_ROOM, now_s, **fields)
+            self.admission.wait_or_refuse(request, now_s, **fields)
             return
+        self.admission.on_selected(request, now_s)
         self.attempts.start(request, candidate_set.service, selected, now_s)
 
     def _on_silence(self, attempt: AttemptState, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from coriandershelf_core.internal.gateway.deployment import Customer, Route
+from coriandershelf_core.internal.gateway.returning_callers import Promise
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,8 @@
         before that.
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
+    :param promise: what its caller was told when this VM refused the request before.
+    :param return_logged: whether it was logged what the caller found.
     """
 
     arrival: Arrival
@@ -91,6 +94,8 @@
     software_version: str | None = None
     last_failure: str | None = None
     error_response: ReplicaResponse | None = None
+    promise: Promise | None = None
+    return_logged: bool = False
 
     @property
     def resumes_stream(self) -> bool:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
@@ -108,6 +108,22 @@
             return False
         return self._level(share_per_s, now_s) >= 1.0
 
+    def next_accept_s(self, entry_vms: EntryVms, now_s: float) -> float:
+        """Return when this VM may send a request, if the other VMs send nothing."""
+        if self.accepts(entry_vms, now_s):
+            return now_s
+        assert self.per_s is not None, "a replica without a limit accepts requests"
+        dropped_at_s = self.proved_at_s + KEPT_S
+        per_s = max(LIMIT_MIN_PER_S, self.per_s)
+        share_per_s = self._share(per_s, entry_vms)
+        if share_per_s <= 0.0:
+            return dropped_at_s
+        refilled_at_s = now_s + max(0.0, 1.0 - self._level(share_per_s, now_s)) / share_per_s
+        if len(self._sent_at_s) + self.peers_sent_count >= math.ceil(per_s * WINDOW_S):
+            left_at_s = self._sent_at_s[0] + WINDOW_S if self._sent_at_s else now_s + WINDOW_S
+            refilled_at_s = max(refilled_at_s, left_at_s)
+        return min(dropped_at_s, refilled_at_s)
+
     def digest(self, started_at_ms: int, now_s: float) -> LimitDigest | None:
         """Return the limit for this VM's digest; ``None`` if there is nothing to tell."""
         age_s = now_s - self.proved_at_s
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
@@ -26,6 +26,7 @@
 StartedCallback = Callable[[str, float], None]
 LogValue = str | int | float | None
 LateCallback = Callable[[str, int, float], None]
+RetryAfterCallback = Callable[[ActiveRequest, Refusal, float], float]
 
 
 @dataclass(slots=True)
@@ -35,14 +36,17 @@
     :param emit: receives the actions for the process.
     :param on_started: called with the customer and the time when a request starts to run.
     :param on_late: called with service, prompt tokens and time when a request misses its objective.
-    :param random_fraction: returns a random number from 0 to 1.
+    :ivar retry_after_s: called with a refused request, why and the time; returns when the caller
+        should come back.
+    :ivar on_removed: called with each request that has its final response.
     """
 
     caps: UsageCaps
     emit: Callable[[Action], None]
     on_started: StartedCallback
     on_late: LateCallback
-    random_fraction: Callable[[], float]
+    retry_after_s: RetryAfterCallback = lambda *_: RETRY_AFTER_S
+    on_removed: Callable[[ActiveRequest], None] = lambda _: None
     active_requests: dict[int, ActiveRequest] = field(default_factory=dict)
 
     def register(self, request: ActiveRequest) -> None:
@@ -96,9 +100,7 @@
         self.mark_late(request, now_s)
         retry_after_s = None
         if refusal not in (Refusal.TIMEOUT, Refusal.UNKNOWN_OUTCOME):
-            left_s = max(0.0, request.deadline_s - now_s)
-            wait_s = RETRY_AFTER_S * (0.5 + self.random_fraction())
-            retry_after_s = min(wait_s, left_s * RETRY_AFTER_SHARE)
+            retry_after_s = self.retry_after_s(request, refusal, now_s)
         self.emit(RejectRequest(request.arrival.handle, refusal, retry_after_s))
         self.emit(IncrementCounter("refusals", refusal.value))
         self.log("refused", request, now_s, reason=refusal.value, **fields)
@@ -130,6 +132,7 @@
     def remove(self, request: ActiveRequest) -> None:
         """Remove a request that has its final response, or whose caller disconnected."""
         self.active_requests.pop(request.arrival.handle, None)
+        self.on_removed(request)
 
     def log(self, event: str, request: ActiveRequest, now_s: float, **fields: LogValue) -> None:
         """Write a log line about a request."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -105,7 +105,7 @@
         self._reuse_shares: dict[str, float] = {}
 
     def shared_parts(
-        self, request: ActiveRequest, prompt_cache: PromptCacheIndex
+        self, request: ActiveRequest, prompt_cache: PromptCacheIndex, learn: bool = True
     ) -> tuple[PromptPart, ...]:
         """Return the leading parts that are shared with other requests of the route."""
         parts = request.arrival.parts
@@ -114,8 +114,9 @@
         name = request.route.name
         share = self._reuse_shares.get(name, 0.0)
         seen = prompt_cache.contains(parts[-1].part_id)
-        share += REUSE_WEIGHT * ((1.0 if seen else 0.0) - share)
-        self._reuse_shares[name] = share
+        if learn:
+            share += REUSE_WEIGHT * ((1.0 if seen else 0.0) - share)
+            self._reuse_shares[name] = share
         if share > REUSE_SHARE_MIN or len(parts) == 1:
             return parts
         return parts[:-1]
@@ -128,17 +129,18 @@
         self._route_means: dict[str, float] = {}
         self._service_means: dict[str, float] = {}
 
-    def is_long(self, request: ActiveRequest) -> bool:
+    def is_long(self, request: ActiveRequest, learn: bool) -> bool:
         """Update the means with a request; return whether its route has long prompts."""
         tokens = float(request.arrival.prompt_tokens)
-        route_mean = _update_mean(self._route_means, request.route.name, tokens)
-        service_mean = _update_mean(self._service_means, request.service, tokens)
+        weight = PROMPT_MEAN_WEIGHT if learn else 0.0
+        route_mean = _update_mean(self._route_means, request.route.name, tokens, weight)
+        service_mean = _update_mean(self._service_means, request.service, tokens, weight)
         return route_mean > LONG_ROUTE_FACTOR * service_mean
 
 
-def _update_mean(means: dict[str, float], name: str, value: float) -> float:
+def _update_mean(means: dict[str, float], name: str, value: float, weight: float) -> float:
     mean = means.get(name, value)
-    mean += PROMPT_MEAN_WEIGHT * (value - mean)
+    mean += weight * (value - mean)
     means[name] = mean
     return mean
 
@@ -188,9 +190,17 @@
         self.prompt_lengths = PromptLengths()
 
     def find_candidates(
-        self, request: ActiveRequest, service: Service, states: Sequence[ReplicaState], now_s: float
+        self,
+        request: ActiveRequest,
+        service: Service,
+        states: Sequence[ReplicaState],
+        now_s: float,
+        learn: bool = True,
     ) -> CandidateSet | None:
-        """Return the candidates for a request, or ``None`` if there are none."""
+        """Return the candidates for a request, or ``None`` if there are none.
+
+        :param learn: whether to learn from the request's prompt; a request that waits counts once.
+        """
         candidates = [
             state
             for state in _allowed_states(request, states, now_s)
@@ -203,8 +213,8 @@
         if not service.is_engine:
             sampled = self._rng.sample(candidates, min(SAMPLED_OTHERS_COUNT, len(candidates)))
             return CandidateSet(service, candidates, shortlist=sampled)
-        shared = self.reuse.shared_parts(request, self.prompt_cache)
-        group = _length_group(states, self.prompt_lengths.is_long(request))
+        shared = self.reuse.shared_parts(request, self.prompt_cache, learn)
+        group = _length_group(states, self.prompt_lengths.is_long(request, learn))
         affinity_ids = affinity_ids_of(shared[-1].part_id, group) if shared else []
         shared_tokens = sum(part.tokens_count for part in shared)
         others = [state for state in candidates if state.replica.replica_id not in affinity_ids]
@@ -338,8 +348,13 @@
 
 
 def _has_capacity(running_count: int, state: ReplicaState) -> bool:
+    return running_count < capacity_count(state)
+
+
+def capacity_count(state: ReplicaState) -> int:
+    """Return how many requests may be at a replica, including those in its own queue."""
     slots_count = max(1, state.replica.slots_count)
-    return running_count < slots_count + max(2, int(QUEUE_SHARE * slots_count))
+    return slots_count + max(2, int(QUEUE_SHARE * slots_count))
 
 
 def _allowed_states(
@@ -350,14 +365,14 @@
     A stream that may continue at one software version only has few of them, so it rather tries an
     ejected one than be refused.
     """
-    kept = _not_ejected(states, now_s)
+    kept = not_ejected(states, now_s)
     if request.software_version is None:
         return kept
     has_capacity = any(_has_capacity(state.running_count, state) for state in kept)
     return kept if has_capacity else states
 
 
-def _not_ejected(states: Sequence[ReplicaState], now_s: float) -> Sequence[ReplicaState]:
+def not_ejected(states: Sequence[ReplicaState], now_s: float) -> Sequence[ReplicaState]:
     """Return the replicas that are not ejected, or all if too many are.
 
     When most replicas fail, the cause is not a single replica, and concentrating the load on the
