--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
@@ -49,12 +49,12 @@
     lane_of,
 )
 
-# A request waits only if its time allows this multiple of the expected wait: half of the waits are
-# longer than the expected one, and a refusal after a wait is worse than one at once.
-WAIT_SAFETY = 1.25
+# A request waits only if its time allows the expected wait and this many standard deviations, which
+# about five of six waits keep to: a refusal after a wait is worse than one at once.
+WAIT_DEVIATIONS = 1.0
 # A waiting request is refused early only if the expected wait exceeds its time this many times,
-# since the measured rate varies by about its half over a second.
-EARLY_REFUSAL_FACTOR = 2.5
+# since the measured rate of a VM that sends a few requests a second varies by about its half.
+EARLY_REFUSAL_FACTOR = 4.0
 # On sites with load queries, a head of the queue that found no capacity is not queried for again
 # for this long, unless an attempt ends here: each query takes up to eight messages.
 PROBE_PERIOD_S = 0.1
@@ -359,7 +359,8 @@
         place = 1 + self.queue.ahead_count(item.request.service, item.order)
         item.expected_wait_s = expected_wait_s(place, per_s, blocked, now_s)
         end_s = item.keep_until_s if item.is_late else min(item.latest_start_s, item.keep_until_s)
-        return item.expected_wait_s * WAIT_SAFETY <= end_s - now_s
+        wait_s = expected_wait_s(place, per_s, blocked, now_s, WAIT_DEVIATIONS)
+        return wait_s <= end_s - now_s
 
     def _refuse_waiting(self, item: Waiting, cause: str, now_s: float) -> None:
         self.emit(IncrementCounter("waiting", cause))
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -418,7 +418,9 @@
             state = self.pool.get(load.replica_id)
             if state is not None:
                 state.on_peer_slowdown(load.pace, load.pace_age_s, now_s)
-        selected = self.selector.select(request, candidate_set, now_s, tracked_loads)
+        # This VM's own counts would send what waits to full replicas, one by one.
+        tracked_only = bool(tracked_loads) and self.admission.is_waiting(request)
+        selected = self.selector.select(request, candidate_set, now_s, tracked_loads, tracked_only)
         if selected is None:
             fields = _capacity_fields(candidate_set.candidates, now_s)
             self.admission.wait_or_refuse(request, now_s, **fields)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
@@ -102,13 +102,22 @@
     free_count: int
 
 
-def expected_wait_s(place: int, per_s: float, blocked: Blocked | None, now_s: float) -> float:
+def expected_wait_s(
+    place: int,
+    per_s: float,
+    blocked: Blocked | None,
+    now_s: float,
+    deviations: float = 0.0,
+) -> float:
     """Return the expected time until a waiting request is sent; infinite if unknown.
 
     :param place: its place in the queue, from 1.
     :param per_s: requests for which capacity becomes free per second.
+    :param deviations: standard deviations to add to what follows from the rate.
     """
-    by_rate_s = place / per_s if per_s > 0.0 else math.inf
+    # Attempts end independently of each other, so the count in a time is about Poisson.
+    count = place + deviations * math.sqrt(place)
+    by_rate_s = count / per_s if per_s > 0.0 else math.inf
     if blocked is None:
         return by_rate_s
     until_s = max(0.0, blocked.until_s - now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -230,11 +230,13 @@
         candidate_set: CandidateSet,
         now_s: float,
         tracked_loads: Mapping[str, TrackedLoad] | None = None,
+        tracked_only: bool = False,
     ) -> ScoredReplica | None:
         """Return the replica of lowest cost that has capacity, or ``None``.
 
         :param tracked_loads: loads by replica id, from their trackers; if any of these replicas has
             capacity, only they are considered.
+        :param tracked_only: whether to consider no others in any case.
         """
         # All of this may have changed while the loads were queried.
         candidates = [
@@ -255,7 +257,8 @@
         untracked = [
             state
             for state in candidates
-            if state.replica.replica_id not in known_loads
+            if not tracked_only
+            and state.replica.replica_id not in known_loads
             and _has_capacity(state.running_count, state)
         ]
         score = self._score_engine if candidate_set.service.is_engine else self._score_plain
--- a/tests/cover/test_replica_statements.py
+++ b/tests/cover/test_replica_statements.py
@@ -7,7 +7,12 @@
 import pytest
 from gateway_driver import GatewayDriver, make_replicas
 
-from coriandershelf_core.internal.gateway.actions import IncrementCounter, LogLine, SendDigest
+from coriandershelf_core.internal.gateway.actions import (
+    IncrementCounter,
+    LogLine,
+    SendDigest,
+    StartAttempt,
+)
 from coriandershelf_core.internal.gateway.events import (
     DigestArrived,
     EntryVmsRead,
@@ -115,8 +120,9 @@
     driver.answer(attempt.attempt_id, 503, not_run=True)
     driver.run(4.5)
     assert attempt.replica_id not in replicas_used(driver, 40)
-    driver.run(0.6)
-    assert attempt.replica_id in replicas_used(driver, 40)
+    # Of the requests without capacity, those that fit wait until the pause ends.
+    started = {item.replica_id for item in driver.run(0.6) if isinstance(item, StartAttempt)}
+    assert started == {attempt.replica_id}
     assert IncrementCounter("pauses") in driver.actions
 
 
