Share capacity between customers while requests wait

Cause: below its cap, one customer at seven times its usual load filled the queue and took nearly all capacity. Change: customer_shares.py computes max-min shares of what this VM sends, in tokens, weighted by the part of each customer's demand that arrives here; the class of a customer's usage against its share comes first in the queue's order. Demand of customers without a cap is counted, too.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
@@ -18,6 +18,7 @@
 )
 from coriandershelf_core.internal.gateway.attempts import AttemptState
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
+from coriandershelf_core.internal.gateway.customer_shares import CustomerShares
 from coriandershelf_core.internal.gateway.deployment import RouteKind
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.load_tracking import PREFILL_TOKEN_S
@@ -67,6 +68,8 @@
 # Callers come back up to this share of the wait earlier than capacity is expected for them.
 SPREAD_SHARE = 0.3
 SERVICES_MAX_COUNT = 256
+# Shares are computed at most this often, which is once a tick.
+SHARES_PERIOD_S = 0.05
 
 # Callers of equal rank are promised capacity one after the other.
 _PromiseKey = tuple[str, Rank]
@@ -78,6 +81,7 @@
 
     :param emit: receives the actions for the process.
     :param random_fraction: returns a random number from 0 to 1.
+    :ivar shares_enabled: whether capacity is shared between customers while requests wait.
     :ivar stop_end_s: nothing waits beyond this time, since the VM stops.
     """
 
@@ -89,7 +93,10 @@
     random_fraction: Callable[[], float]
     queue: WaitingRequests = field(default_factory=WaitingRequests)
     returning: ReturningCallers = field(default_factory=ReturningCallers)
+    shares: CustomerShares = field(default_factory=CustomerShares)
+    shares_enabled: bool = True
     stop_end_s: float = math.inf
+    _share_classes: dict[str, tuple[float, dict[str, int]]] = field(default_factory=dict)
     _rates: dict[str, RoomRate] = field(default_factory=dict)
     _room_changed: bool = False
     _probes: dict[Lane, int] = field(default_factory=dict)
@@ -104,6 +111,7 @@
 
     def on_request(self, request: ActiveRequest, now_s: float) -> None:
         """Recognise the request of a caller that was refused before."""
+        self.shares.on_request(request.service, _customer_of(request), _tokens_of(request), now_s)
         if len(self.returning):
             request.promise = self.returning.take(request.arrival.fingerprint, now_s)
 
@@ -158,6 +166,7 @@
 
     def on_selected(self, request: ActiveRequest, now_s: float) -> None:
         """Record that a request is about to be sent to a replica."""
+        self.shares.on_sent(request.service, _customer_of(request), _tokens_of(request), now_s)
         item = self.queue.get(request.arrival.handle)
         if item is not None:
             waiting_count = self.queue.service_count(request.service)
@@ -228,6 +237,10 @@
             waiting_count = self.queue.service_count(service)
             self._rate_of(service).on_queue_change(waiting_count, 0, now_s)
         for item in self.queue:
+            share_class = self._share_class(item.request, now_s)
+            if item.share_class != share_class:
+                item.share_class = share_class
+                self.queue.reorder(item)
             if now_s >= item.keep_until_s:
                 self._refuse_waiting(item, "expired", now_s)
             elif now_s >= item.latest_start_s and not item.is_late:
@@ -326,8 +339,24 @@
             request.promise is not None, now_s, 0.0, self._next_sequence,
         )  # fmt: skip
         item.is_late = now_s >= latest_start_s
+        item.share_class = self._share_class(request, now_s)
         return item
 
+    def _share_class(self, request: ActiveRequest, now_s: float) -> int:
+        """Return the class of a request's customer by its usage against its share, 0 first."""
+        if not self.shares_enabled or request.customer is None:
+            return 0
+        service = request.service
+        at_s, classes = self._share_classes.get(service, (-math.inf, {}))
+        if now_s - at_s >= SHARES_PERIOD_S:
+            weights = {
+                name: self.responder.caps.local_share(name, now_s)
+                for name in self.shares.customers(service)
+            }
+            classes = self.shares.classes(service, weights, now_s)
+            self._share_classes[service] = (now_s, classes)
+        return classes.get(request.customer.name, 0)
+
     def _try_to_queue(self, request: ActiveRequest, now_s: float) -> bool:
         """Add a request to the queue if it is expected to be sent in time; return whether it is."""
         if self.queue.max_count <= 0:
@@ -449,6 +478,14 @@
         return max(state.backoff_until_s, ejected_until_s, accepts_at_s)
 
 
+def _customer_of(request: ActiveRequest) -> str:
+    return request.customer.name if request.customer is not None else ""
+
+
+def _tokens_of(request: ActiveRequest) -> float:
+    return float(max(1, request.arrival.prompt_tokens + request.arrival.output_tokens))
+
+
 def _clock_start_s(request: ActiveRequest) -> float:
     """Return when the caller's first attempt arrived."""
     if request.promise is not None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
@@ -14,8 +14,8 @@
 # Routes and ranks of earlier configurations are forgotten beyond this number.
 ROUTES_MAX_COUNT = 1024
 
-# The customer's rank and the route's.
-Rank = tuple[int, int]
+# Class of the customer's usage against its share, its rank and the route's.
+Rank = tuple[int, int, int]
 
 
 @dataclass(slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -91,9 +91,11 @@
         If any request were allowed while the level is above zero, one long prompt would overdraw
         the bucket, and the customer's short requests and bookings would be refused for it.
         """
+        bucket = self._buckets[customer.name]
         if customer.rate_per_s <= 0.0:
+            # Shares between customers need the demand of those without a cap as well.
+            self._update_demand(bucket, cost, now_s)
             return 0.0
-        bucket = self._buckets[customer.name]
         self._refill(bucket, now_s)
         self._update_demand(bucket, cost, now_s)
         needed = min(cost, NEEDED_LEVEL_MAX_SHARE * bucket.burst)
@@ -154,6 +156,15 @@
                 demand[name] = round(bucket.demand_per_s)
         return demand
 
+    def local_share(self, name: str, now_s: float) -> float:
+        """Return the part of a customer's demand that arrives at this VM; 1 if there is none."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return 1.0
+        self._update_demand(bucket, 0.0, now_s)
+        total = self._peer_demand_per_s.get(name, 0.0) + bucket.demand_per_s
+        return bucket.demand_per_s / total if total > 0.0 and bucket.demand_per_s > 0.0 else 1.0
+
     def _local_wait_s(self, name: str, bucket: _Bucket, now_s: float) -> float:
         """Limit this VM's usage between digests to its share of the demand.
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/waiting_requests.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/waiting_requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from coriandershelf_core.internal.gateway.request import ActiveRequest
@@ -16,7 +16,7 @@
 
 # Requests that share the same replicas: a service, and the software version of resumed streams.
 Lane = tuple[str, str | None]
-Order = tuple[bool, bool, Rank, bool, float, int]
+Order = tuple[bool, Rank, bool, float, int]
 
 
 @dataclass(slots=True)
@@ -28,7 +28,7 @@
     :param is_returning: whether its caller came back after a refusal.
     :param expected_wait_s: estimate at its arrival.
     :param is_late: whether it can be answered late only.
-    :param over_share: whether its customer uses more than its share while others wait.
+    :param share_class: class of its customer's usage against its share, 0 first.
     """
 
     request: ActiveRequest
@@ -39,7 +39,7 @@
     expected_wait_s: float
     sequence: int
     is_late: bool = False
-    over_share: bool = False
+    share_class: int = 0
 
     @property
     def lane(self) -> Lane:
@@ -54,17 +54,16 @@
 
     @property
     def rank(self) -> Rank:
-        """Return the ranks of its customer and route."""
+        """Return what decides before its slack: share and rank of its customer, route's rank."""
         customer = self.request.customer
         rank = customer.rank if customer is not None and customer.rank is not None else 0
-        return rank, self.request.route.rank
+        return self.share_class, rank, self.request.route.rank
 
     @property
     def order(self) -> Order:
         """Return the sort key, the first to be sent before the others."""
         return (
-            self.is_late, self.over_share, self.rank, not self.is_returning,
-            self.latest_start_s, self.sequence,
+            self.is_late, self.rank, not self.is_returning, self.latest_start_s, self.sequence,
         )  # fmt: skip
 
 
@@ -154,15 +153,6 @@
         self.remove(item.request.arrival.handle)
         self._insert(item)
 
-    def set_over_share(self, over_share: Mapping[str, bool]) -> None:
-        """Update whose customers use more than their shares, by customer."""
-        for item in self:
-            customer = item.request.customer
-            over = customer is not None and over_share.get(customer.name, False)
-            if item.over_share != over:
-                item.over_share = over
-                self.reorder(item)
-
     def _insert(self, item: Waiting) -> None:
         order = item.order
         self._by_handle[item.request.arrival.handle] = (item, order)
