Ticks do only what is due

Cause: each tick rebuilt digests that nobody was due for, asked each replica for a limit that none had stated, and removed old evidence and usage counts of windows long past.

Change: complete and reporting digests are made when a peer is due for one, only replicas that stated a limit are asked, expiry runs once a second, replicas without digests are reset directly.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from coriandershelf_core.internal.gateway.actions import Action, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
@@ -77,6 +77,7 @@
     emit: Callable[[Action], None]
     _sequence: int = 0
     _merged_at_s: float = 0.0
+    _reporters: set[str] = field(default_factory=set)
 
     def merge_peer_digests(self, stopping: bool, now_s: float) -> None:
         """Update the peers' requests at each replica and the assignment of load trackers."""
@@ -84,6 +85,7 @@
             return
         self._merged_at_s = now_s
         self._update_trackers(stopping, now_s)
+        self._reporters = self.peers.lowest_ids(self.identity.vm_id, REPORTERS_COUNT, now_s)
         by_replica: dict[str, list[ReplicaDigest]] = {}
         limits: dict[str, list[LimitDigest]] = {}
         for digest in self.peers.live_digests(now_s):
@@ -124,25 +126,31 @@
         due = self.peers.due(self.identity.zone, now_s)
         if not due:
             return
-        minimal = self._make_digest(vm_status, now_s, clock_s)
-        full = replace(
-            minimal,
-            spent=self.caps.spent(),
-            demand=self.caps.demand(now_s),
-            work=self.arrival_rates.own_rates(now_s, self.pool.own_running()),
-            complete=True,
-        )
         # Usage counts make up most of a digest, so only VMs that may have to report them get them.
-        reporters = self.peers.lowest_ids(self.identity.vm_id, REPORTERS_COUNT, now_s)
+        reporters = set(self._reporters)
         if vm_status.last_holder is not None:
             reporters.add(vm_status.last_holder.vm_id)
-        reporting = replace(full, begun=self.usage.latest_windows())
-        groups: dict[int, list[str]] = {}
+        addresses: dict[str, list[str]] = {"minimal": [], "full": [], "reporting": []}
         for vm_id, is_full in due.items():
-            kind = 2 if vm_id in reporters else int(is_full)
-            groups.setdefault(kind, []).append(self.peers.address_of(vm_id))
-        for kind, addresses in groups.items():
-            digest = (minimal, full, reporting)[kind]
+            kind = "reporting" if vm_id in reporters else "full" if is_full else "minimal"
+            addresses[kind].append(self.peers.address_of(vm_id))
+        digest = self._make_digest(vm_status, now_s, clock_s)
+        self._emit_digest(digest, addresses["minimal"])
+        if addresses["full"] or addresses["reporting"]:
+            digest = replace(
+                digest,
+                spent=self.caps.spent(),
+                demand=self.caps.demand(now_s),
+                work=self.arrival_rates.own_rates(now_s, self.pool.own_running()),
+                complete=True,
+            )
+            self._emit_digest(digest, addresses["full"])
+        if addresses["reporting"]:
+            digest = replace(digest, begun=self.usage.latest_windows())
+            self._emit_digest(digest, addresses["reporting"])
+
+    def _emit_digest(self, digest: Digest, addresses: list[str]) -> None:
+        if addresses:
             self.emit(SendDigest(tuple(addresses), digest))
 
     def _make_digest(self, vm_status: VmStatus, now_s: float, clock_s: float) -> Digest:
@@ -169,6 +177,6 @@
             parts=self.poison_parts.digest(now_s),
             no_path=self.paths.any_lost,
             holder=vm_status.holder,
-        )
             # With few VMs, digests tell what runs at each replica and are read as they arrive.
             digest_port=self.identity.digest_port if self.load_queries.enabled else 0,
+        )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -75,6 +75,8 @@
 LOAD_BALANCER_LAG_S = 3.2
 # Requests still in flight are aborted this long before the platform kills the process.
 STOP_MARGIN_S = 0.5
+# Old evidence and usage counts are removed at this period; nothing depends on the moment.
+EXPIRY_PERIOD_S = 1.0
 # New requests are refused from this long after a stop request: their streams would be cut off.
 STOP_ADMISSION_AFTER_S = 3.0
 
@@ -85,9 +87,9 @@
     :param vm_id: this VM's name.
     :param address: where other VMs reach this one.
     :param clock_offset_s: wall-clock time minus monotonic time at the start.
+    :param digest_port: where it receives digests; 0 if at ``address``, like other messages.
     """
 
-    :param digest_port: where it receives digests; 0 if at ``address``, like other messages.
     def __init__(
         self,
         vm_id: str,
@@ -97,9 +99,9 @@
         settings: GatewaySettings,
         rng: random.Random,
         clock_offset_s: float,
+        digest_port: int = 0,
     ) -> None:
         self.vm_id = vm_id
-        digest_port: int = 0,
         self.settings = settings
         self.deployment: Deployment | None = None
         self.pool = Pool()
@@ -117,6 +119,7 @@
         self._confirmed_at_s = float("-inf")
         self._registry_read = False
         self._stop_at_s = 0.0
+        self._expired_at_s = float("-inf")
         self._stopped = False
         entry_vms = EntryVms(vm_id, (vm_id,))
         self.load_queries = LoadQueries(vm_id, address, incarnation, self.pool, self._outbox.append)
@@ -376,9 +379,11 @@
         self.relay.on_tick(now_s)
         self.relay.paths.on_tick(now_s)
         self.caps.on_tick(now_s)
-        self.crash_suspects.on_tick(now_s)
         self.clock_estimate.update(clock_s, now_s)
-        self.usage.expire(self.clock_estimate.time_of_day_s(now_s))
+        if now_s - self._expired_at_s >= EXPIRY_PERIOD_S:
+            self._expired_at_s = now_s
+            self.crash_suspects.on_tick(now_s)
+            self.usage.expire(self.clock_estimate.time_of_day_s(now_s))
         self._on_left(self.pool.expire(now_s))
         version = self.deployment.version if self.deployment is not None else 0
         vm_status = VmStatus(self.stopping, version, self.own_lease, self.last_holder)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -115,6 +115,9 @@
 
     def on_peer_digests(self, digests: Sequence[ReplicaDigest], now_s: float) -> None:
         """Update from the other entry VMs' digests of this replica."""
+        if not digests:
+            self.peer_running_count = self.peer_waiting_tokens = 0
+            return
         self.peer_running_count = sum(item.running_count for item in digests)
         self.peer_waiting_tokens = sum(item.waiting_tokens for item in digests)
         known = [item.slowness_percent / 100.0 for item in digests if item.slowness_percent]
@@ -359,6 +362,7 @@
         digests = {
             name: state.limit.digest(state.replica.started_at_ms, now_s)
             for name, state in self._states.items()
+            if state.limit.was_stated
         }
         return {name: digest for name, digest in digests.items() if digest is not None}
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request_limits.py
@@ -64,6 +64,11 @@
     _shared_by: tuple[float, tuple[str, ...]] | None = None
     _share_per_s: float = 0.0
 
+    @property
+    def was_stated(self) -> bool:
+        """Return whether the replica has ever stated a limit."""
+        return self.proved_at_s > -math.inf
+
     def on_response(
         self, per_s: float | None, sent_at_s: float, has_receipt: bool, now_s: float
     ) -> bool:
