--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import Action, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
@@ -28,8 +30,7 @@
 LATENCY_SHARED_S = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(Struct, frozen=True):
     """Identity of this process; ``address`` is where the peers reach it.
 
     :param digest_port: the port for digests, if it is another one.
@@ -42,8 +43,7 @@
     digest_port: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class VmStatus:
+class VmStatus(Struct, frozen=True):
     """This VM's own status, sent in its digests.
 
     :param holder: this VM, while it holds the lease.
@@ -56,8 +56,7 @@
     last_holder: HolderInfo | None
 
 
-@dataclass(slots=True)
-class DigestExchange:
+class DigestExchange(Struct):
     """Merges peer digests and sends this VM's own.
 
     :param emit: receives the actions for the process.
