--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_tracking.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_tracking.py
@@ -199,7 +199,8 @@
         """Apply a step of an attempt."""
         tracked = self._tracked(update.replica_id, now_s)
         key = (update.vm_id, update.incarnation, update.attempt_id)
-        if update.pace is not None:
+        # A replica that states 0 would have expected times of 0, by which loads are divided.
+        if update.pace is not None and update.pace > 0.0:
             tracked.slowdown, tracked.slowdown_at_s = update.pace, now_s
         if update.slowness is not None:
             tracked.on_latency_ratio(update.slowness)
