A lease record of a newer build keeps fencing tokens, reports and fields

Cause: LeaseRecord.decode took a record with longer rows for none.

Change: rows may have further items, and one bad row costs only itself. Unknown fields are written again unchanged. A record that cannot be read counts as that of a live holder: the takeover waits, and the new token is above the partition's end offset, which no token exceeds, since an append raises it by one at most.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, TypeVar
 
 from coriandershelf_core.internal.gateway.usage_counts import SourceCounts
 
 LEASE_KEY = "lease"
+_KNOWN_FIELDS = frozenset({"vm_id", "incarnation", "number", "reports", "counts"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +26,8 @@
     :param fencing_number: fencing token, incremented whenever the holder changes.
     :param reports: usage reports that are final but may not have been sent, oldest first.
     :param counts: counts of the windows that are not reported yet, by process.
+    :param unknown_fields: what a newer build wrote besides; written again unchanged, so that it is
+        there when a VM of that build holds the lease again.
     """
 
     vm_id: str
@@ -31,6 +35,7 @@
     fencing_number: int
     reports: tuple[tuple[int, dict[str, int]], ...] = ()
     counts: tuple[SourceCounts, ...] = ()
+    unknown_fields: dict[str, Any] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the record serialized for the store."""
@@ -38,6 +43,7 @@
         kept = [[item.vm_id, item.incarnation, item.windows] for item in self.counts]
         return json.dumps(
             {
+                **self.unknown_fields,
                 "vm_id": self.vm_id,
                 "incarnation": self.incarnation,
                 "number": self.fencing_number,
@@ -48,29 +54,60 @@
 
     @staticmethod
     def decode(value: bytes) -> LeaseRecord | None:
-        """Return the record, or ``None`` if the value is not a valid lease record."""
+        """Return the record, or ``None`` if the value is not a valid lease record.
+
+        Rows of reports and counts may have further items; rows that are not valid are left out.
+        """
         try:
             fields = json.loads(value)
-            reports = tuple((int(row[0]), dict(row[1])) for row in fields["reports"])
-            counts = tuple(_decode_counts(row) for row in fields.get("counts", ()))
-            return LeaseRecord(
-                str(fields["vm_id"]),
-                int(fields["incarnation"]),
-                int(fields["number"]),
-                reports,
-                counts,
-            )
-        except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+            vm_id, incarnation = str(fields["vm_id"]), int(fields["incarnation"])
+            number = int(fields["number"])
+            rows = list(fields["reports"]), list(fields.get("counts", ()))
+            unknown = {name: item for name, item in fields.items() if name not in _KNOWN_FIELDS}
+        except (*_MALFORMED_ERRORS, RecursionError):
             return None
+        if number < 0:
+            return None
+        reports = [_decoded(_decode_report, row) for row in rows[0]]
+        counts = [_decoded(_decode_counts, row) for row in rows[1]]
+        return LeaseRecord(
+            vm_id,
+            incarnation,
+            number,
+            tuple(report for report in reports if report is not None),
+            tuple(item for item in counts if item is not None),
+            unknown,
+        )
+
+
+_MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+)
+_Row = TypeVar("_Row")
+
+
+def _decoded(decode: Callable[[Any], _Row], row: Any) -> _Row | None:
+    try:
+        return decode(row)
+    except _MALFORMED_ERRORS:
+        return None
+
+
+def _decode_report(row: Any) -> tuple[int, dict[str, int]]:
+    return int(row[0]), {str(name): int(count) for name, count in row[1].items()}
 
 
 def _decode_counts(row: Any) -> SourceCounts:
-    vm_id, incarnation, windows = row
     decoded = {
         int(window): {str(name): int(count) for name, count in counts.items()}
-        for window, counts in windows.items()
+        for window, counts in row[2].items()
     }
-    return SourceCounts(str(vm_id), int(incarnation), decoded)
+    return SourceCounts(str(row[0]), int(row[1]), decoded)
 
 
 class LeaseStep(Enum):
@@ -95,6 +132,9 @@
         the earliest time of the next read.
     :param holder_digest_at_s: when a digest from the holder last arrived.
     :param call_in_flight: whether a store operation is in flight.
+    :param unreadable: whether the store has a record that this build cannot read. It is taken for
+        that of a live holder.
+    :param highest_number: no fencing token that was ever in the store is higher, as far as known.
     """
 
     vm_id: str
@@ -111,6 +151,8 @@
     holder_digest_at_s: float = -1.0e9
     call_in_flight: bool = False
     stopping: bool = False
+    unreadable: bool = False
+    highest_number: int = 0
 
     def is_held(self, now_s: float) -> bool:
         """Return whether this VM holds an unexpired lease."""
@@ -142,7 +184,7 @@
             return LeaseStep.NONE
         if self.end_offset is None:
             return LeaseStep.READ if now_s >= self.read_at_s else LeaseStep.NONE
-        free = self.record is None or self._is_own_vm()
+        free = (self.record is None and not self.unreadable) or self._is_own_vm()
         if (
             free
             or now_s - self.end_changed_at_s >= self.takeover_wait_s + TAKEOVER_RANK_DELAY_S * rank
@@ -159,15 +201,31 @@
         counts: tuple[SourceCounts, ...] = (),
     ) -> LeaseRecord:
         """Return the record to write: a renewal, or a takeover with a new fencing token."""
-        number = self.fencing_number if self._is_own() else self.fencing_number + 1
-        return LeaseRecord(self.vm_id, self.incarnation, number, reports, counts)
+        known = self.record
+        number = self.fencing_number if self._is_own() else self.highest_number + 1
+        unknown_fields = known.unknown_fields if known is not None else {}
+        return LeaseRecord(self.vm_id, self.incarnation, number, reports, counts, unknown_fields)
 
-    def on_read(self, record: LeaseRecord | None, end: int, sent_at_s: float, now_s: float) -> None:
-        """Handle a read; ``end`` is the end offset of the partition."""
+    def on_read(
+        self,
+        record: LeaseRecord | None,
+        end: int,
+        sent_at_s: float,
+        now_s: float,
+        unreadable: bool = False,
+    ) -> None:
+        """Handle a read.
+
+        :param end: the end offset of the partition. Each append raises the fencing token by one at
+            most, so it is no lower than any of them; used if no record can be read.
+        """
         if end != self.end_offset:
             # A record seen for the first time may have been written just now.
             self.end_changed_at_s = now_s
-        self.record, self.end_offset = record, end
+        self.record, self.end_offset, self.unreadable = record, end, unreadable
+        self.highest_number = max(
+            self.highest_number, end if record is None else record.fencing_number
+        )
         self.read_at_s = now_s
         self.call_in_flight = False
         if not self._is_own():
@@ -177,7 +235,8 @@
         self, record: LeaseRecord, end: int, sent_at_s: float, now_s: float
     ) -> None:
         """Handle a successful write; the lease runs from when the write was sent."""
-        self.record, self.end_offset = record, end
+        self.record, self.end_offset, self.unreadable = record, end, False
+        self.highest_number = max(self.highest_number, record.fencing_number)
         self.end_changed_at_s = self.read_at_s = now_s
         self.held_until_s = sent_at_s + self.lease_s
         self.renew_at_s = sent_at_s + self.renew_s
--- a/tests/cover/test_duty_lease.py
+++ b/tests/cover/test_duty_lease.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import json
+from dataclasses import replace
+
 import pytest
-from lease_model import LEASE_S, LeaseModel
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from lease_model import LEASE_S, RENEW_S, TAKEOVER_WAIT_S, LeaseModel
 
 from coriandershelf_core.internal.gateway.duty_lease import DutyLease, LeaseRecord, LeaseStep
+from coriandershelf_core.internal.gateway.usage_counts import SourceCounts
 
 
 @pytest.mark.parametrize("seed", range(40))
@@ -64,3 +70,99 @@
     record = LeaseRecord("vm-1", 2, 4, ((7, {"customer": 3}),))
     assert LeaseRecord.decode(record.encode()) == record
     assert LeaseRecord.decode(b"\xff") is None
+
+
+NEWER_FIELDS = {
+    "vm_id": "vm-9", "incarnation": 5, "number": 41,
+    "reports": [[7, {"customer": 3}, "to come"]],
+    "counts": [["vm-9", 5, {"8": {"customer": 1}}, 0.5]],
+    "rollout": {"target": "v2"},
+}  # fmt: skip
+RUBBISH = (
+    b"", b"\xff", b"{", b"[]", b"7", b"null", b"[" * 100_000, b'{"vm_id": "vm-9"}',
+    b'{"vm_id": "vm-9", "incarnation": Infinity, "number": 41, "reports": []}',
+    b'{"vm_id": "vm-9", "incarnation": 1, "number": NaN, "reports": []}',
+    b'{"vm_id": "vm-9", "incarnation": 1, "number": -4, "reports": []}',
+    b'{"vm_id": "vm-9", "incarnation": 1, "number": 41, "reports": 7}',
+)  # fmt: skip
+
+
+def make_lease(vm_id: str = "vm-1") -> DutyLease:
+    return DutyLease(vm_id, 1, 3.0, 3.6, 1.2)
+
+
+# Guards against fencing tokens that start again at 1 and a takeover from a live holder, because a
+# newer build's record has longer rows (on a9cc2eb its record was taken for none).
+def test_a_newer_builds_record_is_read_and_its_unknown_fields_are_written_again():
+    record = LeaseRecord.decode(json.dumps(NEWER_FIELDS).encode())
+    assert record is not None
+    assert record.reports == ((7, {"customer": 3}),)
+    assert record.counts == (SourceCounts("vm-9", 5, {8: {"customer": 1}}),)
+    lease = make_lease()
+    lease.on_read(record, 60, 10.0, 10.0)
+    assert lease.next_step(0, 10.1) is LeaseStep.NONE
+    written = json.loads(lease.next_record(record.reports, record.counts).encode())
+    assert (written["number"], written["rollout"]) == (42, {"target": "v2"})
+    lease.on_write_succeeded(LeaseRecord("vm-1", 1, 42, (), (), {"a": 1}), 61, 20.0, 20.0)
+    renewed = lease.next_record(())
+    assert (renewed.fencing_number, renewed.unknown_fields) == (42, {"a": 1})
+
+
+@pytest.mark.parametrize("value", RUBBISH)
+def test_a_record_that_cannot_be_read_is_taken_for_that_of_a_live_holder(value):
+    assert LeaseRecord.decode(value) is None
+    lease = make_lease()
+    lease.on_read(None, 60, 10.0, 10.0, unreadable=True)
+    assert lease.next_step(0, 10.1) is LeaseStep.NONE
+    lease.on_read(None, 60, 13.7, 13.7, unreadable=True)
+    assert lease.next_step(0, 13.7) is LeaseStep.WRITE
+    # Sixty appends cannot have raised the fencing token above 60.
+    assert lease.next_record(()).fencing_number == 61
+
+
+def test_rows_that_are_not_valid_do_not_cost_the_others():
+    fields = {**NEWER_FIELDS, "reports": [[6], [7, {"customer": 3}], [8, {"customer": "x"}], None]}
+    fields["counts"] = [["vm-9"], 3, *NEWER_FIELDS["counts"], ["vm-8", 1, {"x": {}}]]
+    record = LeaseRecord.decode(json.dumps(fields).encode())
+    assert record is not None
+    assert record.reports == ((7, {"customer": 3}),)
+    assert record.counts == (SourceCounts("vm-9", 5, {8: {"customer": 1}}),)
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=6,
+)
+
+
+# Guards against a record that ends the process of each VM that reads it.
+@settings(max_examples=300)
+@given(st.fixed_dictionaries({}, optional=dict.fromkeys(NEWER_FIELDS, json_values)))
+def test_any_record_is_read_or_not_valid(changes):
+    record = LeaseRecord.decode(json.dumps({**NEWER_FIELDS, **changes}).encode())
+    assert record is None or LeaseRecord.decode(record.encode()) == record
+
+
+class NewerLease(DutyLease):
+    """The lease of a build whose records have a field more."""
+
+    def next_record(self, *args: object) -> LeaseRecord:
+        return replace(super().next_record(*args), unknown_fields={"to_come": [1]})
+
+
+# Guards against two holders, and against losing what a newer build's holder wrote, while VMs of two
+# builds hold the lease in turn.
+@pytest.mark.parametrize("seed", range(10))
+def test_holders_of_two_builds_keep_one_order_of_tokens_and_all_fields(seed):
+    model = LeaseModel(seed)
+    model.vms[0].lease = NewerLease("vm-0", 1, LEASE_S, TAKEOVER_WAIT_S, RENEW_S)
+    for holder_is_newer in (True, False):
+        while model.store.record is None or (
+            (model.store.record.vm_id == "vm-0") is not holder_is_newer
+        ):
+            model.run(1.0)
+    numbers = [number for _, _, number in model.holder_steps]
+    assert numbers == sorted(numbers)
+    kept = LeaseRecord.decode(model.store.record.encode())
+    assert kept is not None and kept.unknown_fields == {"to_come": [1]}
