Digests name the build; the lowest protocol level of the fleet is known

Cause: a VM could not tell which build a peer runs, so behaviour that needs all VMs could neither wait for the last old one nor end when one comes back, and an operator saw no build in logs or metrics.

Change: digest field `build` ("0.1.0+1": version and protocol level; empty from earlier builds, which is level 0). EntryVms.lowest_level holds it for the parts.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -72,6 +72,7 @@
     :param no_path: whether the sender has no path of its own to some replicas.
     :param holder: the sender itself, while it holds the lease.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
+    :param build: the sender's version and protocol level; empty from builds of level 0.
     """
 
     vm_id: str
@@ -94,3 +95,4 @@
     no_path: bool = False
     holder: HolderInfo | None = None
     complete: bool = False
+    build: str = ""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from coriandershelf_core.internal.gateway.actions import Action, SendDigest
+from coriandershelf_core.internal.gateway.actions import Action, LogLine, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
+from coriandershelf_core.internal.gateway.builds import BUILD, PROTOCOL_LEVEL
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo, ReplicaDigest
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
@@ -80,6 +81,7 @@
             return
         self._merged_at_s = now_s
         self._update_trackers(stopping, now_s)
+        self._update_lowest_level(now_s)
         by_replica: dict[str, list[ReplicaDigest]] = {}
         limits: dict[str, list[LimitDigest]] = {}
         for digest in self.peers.live_digests(now_s):
@@ -92,6 +94,15 @@
             state.on_peer_digests(by_replica.get(name, ()), now_s)
             state.limit.peers_sent_count = sum(limit.sent_count for limit in limits.get(name, ()))
 
+    def _update_lowest_level(self, now_s: float) -> None:
+        level = self.peers.lowest_level(now_s)
+        if level == self.entry_vms.lowest_level:
+            return
+        self.entry_vms.lowest_level = level
+        below = self.peers.vm_ids_below(PROTOCOL_LEVEL)
+        fields = (("level", level), ("below", len(below)), ("first", ",".join(below[:3])))
+        self.emit(LogLine("lowest protocol level", fields))
+
     def _update_trackers(self, stopping: bool, now_s: float) -> None:
         live = [digest for digest in self.peers.live_digests(now_s) if not digest.stopping]
         self.load_queries.enabled = self.peers.count > SMALL_SITE_PEERS_COUNT
@@ -165,4 +176,5 @@
             parts=self.poison_parts.digest(now_s),
             no_path=self.paths.any_lost,
             holder=vm_status.holder,
+            build=BUILD,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/entry_vms.py
@@ -13,6 +13,7 @@
     :param ids_by_zone: the same by availability zone.
     :param addresses: where the other ones are reached.
     :param relay_addresses: the same, of those that have a path to all replicas.
+    :param lowest_level: the protocol level that all entry VMs support, see ``builds``.
     """
 
     own_id: str
@@ -20,3 +21,4 @@
     ids_by_zone: dict[str, tuple[str, ...]] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
     relay_addresses: tuple[str, ...] = ()
+    lowest_level: int = 0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from heapq import nlargest
 
+from coriandershelf_core.internal.gateway.builds import level_of, lowest_level
 from coriandershelf_core.internal.gateway.digest import Digest
 
 # A peer's last digest is used for this long, or for the given number of digest periods where these
@@ -38,6 +39,7 @@
 
     :param received_at_s: when its last digest arrived.
     :param sent_at_s: when it was last sent a digest; ``full_sent_at_s`` a complete one.
+    :param level: the protocol level in its last digest.
     """
 
     address: str
@@ -46,6 +48,7 @@
     full_sent_at_s: float = 0.0
     zone: str = ""
     digest: Digest | None = None
+    level: int = 0
 
 
 @dataclass(slots=True)
@@ -57,6 +60,7 @@
     """
 
     vm_id: str
+    registrations_read: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
 
     @property
@@ -71,6 +75,7 @@
 
     def on_registered(self, addresses: dict[str, str], now_s: float) -> None:
         """Add VMs from their registrations; they may be gone already."""
+        self.registrations_read = True
         for vm_id, address in addresses.items():
             if vm_id != self.vm_id and vm_id not in self._peers:
                 self._peers[vm_id] = Peer(address, now_s)
@@ -89,6 +94,8 @@
         peer.digest = digest
         peer.address = digest.address
         peer.zone = digest.zone
+        if known is None or digest.build != known.build:
+            peer.level = level_of(digest.build)
         peer.received_at_s = now_s
         return True
 
@@ -135,9 +142,37 @@
         live = [digest.vm_id for digest in self.live_digests(now_s) if not digest.stopping]
         return set(sorted([*live, own_id])[:count])
 
+    def lowest_level(self, now_s: float) -> int:
+        """Return the protocol level that this VM and all peers support; 0 if it is not known.
+
+        A silent peer may serve on the other side of a network cut and come back, so its level
+        counts until it is removed. Registered VMs that never sent a digest count as level 0, but
+        only as long as a live one may be silent: registrations of VMs that are gone stay in the
+        store.
+        """
+        if not self.registrations_read:
+            return 0
+        max_age_s = self._digest_max_age_s()
+        return lowest_level(
+            peer.level
+            for peer in self._peers.values()
+            if peer.digest is not None or now_s - peer.received_at_s <= max_age_s
+        )
+
+    def vm_ids_below(self, level: int) -> list[str]:
+        """Return the peers whose last digest names a lower protocol level."""
+        return sorted(
+            vm_id
+            for vm_id, peer in self._peers.items()
+            if peer.digest is not None and peer.level < level
+        )
+
+    def _digest_max_age_s(self) -> float:
+        return max(DIGEST_MIN_AGE_S, DIGEST_MAX_AGE_PERIODS_COUNT * self.longest_period_s)
+
     def live_digests(self, now_s: float) -> list[Digest]:
         """Return the last digests of the live peers."""
-        max_age_s = max(DIGEST_MIN_AGE_S, DIGEST_MAX_AGE_PERIODS_COUNT * self.longest_period_s)
+        max_age_s = self._digest_max_age_s()
         return [
             peer.digest
             for peer in self._peers.values()
