--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -69,6 +69,7 @@
     :param holder: the sender itself, while it holds the lease.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     :param digest_port: the port of the sender's host for digests; 0 if they go to ``address``.
+    :param build: the sender's version and protocol level; empty from builds of level 0.
     """
 
     vm_id: str
@@ -92,3 +93,4 @@
     holder: HolderInfo | None = None
     complete: bool = False
     digest_port: int = 0
+    build: str = ""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -7,8 +7,9 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
-from coriandershelf_core.internal.gateway.actions import Action, SendDigest
+from coriandershelf_core.internal.gateway.actions import Action, LogLine, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
+from coriandershelf_core.internal.gateway.builds import BUILD, PROTOCOL_LEVEL
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo, ReplicaDigest
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
@@ -85,6 +86,7 @@
         self._merged_at_s = now_s
         self._update_trackers(stopping, now_s)
         self._reporters = self.peers.lowest_ids(self.identity.vm_id, REPORTERS_COUNT, now_s)
+        self._update_lowest_level(now_s)
         by_replica: dict[str, list[ReplicaDigest]] = {}
         limits: dict[str, list[LimitDigest]] = {}
         for digest in self.peers.live_digests(now_s):
@@ -97,6 +99,15 @@
             state.on_peer_digests(by_replica.get(name, ()), now_s)
             state.limit.peers_sent_count = sum(limit.sent_count for limit in limits.get(name, ()))
 
+    def _update_lowest_level(self, now_s: float) -> None:
+        level = self.peers.lowest_level(now_s)
+        if level == self.entry_vms.lowest_level:
+            return
+        self.entry_vms.lowest_level = level
+        below = self.peers.vm_ids_below(PROTOCOL_LEVEL)
+        fields = (("level", level), ("below", len(below)), ("first", ",".join(below[:3])))
+        self.emit(LogLine("lowest protocol level", fields))
+
     def _update_trackers(self, stopping: bool, now_s: float) -> None:
         live = [digest for digest in self.peers.live_digests(now_s) if not digest.stopping]
         self.load_queries.enabled = self.peers.count > SMALL_SITE_PEERS_COUNT
@@ -178,4 +189,5 @@
             holder=vm_status.holder,
             # With few VMs, digests tell what runs at each replica and are read as they arrive.
             digest_port=self.identity.digest_port if self.load_queries.enabled else 0,
+            build=BUILD,
         )
--- a/tests/cover/test_peer_link.py
+++ b/tests/cover/test_peer_link.py
@@ -20,13 +20,13 @@
 
     def __init__(self) -> None:
         self.events: list[Event] = []
-        self.malformed_count = 0
-        self.link = PeerLink(self.events.append, lambda message: None, self._count_malformed)
+        self.dropped: list[str] = []
+        self.link = PeerLink(self.events.append, lambda message: None, self._on_dropped)
         self.port = consecutive_ports(2)
         self.link.start("127.0.0.1", self.port, self.port + 1)
 
-    def _count_malformed(self) -> None:
-        self.malformed_count += 1
+    def _on_dropped(self, reason: str, sender: str, fault: str) -> None:
+        self.dropped.append(reason)
 
 
 def make_digest(vm_id: str, digest_port: int = 0) -> Digest:
@@ -72,9 +72,9 @@
             for _ in range(READ_MAX_COUNT + 10):
                 flood.sendto(b"?", ("127.0.0.1", receiver.port + 1))
             receiver.link.read_digests()
-            assert receiver.malformed_count == READ_MAX_COUNT
+            assert len(receiver.dropped) == READ_MAX_COUNT
             receiver.link.read_digests()
-            assert receiver.malformed_count == READ_MAX_COUNT + 10
+            assert len(receiver.dropped) == READ_MAX_COUNT + 10
         receiver.link.close()
 
     asyncio.run(scenario())
