--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -15,6 +15,16 @@
 from coriandershelf_core.internal.gateway.usage_counts import SourceCounts
 
 LEASE_KEY = "lease"
+# What a record of another shape raises as it is decoded.
+MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +70,7 @@
                 reports,
                 counts,
             )
-        except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+        except MALFORMED_ERRORS:
             return None
 
 
