Slow streams are not cut, and stalled ones count as silent

Cause: a caller that reads slowly keeps its stream from being read, which was judged as the replica's silence: the stream moved and the replica was counted as failed. Comments that a stalled replica sends counted as events, so its stream was never silent. A silent stream whose events have no ids was sent again from its beginning within one response. A stream that stalled on a route with one attempt ended at the time limit without any count. On a route without an objective between events, a pause of 1.5 s moved the stream.

Change: the process reports pauses of reading; blocks without id and data are forwarded but are no progress; a silent stream moves only where it can be continued; a stall after the first event counts at the time limit; without an objective between events the callers' patience is the limit.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -24,6 +24,10 @@
 SILENCE_TIMEOUT_FACTOR = 6.0
 SILENCE_TIMEOUT_MIN_S = 0.4
 STREAM_SILENCE_TIMEOUT_MIN_S = 1.5
+# The same between two events of a route that states no objective for it: the time after which the
+# platform's callers abandon a stream.
+UNLIMITED_GAP_TIMEOUT_MIN_S = 2.0
+UNLIMITED_GAP_OBJECTIVES = 4.0
 # Up to this share of busy slots, latency depends on the replica's speed and not on its load.
 LOW_LOAD_SHARE = 0.1
 PRIORITY_MAX = 9
@@ -41,6 +45,7 @@
     :param inputs: figures that the choice of the replica was based on, for the log.
     :param slowdown: the replica's slowdown, reported in the response headers.
     :param relay_address: the entry VM through which the replica is reached, if any.
+    :param paused: whether nothing is read from the replica because the caller is slow.
     """
 
     attempt_id: int
@@ -55,6 +60,7 @@
     headers_received: bool = False
     first_event_at_s: float | None = None
     last_event_at_s: float = 0.0
+    paused: bool = False
     slowdown: float | None = None
     relay_address: str | None = None
 
@@ -158,6 +164,15 @@
     return max(SILENCE_TIMEOUT_MIN_S, SILENCE_TIMEOUT_FACTOR * expected_s)
 
 
+def gap_timeout_s(request: ActiveRequest) -> float:
+    """Return how long a replica may stay silent between two events of a stream."""
+    route = request.route
+    if route.gap_objective_s > 0.0:
+        return silence_timeout_s(request, 0.0)
+    # The route allows any pause; callers leave after this time.
+    return max(UNLIMITED_GAP_TIMEOUT_MIN_S, UNLIMITED_GAP_OBJECTIVES * route.objective_s)
+
+
 def first_ms(attempt: AttemptState | None) -> int | None:
     """Return the time to first event of an attempt in milliseconds, for the log."""
     if attempt is None or attempt.first_event_at_s is None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -122,6 +122,8 @@
 class StreamRead:
     """Complete events of a stream were read.
 
+    :param events_count: number of events with content; comments that a replica sends to keep a
+        connection open are forwarded but are no events.
     :param last_event_id: id of the last of them, or ``None`` if it has none.
     """
 
@@ -131,6 +133,14 @@
     last_event_id: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class StreamPaused:
+    """Reading of a stream paused because its caller is slow, or goes on."""
+
+    attempt_id: int
+    paused: bool
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEnded:
     """A stream ended cleanly at an event boundary."""
@@ -219,6 +229,7 @@
     | AnswerRead
     | StreamOpened
     | StreamRead
+    | StreamPaused
     | StreamEnded
     | AttemptFailed
     | ReplicaProbed
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -40,6 +40,7 @@
     StopAsked,
     StreamEnded,
     StreamOpened,
+    StreamPaused,
     StreamRead,
     Tick,
 )
@@ -201,6 +202,8 @@
                 self.relay.on_response(event, now_s)
             case StreamOpened():
                 self.relay.on_opened(event, now_s)
+            case StreamPaused():
+                self.relay.on_paused(event, now_s)
             case StreamEnded():
                 self.relay.on_ended(event, now_s)
             case AttemptFailed():
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -20,7 +20,7 @@
     Attempts,
     AttemptState,
     first_ms,
-    silence_timeout_s,
+    gap_timeout_s,
 )
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
@@ -32,6 +32,7 @@
     ResponseHeadRead,
     StreamEnded,
     StreamOpened,
+    StreamPaused,
     StreamRead,
 )
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries, PendingQuery
@@ -222,6 +223,9 @@
         if attempt is None:
             return
         request, state = attempt.request, attempt.state
+        if not event.events_count:
+            self.emit(ForwardEvents(request.arrival.handle, event.payload))
+            return
         self._check_lateness(attempt, now_s)
         attempt.last_event_at_s = now_s
         if attempt.first_event_at_s is None:
@@ -239,12 +243,22 @@
             )  # fmt: skip
             state.on_latency(taken_s, baseline_s, now_s, attempt.low_load)
         if attempt.silence_deadline_s is not None:
-            attempt.silence_deadline_s = now_s + silence_timeout_s(request, 0.0)
+            attempt.silence_deadline_s = now_s + gap_timeout_s(request)
         if event.last_event_id is not None:
             request.last_event_id = event.last_event_id
         request.bytes_sent += len(event.payload)
         self.emit(ForwardEvents(request.arrival.handle, event.payload))
 
+    def on_paused(self, event: StreamPaused, now_s: float) -> None:
+        """Judge no silence while a slow caller keeps its stream from being read."""
+        attempt = self.attempts.by_id.get(event.attempt_id)
+        if attempt is None:
+            return
+        attempt.paused = event.paused
+        attempt.last_event_at_s = now_s
+        if attempt.silence_deadline_s is not None:
+            attempt.silence_deadline_s = now_s + gap_timeout_s(attempt.request)
+
     def on_ended(self, event: StreamEnded, now_s: float) -> None:
         """End a stream that its replica ended normally."""
         attempt = self.attempts.by_id.get(event.attempt_id)
@@ -316,7 +330,11 @@
             request = attempt.request
             if now_s >= request.deadline_s + TIMEOUT_GRACE_S:
                 self._time_out(attempt, now_s)
-            elif attempt.silence_deadline_s is not None and now_s >= attempt.silence_deadline_s:
+            elif (
+                attempt.silence_deadline_s is not None
+                and now_s >= attempt.silence_deadline_s
+                and not attempt.paused
+            ):
                 self._on_silence(attempt, now_s)
 
     def abort_all(self, now_s: float) -> None:
@@ -407,7 +425,7 @@
         request = attempt.request
         request.last_failure = "silent"
         attempt.silence_deadline_s = None
-        if not self._take_retry(request, now_s):
+        if not _may_continue(request) or not self._take_retry(request, now_s):
             return
         self.attempts.cancel(attempt, now_s)
         request.may_have_run = True
@@ -440,8 +458,7 @@
 
     def _recover(self, request: ActiveRequest, reason: RetryReason, now_s: float) -> None:
         """Retry or resume a request whose attempt may have run, or report an unknown outcome."""
-        resumable = request.bytes_sent == 0 or request.last_event_id is not None
-        if request.route.repeatable and resumable and self._take_retry(request, now_s):
+        if request.route.repeatable and _may_continue(request) and self._take_retry(request, now_s):
             reason = RetryReason.RESUMED if request.headers_sent else reason
             self._retry(request, reason, now_s, budgeted=True)
             return
@@ -469,7 +486,8 @@
     def _time_out(self, attempt: AttemptState, now_s: float) -> None:
         self.attempts.cancel(attempt, now_s)
         attempt.request.may_have_run = True
-        if attempt.first_event_at_s is None and not attempt.headers_received:
+        unanswered = attempt.first_event_at_s is None and not attempt.headers_received
+        if unanswered or _is_stalled(attempt, now_s):
             self._record_failure(attempt.state, now_s)
         self.responder.refuse(attempt.request, Refusal.TIMEOUT, now_s)
 
@@ -513,6 +531,18 @@
         self.emit(LogLine(event, fields))
 
 
+def _may_continue(request: ActiveRequest) -> bool:
+    """Return whether another attempt may go on with the response: no event comes twice."""
+    return request.bytes_sent == 0 or request.last_event_id is not None
+
+
+def _is_stalled(attempt: AttemptState, now_s: float) -> bool:
+    """Return whether a stream began and its replica then fell silent."""
+    if attempt.first_event_at_s is None or attempt.paused:
+        return False
+    return now_s - attempt.last_event_at_s >= gap_timeout_s(attempt.request)
+
+
 def _capacity_fields(states: Sequence[ReplicaState], now_s: float) -> dict[str, LogValue]:
     """Return the figures behind a lack of capacity, for the log."""
     return {
