--- a/tests/cover/test_bounded_input.py
+++ b/tests/cover/test_bounded_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import tracemalloc
 
 import pytest
@@ -12,6 +13,7 @@
 from coriandershelf_core.internal.gateway.events import AnswerRead, AttemptFailed, FailureCause
 from coriandershelf_platform import replica_client
 from coriandershelf_platform.application import steady_s
+from coriandershelf_platform.caller_server import USER_TIMEOUT_MS
 from coriandershelf_platform.http_client import CallFailure, HttpClient
 from coriandershelf_platform.memory_bounds import UNCOUNTED_BYTES, ByteBudget, HeldBytes
 from coriandershelf_platform.replica_client import ConnectionPool, ForwardedRequest, run_attempt
@@ -301,3 +303,23 @@
             assert tunnels.outcomes == ["opened", "idle"]
 
     run(scenario)
+
+
+# Guards against answers that stay in memory since their callers never read them.
+def test_the_kernel_gives_up_a_caller_that_does_not_read_its_answer():
+    async def respond(request, connection) -> None:
+        await connection.send(receipt_response(request))
+
+    async def scenario() -> None:
+        async with Site() as site:
+            await site.add_replica("plain", respond)
+            client = await site.connect()
+            client.send("/read/1")
+            assert (await client.read()).status == 200
+            (accepted,) = site.application._servers[0]._connections
+            timeout_ms = accepted.stream.socket.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            assert timeout_ms == USER_TIMEOUT_MS
+
+    run(scenario)
