--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -18,6 +18,16 @@
 
 LEASE_KEY = "lease"
 _KNOWN_FIELDS = frozenset({"vm_id", "incarnation", "number", "reports", "counts"})
+# What a record of another shape raises as it is decoded.
+MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class LeaseRecord(Struct, frozen=True):
@@ -64,7 +74,7 @@
             number = int(fields["number"])
             rows = list(fields["reports"]), list(fields.get("counts", ()))
             unknown = {name: item for name, item in fields.items() if name not in _KNOWN_FIELDS}
-        except (*_MALFORMED_ERRORS, RecursionError):
+        except MALFORMED_ERRORS:
             return None
         if number < 0:
             return None
@@ -80,21 +90,13 @@
         )
 
 
-_MALFORMED_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    IndexError,
-    AttributeError,
-    OverflowError,
-)
 _Row = TypeVar("_Row")
 
 
 def _decoded(decode: Callable[[Any], _Row], row: Any) -> _Row | None:
     try:
         return decode(row)
-    except _MALFORMED_ERRORS:
+    except MALFORMED_ERRORS:
         return None
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -114,6 +114,8 @@
 class StreamRead(Struct, frozen=True):
     """Complete events of a stream were read.
 
+    :param events_count: number of events with content; comments that a replica sends to keep a
+        connection open are forwarded but are no events.
     :param last_event_id: id of the last of them, or ``None`` if it has none.
     """
 
@@ -123,6 +125,13 @@
     last_event_id: int | None
 
 
+class StreamPaused(Struct, frozen=True):
+    """Reading of a stream paused because its caller is slow, or goes on."""
+
+    attempt_id: int
+    paused: bool
+
+
 class StreamEnded(Struct, frozen=True):
     """A stream ended cleanly at an event boundary."""
 
@@ -200,6 +209,7 @@
     | AnswerRead
     | StreamOpened
     | StreamRead
+    | StreamPaused
     | StreamEnded
     | AttemptFailed
     | ReplicaProbed
