--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Customer, Route
+from coriandershelf_core.internal.gateway.returning_callers import Promise
 
 
 class PromptPart(Struct, frozen=True):
@@ -64,6 +65,8 @@
         before that.
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
+    :param promise: what its caller was told when this VM refused the request before.
+    :param return_logged: whether it was logged what the caller found.
     """
 
     arrival: Arrival
@@ -87,6 +90,8 @@
     software_version: str | None = None
     last_failure: str | None = None
     error_response: ReplicaResponse | None = None
+    promise: Promise | None = None
+    return_logged: bool = False
 
     @property
     def resumes_stream(self) -> bool:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -103,7 +103,7 @@
         self._reuse_shares: dict[str, float] = {}
 
     def shared_parts(
-        self, request: ActiveRequest, prompt_cache: PromptCacheIndex
+        self, request: ActiveRequest, prompt_cache: PromptCacheIndex, learn: bool = True
     ) -> tuple[PromptPart, ...]:
         """Return the leading parts that are shared with other requests of the route."""
         parts = request.arrival.parts
@@ -112,8 +112,9 @@
         name = request.route.name
         share = self._reuse_shares.get(name, 0.0)
         seen = prompt_cache.contains(parts[-1].part_id)
-        share += REUSE_WEIGHT * ((1.0 if seen else 0.0) - share)
-        self._reuse_shares[name] = share
+        if learn:
+            share += REUSE_WEIGHT * ((1.0 if seen else 0.0) - share)
+            self._reuse_shares[name] = share
         if share > REUSE_SHARE_MIN or len(parts) == 1:
             return parts
         return parts[:-1]
@@ -126,17 +127,18 @@
         self._route_means: dict[str, float] = {}
         self._service_means: dict[str, float] = {}
 
-    def is_long(self, request: ActiveRequest) -> bool:
+    def is_long(self, request: ActiveRequest, learn: bool) -> bool:
         """Update the means with a request; return whether its route has long prompts."""
         tokens = float(request.arrival.prompt_tokens)
-        route_mean = _update_mean(self._route_means, request.route.name, tokens)
-        service_mean = _update_mean(self._service_means, request.service, tokens)
+        weight = PROMPT_MEAN_WEIGHT if learn else 0.0
+        route_mean = _update_mean(self._route_means, request.route.name, tokens, weight)
+        service_mean = _update_mean(self._service_means, request.service, tokens, weight)
         return route_mean > LONG_ROUTE_FACTOR * service_mean
 
 
-def _update_mean(means: dict[str, float], name: str, value: float) -> float:
+def _update_mean(means: dict[str, float], name: str, value: float, weight: float) -> float:
     mean = means.get(name, value)
-    mean += PROMPT_MEAN_WEIGHT * (value - mean)
+    mean += weight * (value - mean)
     means[name] = mean
     return mean
 
@@ -186,9 +188,17 @@
         self.prompt_lengths = PromptLengths()
 
     def find_candidates(
-        self, request: ActiveRequest, service: Service, states: Sequence[ReplicaState], now_s: float
+        self,
+        request: ActiveRequest,
+        service: Service,
+        states: Sequence[ReplicaState],
+        now_s: float,
+        learn: bool = True,
     ) -> CandidateSet | None:
-        """Return the candidates for a request, or ``None`` if there are none."""
+        """Return the candidates for a request, or ``None`` if there are none.
+
+        :param learn: whether to learn from the request's prompt; a request that waits counts once.
+        """
         candidates = [
             state
             for state in _allowed_states(request, states, now_s)
@@ -201,8 +211,8 @@
         if not service.is_engine:
             sampled = self._rng.sample(candidates, min(SAMPLED_OTHERS_COUNT, len(candidates)))
             return CandidateSet(service, candidates, shortlist=sampled)
-        shared = self.reuse.shared_parts(request, self.prompt_cache)
-        group = _length_group(states, self.prompt_lengths.is_long(request))
+        shared = self.reuse.shared_parts(request, self.prompt_cache, learn)
+        group = _length_group(states, self.prompt_lengths.is_long(request, learn))
         affinity_ids = affinity_ids_of(shared[-1].part_id, group) if shared else []
         shared_tokens = sum(part.tokens_count for part in shared)
         others = [state for state in candidates if state.replica.replica_id not in affinity_ids]
@@ -218,11 +228,13 @@
         candidate_set: CandidateSet,
         now_s: float,
         tracked_loads: Mapping[str, TrackedLoad] | None = None,
+        tracked_only: bool = False,
     ) -> ScoredReplica | None:
         """Return the replica of lowest cost that has capacity, or ``None``.
 
         :param tracked_loads: loads by replica id, from their trackers; if any of these replicas has
             capacity, only they are considered.
+        :param tracked_only: whether to consider no others in any case.
         """
         # All of this may have changed while the loads were queried.
         candidates = [
@@ -243,7 +255,8 @@
         untracked = [
             state
             for state in candidates
-            if state.replica.replica_id not in known_loads
+            if not tracked_only
+            and state.replica.replica_id not in known_loads
             and _has_capacity(state.running_count, state)
         ]
         score = self._score_engine if candidate_set.service.is_engine else self._score_plain
@@ -336,8 +349,13 @@
 
 
 def _has_capacity(running_count: int, state: ReplicaState) -> bool:
+    return running_count < capacity_count(state)
+
+
+def capacity_count(state: ReplicaState) -> int:
+    """Return how many requests may be at a replica, including those in its own queue."""
     slots_count = max(1, state.replica.slots_count)
-    return running_count < slots_count + max(2, int(QUEUE_SHARE * slots_count))
+    return slots_count + max(2, int(QUEUE_SHARE * slots_count))
 
 
 def _allowed_states(
@@ -348,14 +366,14 @@
     A stream that may continue at one software version only has few of them, so it rather tries an
     ejected one than be refused.
     """
-    kept = _not_ejected(states, now_s)
+    kept = not_ejected(states, now_s)
     if request.software_version is None:
         return kept
     has_capacity = any(_has_capacity(state.running_count, state) for state in kept)
     return kept if has_capacity else states
 
 
-def _not_ejected(states: Sequence[ReplicaState], now_s: float) -> Sequence[ReplicaState]:
+def not_ejected(states: Sequence[ReplicaState], now_s: float) -> Sequence[ReplicaState]:
     """Return the replicas that are not ejected, or all if too many are.
 
     When most replicas fail, the cause is not a single replica, and concentrating the load on the
