--- a/tests/cover/test_waiting_requests.py
+++ b/tests/cover/test_waiting_requests.py
@@ -7,10 +7,11 @@
 
 import random
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import pytest
 from gateway_driver import ASK, ENGINE, PLAIN, READ, GatewayDriver, make_deployment, make_replicas
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
