Roll-outs: decision, counts, exposure of each VM, and the holder's duty

Cause: an operator's order to move a service to a new version was ignored; replicas of the new version were used at once by all requests, whatever their answers.

Change: rollout.py decides the phases of a roll-out from the counts by route and version (rollout_counts.py); rollout_traffic.py bounds what each VM sends to the target and filters the replicas in relay._send. The lease holder keeps the state in keyed.duty, by conditional appends under its lease, then writes keyed.status. Digests carry state and counts while a roll-out runs.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -13,6 +13,7 @@
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest
 from coriandershelf_core.internal.gateway.responder import LogValue
+from coriandershelf_core.internal.gateway.rollout_counts import Judged
 from coriandershelf_core.internal.gateway.selection import ReplicaSelector, ScoredReplica
 
 # Subtracted from the time limit sent to the replica, so that its response arrives in time.
@@ -41,6 +42,8 @@
     :param inputs: figures that the choice of the replica was based on, for the log.
     :param slowdown: the replica's slowdown, reported in the response headers.
     :param relay_address: the entry VM through which the replica is reached, if any.
+    :param events_count: events read from its stream.
+    :param judged: how it was counted in a roll-out of its service.
     """
 
     attempt_id: int
@@ -57,6 +60,8 @@
     last_event_at_s: float = 0.0
     slowdown: float | None = None
     relay_address: str | None = None
+    events_count: int = 0
+    judged: Judged = Judged.NOT_YET
 
 
 @dataclass(slots=True)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -6,6 +6,8 @@
 
 from coriandershelf_core.internal.gateway.poison_parts import PartDigest
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
+from coriandershelf_core.internal.gateway.rollout import RolloutNews
+from coriandershelf_core.internal.gateway.rollout_counts import VersionCounts
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +73,8 @@
     :param parts: evidence on prompt parts that crash replicas, by hash of the part.
     :param no_path: whether the sender has no path of its own to some replicas.
     :param holder: the sender itself, while it holds the lease.
+    :param rollouts: the running and just ended roll-outs, by service.
+    :param versions: the sender's counts of answers by version, by service.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     """
 
@@ -94,3 +98,5 @@
     no_path: bool = False
     holder: HolderInfo | None = None
     complete: bool = False
+    rollouts: dict[str, RolloutNews] = field(default_factory=dict)
+    versions: dict[str, VersionCounts] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -16,6 +16,7 @@
 from coriandershelf_core.internal.gateway.pool import Pool
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
+from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
 
@@ -70,6 +71,7 @@
     arrival_rates: ArrivalRates
     load_queries: LoadQueries
     entry_vms: EntryVms
+    rollouts: Rollouts
     emit: Callable[[Action], None]
     _sequence: int = 0
     _merged_at_s: float = 0.0
@@ -165,4 +167,6 @@
             parts=self.poison_parts.digest(now_s),
             no_path=self.paths.any_lost,
             holder=vm_status.holder,
+            rollouts=self.rollouts.news(now_s),
+            versions=self.rollouts.counts(),
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -183,6 +183,12 @@
         self.renew_at_s = sent_at_s + self.renew_s
         self.call_in_flight = False
 
+    def on_record_appended(self, end: int, now_s: float) -> None:
+        """Handle a successful conditional append of another record; it extends no lease."""
+        self.end_offset = end
+        self.end_changed_at_s = self.read_at_s = now_s
+        self.call_in_flight = False
+
     def on_conflict(self, now_s: float) -> None:
         """Handle a write conflict: another VM has written, so this VM does not hold the lease."""
         self.held_until_s = 0.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -10,6 +10,7 @@
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
 from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
 from coriandershelf_core.internal.gateway.request import Arrival
+from coriandershelf_core.internal.gateway.rollout import RolloutOrder, RolloutState
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -202,6 +203,21 @@
     addresses: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutOrdered:
+    """The operator's order of a roll-out was read."""
+
+    order: RolloutOrder
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStateRead:
+    """The state of a roll-out was read from the store, or written to it, at ``at_s``."""
+
+    state: RolloutState
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StopAsked:
     """The platform asked this process to stop."""
@@ -229,6 +245,8 @@
     | RoomMessageArrived
     | OriginMessageArrived
     | EntryVmsRead
+    | RolloutOrdered
+    | RolloutStateRead
     | StopAsked
     | Tick
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -36,6 +36,8 @@
     ReplicasRead,
     RequestArrived,
     ResponseHeadRead,
+    RolloutOrdered,
+    RolloutStateRead,
     RoomMessageArrived,
     StopAsked,
     StreamEnded,
@@ -59,6 +61,8 @@
 from coriandershelf_core.internal.gateway.request import ActiveRequest, Arrival
 from coriandershelf_core.internal.gateway.responder import RETRY_AFTER_SHARE, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.rollout import RolloutState
+from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.route_table import RouteTable, pick_service
 from coriandershelf_core.internal.gateway.scaling import ServiceLoad
 from coriandershelf_core.internal.gateway.selection import ReplicaSelector
@@ -114,6 +118,7 @@
         self._routes = RouteTable(())
         self._confirmed_at_s = float("-inf")
         self._registry_read = False
+        self._registered_vms_count = 1
         self._stop_at_s = 0.0
         self._stopped = False
         entry_vms = EntryVms(vm_id, (vm_id,))
@@ -124,6 +129,14 @@
             self.caps, emit, self._count_started, self.arrival_rates.add_late, rng.random
         )
         paths = ReplicaPaths(self.pool, entry_vms, rng, emit)
+        self.rollouts = Rollouts(
+            settings,
+            self.pool,
+            lambda: max(1 + self.peers.count, self._registered_vms_count),
+            lambda: self.peers.longest_period_s,
+            self.clock_estimate.time_of_day_s,
+            emit,
+        )
         self.crash_suspects = CrashSuspects(self.poison_requests, poison_parts, responder, emit)
         self._digest_exchange = DigestExchange(
             Identity(vm_id, address, zone, incarnation),
@@ -137,6 +150,7 @@
             self.arrival_rates,
             self.load_queries,
             entry_vms,
+            self.rollouts,
             emit,
         )
         selector = ReplicaSelector(zone, rng, entry_vms)
@@ -154,6 +168,7 @@
             self.crash_suspects,
             StreamOrigins(address, entry_vms, emit),
             paths,
+            self.rollouts,
             emit,
         )
 
@@ -189,6 +204,17 @@
             rates.tokens_per_s, rates.running_count, latency_ratio, min(1.0, late_share)
         )
 
+    def propose_rollouts(self, fencing_number: int, now_s: float) -> list[RolloutState]:
+        """Return the changes of roll-outs that this VM, as the lease holder, should write."""
+        if not self._registry_read:
+            return []
+        return self.rollouts.propose(
+            fencing_number,
+            self.peers.live_digests(now_s),
+            lambda service: self.service_load(service, now_s).running_count,
+            now_s,
+        )
+
     def _handle(self, event: Event, now_s: float, clock_s: float) -> None:
         match event:
             case StreamRead():
@@ -226,7 +252,12 @@
                 self._on_replicas(event, now_s)
             case EntryVmsRead(addresses):
                 self.peers.on_registered(addresses, now_s)
+                self._registered_vms_count = len(addresses)
                 self._update_entry_vms_count()
+            case RolloutOrdered(order):
+                self.rollouts.on_order(order, now_s)
+            case RolloutStateRead(state, at_s):
+                self.rollouts.on_state(state, at_s, now_s)
             case StopAsked():
                 self._on_stop(now_s)
 
@@ -351,6 +382,7 @@
             self.caps.on_minimal_digest(digest, now_s)
         self.crash_suspects.on_digest(digest, now_s)
         self.usage.on_digest(digest)
+        self.rollouts.on_digest(digest, now_s)
         if digest.holder is not None:
             self.last_holder = digest.holder
         for state in self.pool.on_left(digest.left):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -42,6 +42,7 @@
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.selection import CandidateSet, ReplicaSelector
 from coriandershelf_core.internal.gateway.stream_origins import StreamOrigins
 
@@ -73,6 +74,7 @@
     crash_suspects: CrashSuspects
     origins: StreamOrigins
     paths: ReplicaPaths
+    rollouts: Rollouts
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
@@ -103,6 +105,7 @@
             "caller left", request, now_s, first_ms=first_ms(attempt), **dict(inputs)
         )
         if attempt is not None:
+            self.rollouts.on_abandoned(attempt, now_s)
             self.attempts.cancel(attempt, now_s)
         self.responder.remove(request)
 
@@ -183,6 +186,7 @@
             return
         self.responder.mark_started(request, attempt.started_at_s)
         request.may_have_run = True
+        self.rollouts.on_answer(attempt, event.status >= SERVER_ERROR, now_s)
         taken_s = now_s - attempt.started_at_s
         if event.status < SERVER_ERROR and event.has_receipt:
             state.on_success(now_s)
@@ -224,8 +228,10 @@
         request, state = attempt.request, attempt.state
         self._check_lateness(attempt, now_s)
         attempt.last_event_at_s = now_s
+        attempt.events_count += event.events_count
         if attempt.first_event_at_s is None:
             attempt.first_event_at_s = now_s
+            self.rollouts.on_answer(attempt, False, now_s)
             self.responder.mark_started(request, now_s)
             self._note_version(request, state, now_s)
             state.on_first_event(attempt.attempt_id)
@@ -251,6 +257,7 @@
         if attempt is None:
             return
         attempt.state.on_success(now_s)
+        self.rollouts.on_stream_ended(attempt, now_s)
         self.attempts.end(attempt, now_s)
         request = attempt.request
         self.crash_suspects.on_completed(request, now_s)
@@ -280,6 +287,8 @@
             # It may have been the other VM that ended.
             self.paths.on_relay_failed(attempt.relay_address, now_s)
         else:
+            is_certain = event.cause is not FailureCause.CLOSED
+            self.rollouts.on_broken(attempt, now_s, is_certain)
             self._record_failure(state, now_s)
             if event.cause is FailureCause.CLOSED:
                 self.crash_suspects.on_crash(attempt, now_s)
@@ -310,6 +319,7 @@
         """Handle query time-outs, silent replicas and expired deadlines."""
         for pending in self.load_queries.pop_overdue(now_s):
             self._resume_pending(pending, now_s)
+        self.rollouts.on_tick(self.attempts.by_id.values(), now_s)
         for request in self.origins.pop_overdue(now_s):
             self._send_resumed(request, now_s)
         for attempt in list(self.attempts.by_id.values()):
@@ -358,9 +368,10 @@
         deployment = self.deployment
         assert deployment is not None, "request admitted without a configuration"
         service = deployment.services.get(request.service, Service(request.service, 0))
-        states = self.pool.usable(request.service)
+        usable = self.pool.usable(request.service)
+        states = self.rollouts.allowed(request, usable, now_s)
         version = request.software_version
-        if version is not None and states:
+        if version is not None and usable:
             states = [state for state in states if state.replica.software_version == version]
             if not states:
                 self.responder.refuse(request, Refusal.NO_VERSION, now_s, version=version)
@@ -401,6 +412,7 @@
             fields = _capacity_fields(candidate_set.candidates, now_s)
             self.responder.refuse(request, Refusal.NO_ROOM, now_s, **fields)
             return
+        self.rollouts.on_started(request, selected.state)
         self.attempts.start(request, candidate_set.service, selected, now_s)
 
     def _on_silence(self, attempt: AttemptState, now_s: float) -> None:
@@ -409,6 +421,7 @@
         attempt.silence_deadline_s = None
         if not self._take_retry(request, now_s):
             return
+        self.rollouts.on_broken(attempt, now_s, certain=False)
         self.attempts.cancel(attempt, now_s)
         request.may_have_run = True
         if attempt.relay_address is None and not attempt.headers_received:
@@ -467,6 +480,8 @@
         return self.retries.take(request.service, self.entry_vms_count, now_s)
 
     def _time_out(self, attempt: AttemptState, now_s: float) -> None:
+        if attempt.first_event_at_s is None:
+            self.rollouts.on_broken(attempt, now_s, certain=False)
         self.attempts.cancel(attempt, now_s)
         attempt.request.may_have_run = True
         if attempt.first_event_at_s is None and not attempt.headers_received:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -66,6 +66,7 @@
     :param replica_id: the replica it was last sent to.
     :param software_version: version of the replica that made the caller's first event; ``None``
         before that.
+    :param rollout_counted: whether it was counted as sent during a roll-out of its service.
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
     """
@@ -89,6 +90,7 @@
     connect_failures_count: int = 0
     replica_id: str | None = None
     software_version: str | None = None
+    rollout_counted: bool = False
     last_failure: str | None = None
     error_response: ReplicaResponse | None = None
 
--- /dev/null
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -0,0 +1,603 @@
+"""What one VM sends to the target of a roll-out, and what it knows of the roll-out's state.
+
+While the verdict is open, each VM sends the target no more than ``expose_share`` of the requests
+that it has sent itself, plus its fraction of the slack, so the bound over all VMs holds without any
+message. A process that was started after the order has no slack: another one may have spent it. A
+VM stops sending to the target when the answers that it knows of prove it bad, without waiting for
+the holder, and when its news of the roll-out is old.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+import xxhash
+
+from coriandershelf_core.internal.gateway.actions import Action, IncrementCounter, LogLine
+from coriandershelf_core.internal.gateway.attempts import AttemptState
+from coriandershelf_core.internal.gateway.deployment import RouteKind
+from coriandershelf_core.internal.gateway.digest import Digest
+from coriandershelf_core.internal.gateway.load_tracking import PREFILL_TOKEN_S
+from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
+from coriandershelf_core.internal.gateway.request import ActiveRequest
+from coriandershelf_core.internal.gateway.rollout import (
+    DRAINED_FOR_S,
+    VERDICT_SHARE,
+    Phase,
+    RolloutInputs,
+    RolloutNews,
+    RolloutOrder,
+    RolloutState,
+    begin,
+    decide,
+)
+from coriandershelf_core.internal.gateway.rollout_counts import (
+    Evidence,
+    Judged,
+    OwnCounts,
+    Timing,
+    VersionCounts,
+    latest_counts,
+    weigh,
+)
+from coriandershelf_core.internal.gateway.selection import FIRST_EVENT_BASE_S
+from coriandershelf_core.internal.gateway.settings import GatewaySettings
+
+# Share of the bound that is used: VMs count requests at slightly different times than callers.
+EXPOSURE_MARGIN = 0.8
+# At most this share of a VM's requests goes to the target, so that both versions are compared in
+# the same seconds; half of the slack is spent at once, the rest evenly until the verdict.
+CANARY_SHARE_MAX = 0.5
+SLACK_AT_ONCE_SHARE = 0.5
+# News of a roll-out is used for this share of ``rollback_s`` at most, and for a few digest periods.
+NEWS_ROLLBACK_SHARE = 0.6
+NEWS_PERIODS_COUNT = 3.0
+NEWS_MIN_AGE_S = 1.0
+# Delay of a digest, and error of the clocks, that is not regarded as age of its news.
+CLOCK_TOLERANCE_S = 0.3
+# A request that was to be sent to the target is counted for this long until it is.
+RESERVED_S = 0.1
+# Ended roll-outs are sent to the peers for this long; then only the store has them.
+ENDED_SHARED_S = 30.0
+# Without news of a running roll-out for this long, the state is read from the store.
+READ_STATE_AFTER_S = 1.5
+# Replicas to which the requests of a canary go at a time, as a share of the target's; so they are
+# loaded like the old ones, and a version that is bad under load shows it. Then others follow.
+CANARY_REPLICAS_SHARE = 0.1
+CANARY_ROTATION_S = 1.0
+EVALUATION_PERIOD_S = 0.25
+# Streams with fewer events say nothing about the pace of events.
+PACE_EVENTS_MIN_COUNT = 4
+# Replicas are not released for this long after the end of a roll-out: the registry is behind.
+SETTLED_AFTER_S = 6.0
+
+
+@dataclass(slots=True)
+class _ServiceRollout:
+    """The roll-out of one service, as known to this VM.
+
+    :param heard_s: when the state was last known to be current.
+    :param slack_count: this VM's fraction of the slack.
+    :param requests_count: requests that this VM has sent since it knows of the order;
+        ``target_count`` are the attempts at the target.
+    :param reserved: requests about to be sent to the target, with the end of the reservation.
+    :param credit: requests owed to the target while its share grows.
+    :param is_held: whether the known answers prove the target bad.
+    """
+
+    order: RolloutOrder
+    known_since_s: float
+    state: RolloutState | None = None
+    heard_s: float = -math.inf
+    own: OwnCounts = field(default_factory=OwnCounts)
+    peers: dict[tuple[str, int], VersionCounts] = field(default_factory=dict)
+    slack_count: float = 0.0
+    requests_count: int = 0
+    target_count: int = 0
+    reserved: dict[int, float] = field(default_factory=dict)
+    credit: float = 0.0
+    is_held: bool = False
+    evaluate_at_s: float = 0.0
+    old_running: int = 0
+    drained_since_s: float | None = None
+    ended_at_s: float | None = None
+
+    @property
+    def current(self) -> RolloutState | None:
+        """Return the state, unless it is that of an older order."""
+        state = self.state
+        return state if state is not None and state.offset == self.order.offset else None
+
+    @property
+    def barred(self) -> set[str]:
+        """Return the versions that must not be used."""
+        state = self.state
+        if state is None:
+            return set()
+        barred = set(state.barred)
+        if state.offset < self.order.offset:
+            if state.phase != Phase.COMPLETED:
+                barred.add(state.target)
+            barred.discard(self.order.target)
+        return barred
+
+    @property
+    def counts_answers(self) -> bool:
+        """Return whether the roll-out is running."""
+        state = self.current
+        return state is None or not state.ended
+
+
+@dataclass(slots=True)
+class Rollouts:
+    """The roll-outs known to this VM, by service.
+
+    :param fleet_count: returns the number of VMs among which the slack is divided.
+    :param digest_period_s: returns the longest period of the peers' digests.
+    :param unix_s: returns the Unix time at a monotonic time.
+    :param lead_until_s: end of this VM's lease while it is the holder: it decides the states.
+    """
+
+    settings: GatewaySettings
+    pool: Pool
+    fleet_count: Callable[[], int]
+    digest_period_s: Callable[[], float]
+    unix_s: Callable[[float], float]
+    emit: Callable[[Action], None]
+    lead_until_s: float = -math.inf
+    _services: dict[str, _ServiceRollout] = field(default_factory=dict)
+
+    @property
+    def known(self) -> bool:
+        """Return whether any order is known."""
+        return bool(self._services)
+
+    def state_of(self, service: str) -> RolloutState | None:
+        """Return the state of a service's latest order, if it is known."""
+        item = self._services.get(service)
+        return item.current if item is not None else None
+
+    def states(self) -> list[RolloutState]:
+        """Return the states of the latest orders."""
+        return [item.current for item in self._services.values() if item.current is not None]
+
+    def on_order(self, order: RolloutOrder, now_s: float) -> None:
+        """Take note of an order; an older one than the known is ignored."""
+        item = self._services.get(order.service)
+        if item is not None and order.offset <= item.order.offset:
+            if order.offset == item.order.offset and item.slack_count == 0.0:
+                item.slack_count = self._slack_count(order, item)
+            return
+        item = self._replace(order, item, now_s)
+        item.slack_count = self._slack_count(order, item)
+        fields = (
+            ("service", order.service),
+            ("target", order.target),
+            ("duration_s", order.duration_s),
+            ("offset", order.offset),
+        )
+        self.emit(LogLine("rollout ordered", fields))
+
+    def _slack_count(self, order: RolloutOrder, item: _ServiceRollout) -> float:
+        state = item.current
+        if order.earliest_s is None or (state is not None and state.ended):
+            return 0.0
+        return self.settings.canary_slack_count / max(1, self.fleet_count())
+
+    def _replace(
+        self, order: RolloutOrder, earlier: _ServiceRollout | None, now_s: float
+    ) -> _ServiceRollout:
+        item = _ServiceRollout(order, now_s, earlier.state if earlier is not None else None)
+        self._services[order.service] = item
+        return item
+
+    def on_state(self, state: RolloutState, heard_s: float, now_s: float) -> None:
+        """Take note of a state that was current at ``heard_s``; later states replace earlier."""
+        item = self._services.get(state.service)
+        if item is None or state.offset > item.order.offset:
+            order = RolloutOrder(state.service, state.target, state.duration_s, state.offset)
+            item = self._replace(order, item, now_s)
+        known = item.state
+        if known is not None and state.rank < known.rank:
+            return
+        if known is None or state.rank > known.rank:
+            item.state, item.credit, item.drained_since_s = state, 0.0, None
+            item.heard_s = heard_s
+            item.ended_at_s = now_s if state.ended else None
+            self._log_state(state)
+        item.heard_s = max(item.heard_s, heard_s)
+
+    def _log_state(self, state: RolloutState) -> None:
+        self.emit(IncrementCounter("rollouts", state.phase))
+        fields = (
+            ("service", state.service),
+            ("target", state.target),
+            ("phase", state.phase),
+            ("share", state.share),
+            ("reason", state.reason),
+            ("step", state.step),
+            ("number", state.number),
+        )
+        self.emit(LogLine("rollout phase", fields))
+
+    def on_digest(self, digest: Digest, now_s: float) -> None:
+        """Take note of a peer's news and counts."""
+        if not digest.rollouts and not digest.versions:
+            return
+        # A datagram that waited while this VM was frozen brings old news.
+        late_s = max(0.0, self.unix_s(now_s) - digest.clock_s - CLOCK_TOLERANCE_S)
+        for news in digest.rollouts.values():
+            self.on_state(news.state, now_s - max(0, news.age_ms) / 1e3 - late_s, now_s)
+        for service, counts in digest.versions.items():
+            item = self._services.get(service)
+            if item is not None and counts.offset == item.order.offset:
+                item.peers[digest.vm_id, digest.incarnation] = counts
+
+    def news(self, now_s: float) -> dict[str, RolloutNews]:
+        """Return the news for a digest: running and just ended roll-outs."""
+        news = {}
+        for service, item in self._services.items():
+            state = item.current
+            if state is None:
+                continue
+            if item.ended_at_s is not None and now_s - item.ended_at_s > ENDED_SHARED_S:
+                continue
+            age_s = min(3600.0, max(0.0, now_s - self._heard_s(item, now_s)))
+            news[service] = RolloutNews(state, round(age_s * 1e3))
+        return news
+
+    def counts(self) -> dict[str, VersionCounts]:
+        """Return this VM's counts for a digest, of the running roll-outs."""
+        return {
+            service: item.own.snapshot(item.order.offset, item.old_running)
+            for service, item in self._services.items()
+            if item.counts_answers
+        }
+
+    def needs_state(self, now_s: float) -> bool:
+        """Return whether the state of a roll-out should be read from the store."""
+        return any(
+            item.counts_answers
+            and now_s - max(item.known_since_s, self._heard_s(item, now_s)) > READ_STATE_AFTER_S
+            for item in self._services.values()
+        )
+
+    def is_settled(self, service: str, now_s: float) -> bool:
+        """Return whether a service has no roll-out, or one that ended some time ago."""
+        item = self._services.get(service)
+        if item is None:
+            return True
+        return item.ended_at_s is not None and now_s - item.ended_at_s > SETTLED_AFTER_S
+
+    def allowed(
+        self, request: ActiveRequest, states: Sequence[ReplicaState], now_s: float
+    ) -> Sequence[ReplicaState]:
+        """Return the replicas whose version may run a request.
+
+        :param states: the usable replicas of its service.
+        """
+        item = self._services.get(request.service)
+        if item is None:
+            return states
+        target, barred, state = item.order.target, item.barred, item.current
+        new = [s for s in states if s.replica.software_version == target and target not in barred]
+        old = [
+            s
+            for s in states
+            if s.replica.software_version != target and s.replica.software_version not in barred
+        ]
+        if state is not None and state.phase == Phase.COMPLETED:
+            return new or old
+        if not new:
+            return old
+        is_open = state is None or state.phase == Phase.CANARY
+        is_known_open = is_open and state is not None and self._is_fresh(item, now_s)
+        if not old and not item.is_held and not is_known_open:
+            # This VM may have missed that the roll-out was completed and the old replicas stopped.
+            return new
+        version = request.software_version
+        if version is not None and version != target:
+            return old
+        is_target = version == target
+        if item.is_held or not self._may_send(item, request, is_target, now_s):
+            return [] if is_target else old
+        chosen = new
+        if not is_target and (state is None or state.phase != Phase.DRAINING):
+            chosen = self._open_replicas(new, is_open, now_s)
+        if not chosen:
+            return old
+        item.reserved[request.arrival.handle] = now_s + RESERVED_S
+        return chosen
+
+    def _may_send(
+        self, item: _ServiceRollout, request: ActiveRequest, is_target: bool, now_s: float
+    ) -> bool:
+        """Return whether the target may get a request; ``is_target`` if it began its stream."""
+        state = item.current
+        is_fresh = self._is_fresh(item, now_s)
+        if state is not None and is_fresh:
+            if state.phase == Phase.DRAINING:
+                return True
+            if state.phase == Phase.MOVING:
+                return is_target or self._takes_share(item, state, request)
+        if state is None or not is_fresh:
+            return False
+        # A retry of a failed request goes to the old version, so that its caller is served.
+        if request.sent_count and not is_target:
+            return False
+        return self._is_within_bound(item, state, request, now_s)
+
+    @staticmethod
+    def _takes_share(item: _ServiceRollout, state: RolloutState, request: ActiveRequest) -> bool:
+        if request.sent_count:
+            return False
+        item.credit = min(1.0 + state.share, item.credit + state.share)
+        if item.credit < 1.0:
+            return False
+        item.credit -= 1.0
+        return True
+
+    def _is_within_bound(
+        self, item: _ServiceRollout, state: RolloutState, request: ActiveRequest, now_s: float
+    ) -> bool:
+        item.reserved = {
+            handle: until_s
+            for handle, until_s in item.reserved.items()
+            if until_s > now_s and handle != request.arrival.handle
+        }
+        count = item.target_count + len(item.reserved) + 1
+        verdict_s = max(0.1, VERDICT_SHARE * state.duration_s)
+        elapsed_share = min(1.0, max(0.0, now_s - item.known_since_s) / verdict_s)
+        slack_share = SLACK_AT_ONCE_SHARE + (1.0 - SLACK_AT_ONCE_SHARE) * elapsed_share
+        bound = item.slack_count * slack_share
+        bound += self.settings.expose_share * item.requests_count
+        most = CANARY_SHARE_MAX * item.requests_count + 1.0
+        return count <= min(EXPOSURE_MARGIN * bound, most)
+
+    def _open_replicas(
+        self, new: Sequence[ReplicaState], is_canary: bool, now_s: float
+    ) -> list[ReplicaState]:
+        """Return the target's replicas with free slots; of a canary a few, on which VMs agree."""
+        open_states = [
+            state
+            for state in new
+            if now_s >= max(state.ejected_until_s, state.backoff_until_s)
+            and state.running_count < state.replica.slots_count
+        ]
+        if not is_canary:
+            return open_states
+        window = int(self.unix_s(now_s) / CANARY_ROTATION_S)
+        count = max(1, round(CANARY_REPLICAS_SHARE * len(new)))
+        return sorted(
+            open_states,
+            key=lambda state: xxhash.xxh64_intdigest(
+                f"{window}/{state.replica.replica_id}".encode()
+            ),
+        )[:count]
+
+    def _heard_s(self, item: _ServiceRollout, now_s: float) -> float:
+        return now_s if now_s < self.lead_until_s else item.heard_s
+
+    def _is_fresh(self, item: _ServiceRollout, now_s: float) -> bool:
+        max_age_s = max(NEWS_MIN_AGE_S, NEWS_PERIODS_COUNT * self.digest_period_s())
+        max_age_s = min(max_age_s, NEWS_ROLLBACK_SHARE * self.settings.rollback_s)
+        return now_s - self._heard_s(item, now_s) <= max_age_s
+
+    def on_started(self, request: ActiveRequest, state: ReplicaState) -> None:
+        """Count an attempt that is about to be sent."""
+        item = self._services.get(request.service)
+        if item is None:
+            return
+        item.reserved.pop(request.arrival.handle, None)
+        if not request.rollout_counted:
+            request.rollout_counted = True
+            item.requests_count += 1
+        if state.replica.software_version == item.order.target:
+            item.target_count += 1
+            if item.counts_answers:
+                self.emit(IncrementCounter("rollout_sends", request.service))
+
+    def on_answer(self, attempt: AttemptState, failed: bool, now_s: float) -> None:
+        """Count a complete response, or a stream's first event."""
+        item = self._counted(attempt)
+        if item is None:
+            return
+        is_new = self._is_new(item, attempt)
+        item.own.confirm_breaks(attempt.state.replica.replica_id, now_s)
+        taken_s = now_s - attempt.started_at_s
+        timing = _timing(attempt, taken_s)
+        reference = attempt.request.route.name
+        is_bad = failed or item.own.is_slow(reference, is_new, timing, now_s)
+        if not is_new and not failed:
+            item.own.note_time(reference, timing, now_s)
+        self._judge(item, attempt, is_bad)
+
+    def on_stream_ended(self, attempt: AttemptState, now_s: float) -> None:
+        """Compare the pace of a whole stream's events."""
+        item = self._counted(attempt)
+        if item is None or attempt.first_event_at_s is None:
+            return
+        if attempt.events_count < PACE_EVENTS_MIN_COUNT:
+            return
+        is_new = self._is_new(item, attempt)
+        gap_s = (now_s - attempt.first_event_at_s) / attempt.events_count
+        # The pace does not depend on prompts, so it is compared with the old version's alone.
+        timing = Timing(gap_s, 1.0, 0.0)
+        reference = f"{attempt.request.route.name}/pace"
+        is_slow = item.own.is_slow(reference, is_new, timing, now_s)
+        if not is_new:
+            item.own.note_time(reference, timing, now_s)
+        if is_slow:
+            self._judge(item, attempt, True)
+
+    def on_broken(self, attempt: AttemptState, now_s: float, certain: bool) -> None:
+        """Count an attempt that broke off or gave no answer in time.
+
+        :param certain: whether the replica itself is known to run.
+        """
+        item = self._counted(attempt)
+        if item is None or attempt.judged is Judged.BAD:
+            return
+        if certain:
+            self._judge(item, attempt, True)
+            return
+        counted = attempt.judged is not Judged.NOT_YET
+        attempt.judged = Judged.BAD
+        replica = attempt.state.replica
+        item.own.add_break(
+            attempt.request.route.name, replica.replica_id, self._is_new(item, attempt),
+            attempt.started_at_s, counted, now_s,
+        )  # fmt: skip
+
+    def on_abandoned(self, attempt: AttemptState, now_s: float) -> None:
+        """Count an attempt whose caller left, or that waits, if its answer is late already."""
+        item = self._counted(attempt)
+        if item is None or attempt.judged is not Judged.NOT_YET:
+            return
+        if attempt.headers_received and attempt.request.route.kind is not RouteKind.STREAM:
+            return
+        timing = _timing(attempt, now_s - attempt.started_at_s)
+        is_new = self._is_new(item, attempt)
+        if item.own.is_slow(attempt.request.route.name, is_new, timing, now_s):
+            self._judge(item, attempt, True)
+
+    def _judge(self, item: _ServiceRollout, attempt: AttemptState, is_bad: bool) -> None:
+        """Count an attempt once as an answer, and at most once as a bad one."""
+        answers = int(attempt.judged is Judged.NOT_YET)
+        bad = int(is_bad and attempt.judged is not Judged.BAD)
+        if answers or bad:
+            replica = attempt.state.replica
+            is_new = self._is_new(item, attempt)
+            route = attempt.request.route.name
+            item.own.add(route, replica.replica_id, is_new, answers, bad)
+            attempt.judged = Judged.BAD if is_bad else Judged.GOOD
+            if bad and is_new:
+                item.evaluate_at_s = 0.0
+                self.emit(IncrementCounter("rollout_bad_answers", attempt.request.service))
+
+    def _counted(self, attempt: AttemptState) -> _ServiceRollout | None:
+        if not self._services:
+            return None
+        item = self._services.get(attempt.request.service)
+        return item if item is not None and item.counts_answers else None
+
+    @staticmethod
+    def _is_new(item: _ServiceRollout, attempt: AttemptState) -> bool:
+        return attempt.state.replica.software_version == item.order.target
+
+    def on_tick(self, attempts: Iterable[AttemptState], now_s: float) -> None:
+        """Judge attempts that wait for too long, and the target by all known counts."""
+        due = [
+            (service, item)
+            for service, item in self._services.items()
+            if item.counts_answers and now_s >= item.evaluate_at_s
+        ]
+        for service, item in due:
+            item.evaluate_at_s = now_s + EVALUATION_PERIOD_S
+            item.old_running = 0
+            for attempt in attempts:
+                if attempt.request.service == service:
+                    self.on_abandoned(attempt, now_s)
+                    item.old_running += int(not self._is_new(item, attempt))
+            evidence = self._evidence(item, service)
+            if evidence.bad != item.is_held:
+                item.is_held = evidence.bad
+                event = "rollout held" if evidence.bad else "rollout no longer held"
+                fields = (
+                    ("service", service),
+                    ("target", item.order.target),
+                    ("evidence", evidence.reason),
+                )
+                self.emit(LogLine(event, fields))
+
+    def _evidence(self, item: _ServiceRollout, service: str) -> Evidence:
+        replicas = [
+            state.replica.replica_id
+            for state in self.pool.usable(service)
+            if state.replica.software_version == item.order.target
+        ]
+        own = item.own.snapshot(item.order.offset, item.old_running)
+        return weigh(latest_counts(item.peers, own), replicas)
+
+    def propose(
+        self,
+        number: int,
+        live_digests: Sequence[Digest],
+        running_count: Callable[[str], int],
+        now_s: float,
+    ) -> list[RolloutState]:
+        """Return the changes of state that the lease holder should write to the store.
+
+        :param number: the holder's fencing token.
+        :param live_digests: the last digests of the VMs that are heard.
+        """
+        changes = []
+        unix_s = self.unix_s(now_s)
+        for service, item in self._services.items():
+            state = item.current
+            if state is not None and state.ended:
+                continue
+            inputs = self._inputs(item, service, live_digests, running_count(service), now_s)
+            if state is None:
+                earliest_s = item.order.earliest_s
+                earliest_unix_s = self.unix_s(earliest_s) if earliest_s is not None else None
+                changes.append(
+                    begin(item.order, item.state, inputs, number, earliest_unix_s, unix_s)
+                )
+                continue
+            change = decide(state, inputs, number, unix_s)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def _inputs(
+        self,
+        item: _ServiceRollout,
+        service: str,
+        live_digests: Sequence[Digest],
+        running_count: int,
+        now_s: float,
+    ) -> RolloutInputs:
+        target = item.order.target
+        usable = self.pool.usable(service)
+        new = [state.replica for state in usable if state.replica.software_version == target]
+        old = [state.replica for state in usable if state.replica.software_version != target]
+        starts = [replica.started_at_ms / 1e3 for replica in new if replica.started_at_ms]
+        is_drained = all(_is_drained(digest, item, service) for digest in live_digests)
+        if item.old_running or not is_drained:
+            item.drained_since_s = None
+        elif item.drained_since_s is None:
+            item.drained_since_s = now_s
+        drained_for_s = 0.0 if item.drained_since_s is None else now_s - item.drained_since_s
+        return RolloutInputs(
+            self._evidence(item, service),
+            sum(replica.slots_count for replica in new),
+            sum(replica.slots_count for replica in old),
+            len(new),
+            len(old),
+            running_count,
+            drained_for_s,
+            min(starts, default=None),
+        )
+
+
+def _is_drained(digest: Digest, item: _ServiceRollout, service: str) -> bool:
+    """Return whether a VM sends nothing new to the old versions and has nothing there."""
+    news, counts = digest.rollouts.get(service), digest.versions.get(service)
+    offset = item.order.offset
+    if news is None or counts is None or counts.offset != offset or news.state.offset != offset:
+        return False
+    return news.state.phase == Phase.DRAINING and counts.old_running == 0
+
+
+def _timing(attempt: AttemptState, taken_s: float) -> Timing:
+    cold_s = attempt.baseline_s
+    if attempt.request.arrival.prompt_tokens and attempt.request.route.kind is RouteKind.STREAM:
+        prefill_s = PREFILL_TOKEN_S * attempt.request.arrival.prompt_tokens
+        cold_s = max(cold_s, FIRST_EVENT_BASE_S + prefill_s)
+    return Timing(taken_s, attempt.baseline_s, cold_s)
+
+
+assert DRAINED_FOR_S > EVALUATION_PERIOD_S, "requests in flight are counted once a period"
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -160,12 +160,15 @@
     :param first_start: whether the whole system starts for the first time, so that there can be no
         traffic that this VM has not seen.
     :param settle_s: how long replicas may take to register after the first call of ``orders``.
+    :param held_services: services of which no replicas are released: during a roll-out those of
+        the new version serve beside the old ones and are no surplus.
     """
 
     rate_per_replica: float
     on_demand_rate_per_replica: float
     first_start: bool = False
     settle_s: float = SETTLE_S
+    held_services: set[str] = field(default_factory=set)
     _groups: dict[tuple[str, str, bool], _ReplicaGroup] = field(default_factory=dict)
     _loads: dict[str, deque[tuple[float, ServiceLoad]]] = field(default_factory=dict)
     _initial_counts: dict[str, int] = field(default_factory=dict)
@@ -330,6 +333,9 @@
         if order.reclaimable and self._is_spot_shortage(order.service, now_s):
             group.surplus_since_s = None
             return False
+        if order.service in self.held_services:
+            group.surplus_since_s = None
+            return False
         if group.surplus_since_s is None:
             group.surplus_since_s = now_s
         if self._is_before_traffic:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
@@ -16,6 +16,9 @@
     :param denial_age_max_s: age of the configuration beyond which an unknown route or key is
         answered as not run rather than as denied.
     :param usage_window_s: length of a usage window.
+    :param expose_share: share of a service's requests that a version without a verdict may get.
+    :param canary_slack_count: requests that it may get in addition, over all entry VMs.
+    :param rollback_s: time after a version's 50th bad answer within which it must get no more.
     :param grace_s: time between the stop request and the end of the process.
     """
 
@@ -26,6 +29,9 @@
     denial_age_max_s: float = 1.6
     usage_window_s: float = 5.0
     grace_s: float = 8.0
+    expose_share: float = 0.1
+    canary_slack_count: float = 50.0
+    rollback_s: float = 5.0
 
 
 # Share of the retry budget that is used, since VMs see requests and retries at slightly different
