Roll-outs: bad replicas are told from a bad version by their rates; recent counts weigh by themselves

Cause: leaving out the worst replica cost a quarter of the evidence, and a version that turned bad was excused by its earlier good answers.

Change: a replica's bad answers count up to twice the median rate of the target's replicas; the counts of the last two seconds are weighed as well as all of them.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
@@ -14,6 +14,14 @@
 
 from coriandershelf_core.internal.gateway.rollout_counts import Evidence
 
+# Score of the evidence (see ``rollout_counts``) that ends a roll-out while little is at stake: the
+# counts are looked at many times. It is lower where a bad version would get more traffic, and
+# lowest at the one look when the verdict is due.
+CANARY_BAD_SCORE = 11.0
+MOVING_BAD_SCORE = 8.0
+VERDICT_BAD_SCORE = 6.0
+# Above this score an early verdict waits for more evidence.
+DOUBT_SCORE = 3.0
 # Shares of an order's time. Evidence is gathered at least until ``VERDICT_SHARE``, so that a
 # version that turns bad later is seen; what follows is needed to move the traffic and to let
 # streams of the old version end.
@@ -164,8 +172,8 @@
     started_s = unix_s if earliest_unix_s is None else min(unix_s, earliest_unix_s)
     first_s = inputs.first_new_replica_s
     if first_s is not None and unix_s - ORDER_MAX_AGE_S < first_s < unix_s:
-        if earliest_unix_s is None or first_s - started_s > ORDER_TIME_DOUBT_S:
-            started_s = first_s
+        is_doubtful = earliest_unix_s is None or first_s - started_s > ORDER_TIME_DOUBT_S
+        started_s = first_s if is_doubtful else started_s
     barred: set[str] = set(earlier.barred) if earlier is not None else set()
     if earlier is not None and earlier.phase != Phase.COMPLETED:
         barred.add(earlier.target)
@@ -196,7 +204,7 @@
     def change(phase: Phase, reason: str, new_share: float = 0.0) -> RolloutState:
         return _changed(state, phase, reason, new_share, number, unix_s)
 
-    if evidence.bad:
+    if evidence.score >= bad_score(state.phase):
         return change(Phase.REVERTED, evidence.reason)
     margin_s = max(END_MARGIN_MIN_S, END_MARGIN_SHARE * state.duration_s)
     at_end = elapsed_s >= state.duration_s - margin_s
@@ -209,7 +217,7 @@
     if at_end:
         if not inputs.new_count:
             return change(Phase.REVERTED, "no replicas")
-        if evidence.doubtful and state.phase == Phase.CANARY:
+        if evidence.score >= VERDICT_BAD_SCORE and state.phase == Phase.CANARY:
             return change(Phase.REVERTED, evidence.reason)
         return change(Phase.COMPLETED, "time limit", 1.0)
     if not inputs.new_count:
@@ -233,6 +241,11 @@
     return None
 
 
+def bad_score(phase: str) -> float:
+    """Return the score of the evidence that proves a target bad."""
+    return MOVING_BAD_SCORE if phase in (Phase.MOVING, Phase.DRAINING) else CANARY_BAD_SCORE
+
+
 def _changed(
     state: RolloutState, phase: Phase, reason: str, share: float, number: int, unix_s: float
 ) -> RolloutState:
@@ -255,9 +268,10 @@
     if share < VERDICT_SHARE or not (is_observed or share >= LATE_CAPACITY_SHARE):
         return None
     if share < LATE_VERDICT_SHARE:
-        if evidence.doubtful or evidence.answers_count < ANSWERS_MIN_COUNT:
+        is_enough = evidence.answers_count >= ANSWERS_MIN_COUNT
+        if evidence.score >= DOUBT_SCORE or not is_enough:
             return None
-    elif evidence.doubtful:
+    elif evidence.score >= VERDICT_BAD_SCORE:
         return Phase.REVERTED
     if _capacity_share(inputs) < MOVING_SHARES[0] and share < LATE_CAPACITY_SHARE:
         return None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from statistics import median
+from statistics import median, median_low
 
 # An answer is slow beyond this multiple of the median of the old version on its route.
-SLOW_FACTOR = 2.5
+SLOW_FACTOR = 2.8
 # New replicas have empty prompt caches, so their answers must also exceed this multiple of the time
 # without any cached prompt.
 COLD_SLOW_FACTOR = 2.0
@@ -30,20 +30,19 @@
 BREAK_KEPT_S = 6.0
 BREAK_CONFIRMED_AFTER_S = 0.1
 # Bad answers are expected at twice the old version's rate, but at no less than this one.
-BAD_RATE_FLOOR = 0.02
+BAD_RATE_FLOOR = 0.01
 REFERENCE_FACTOR = 2.0
 REFERENCE_PRIOR_COUNT = 10.0
 REFERENCE_PRIOR_BAD = 0.5
 BAD_MIN_COUNT = 4
-# Bounds on the logarithm of the chance that a sound version gives so many bad answers (Chernoff).
-# Reverting takes e^-11; e^-6 suffices when the verdict is due, and e^-5 as the number of bad
-# answers that must end a roll-out is approached.
-BAD_SCORE = 11.0
-DOUBT_SCORE = 6.0
+# As this number of bad answers is reached, the proof that is asked for is lowered to this score:
+# not many more may follow.
 MANY_BAD_COUNT = 25
 MANY_BAD_SCORE = 5.0
-# Of the target's replicas this share, at least one of several, may be bad by itself.
-OUTLIER_SHARE = 0.25
+# Bad answers of one of the target's several replicas count up to the first number, and beyond it up
+# to this multiple of the median rate: a replica may be bad by itself.
+OUTLIER_COUNT = 1
+OUTLIER_FACTOR = 2.0
 
 
 class Judged(Enum):
@@ -58,12 +57,12 @@
 class RouteCounts:
     """Answers on one route: of the target and of the other versions.
 
-    :param new_bad: bad answers of the target by replica.
+    :param new: answers of the target by replica, and ``new_bad`` the bad ones.
     """
 
-    new: int = 0
     old: int = 0
     old_bad: int = 0
+    new: dict[str, int] = field(default_factory=dict)
     new_bad: dict[str, int] = field(default_factory=dict)
 
 
@@ -78,74 +77,105 @@
     old_running: int = 0
     routes: dict[str, RouteCounts] = field(default_factory=dict)
 
+    @property
+    def bad_count(self) -> int:
+        """Return the bad answers of the target."""
+        return sum(sum(item.new_bad.values()) for item in self.routes.values())
+
 
 @dataclass(frozen=True, slots=True)
 class Evidence:
     """What the counts say about the target.
 
-    :param bad: whether no sound version could have given these answers.
-    :param doubtful: whether a sound version hardly could.
+    :param score: a sound version gives so many bad answers with a chance of at most e^-score.
     """
 
-    bad: bool = False
-    doubtful: bool = False
+    score: float = 0.0
     answers_count: int = 0
     bad_count: int = 0
     reason: str = ""
 
 
-def weigh(counts: Iterable[VersionCounts], replicas: Iterable[str]) -> Evidence:
+def sum_routes(counts: Iterable[VersionCounts]) -> dict[str, RouteCounts]:
+    """Return the counts of all VMs by route."""
+    routes: dict[str, list[RouteCounts]] = {}
+    for vm_counts in counts:
+        for name, route in vm_counts.routes.items():
+            routes.setdefault(name, []).append(route)
+    return {name: _sum(items) for name, items in routes.items()}
+
+
+def counts_since(
+    sums: Mapping[str, RouteCounts], earlier: Mapping[str, RouteCounts]
+) -> dict[str, RouteCounts]:
+    """Return the difference of two sums."""
+    none = RouteCounts()
+    recent = {}
+    for name, item in sums.items():
+        past = earlier.get(name, none)
+        recent[name] = RouteCounts(
+            item.old - past.old,
+            item.old_bad - past.old_bad,
+            {key: count - past.new.get(key, 0) for key, count in item.new.items()},
+            {key: count - past.new_bad.get(key, 0) for key, count in item.new_bad.items()},
+        )
+    return recent
+
+
+def weigh(sums: Mapping[str, RouteCounts], replicas: Iterable[str]) -> Evidence:
     """Compare the target with the old versions, on each route and on all together.
 
     :param replicas: the target's replicas; bad answers of those that are gone or leave are left
         out, since a replica that is reclaimed breaks its requests in any version.
     """
     present = set(replicas)
-    routes: dict[str, list[RouteCounts]] = {}
-    for vm_counts in counts:
-        for name, route in vm_counts.routes.items():
-            routes.setdefault(name, []).append(route)
-    sums = {name: _sum(items) for name, items in routes.items()}
     total = _sum(sums.values())
-    bad = doubtful = False
-    reason = ""
+    highest, reason = 0.0, ""
     for name, item in (*sums.items(), ("all", total)):
         score, bad_count = _score(item, present)
-        limit = MANY_BAD_SCORE if bad_count >= MANY_BAD_COUNT else BAD_SCORE
-        if score >= min(limit, DOUBT_SCORE) and bad_count >= BAD_MIN_COUNT:
-            is_bad = score >= limit
-            if is_bad or not doubtful:
-                reason = f"{bad_count} bad of {item.new} on {name}, {item.old_bad} of {item.old}"
-            doubtful, bad = True, bad or is_bad
-    return Evidence(bad, doubtful, total.new, sum(total.new_bad.values()), reason)
+        if bad_count < BAD_MIN_COUNT:
+            continue
+        if bad_count >= MANY_BAD_COUNT and score >= MANY_BAD_SCORE:
+            score = math.inf
+        if score > highest:
+            highest = score
+            reason = f"{bad_count} bad of {sum(item.new.values())} on {name}, {item.old_bad} of {item.old}"
+    return Evidence(highest, sum(total.new.values()), sum(total.new_bad.values()), reason)
 
 
 def _sum(items: Iterable[RouteCounts]) -> RouteCounts:
-    new = old = old_bad = 0
-    new_bad: dict[str, int] = {}
+    old = old_bad = 0
+    new: Counter[str] = Counter()
+    new_bad: Counter[str] = Counter()
     for item in items:
-        new, old, old_bad = new + item.new, old + item.old, old_bad + item.old_bad
-        for name, count in item.new_bad.items():
-            new_bad[name] = new_bad.get(name, 0) + count
-    return RouteCounts(new, old, old_bad, new_bad)
+        old, old_bad = old + item.old, old_bad + item.old_bad
+        new.update(item.new)
+        new_bad.update(item.new_bad)
+    return RouteCounts(old, old_bad, dict(new), dict(new_bad))
 
 
 def _score(item: RouteCounts, present: set[str]) -> tuple[float, int]:
     """Return -log of the bound on the chance of these counts, and the bad answers regarded."""
-    counts = sorted(count for name, count in item.new_bad.items() if name in present)
-    outliers = max(1, int(OUTLIER_SHARE * len(present))) if len(present) > 1 else 0
-    kept = counts[: max(0, len(counts) - outliers)]
-    bad = sum(kept)
-    if len(present) > 1:
-        # The outliers' answers are left out as well, at the mean number of a replica.
-        answers = max(float(bad), item.new * (1.0 - outliers / len(present)))
-    else:
-        answers = float(item.new)
-    if bad == 0 or answers <= 0.0:
-        return 0.0, bad
+    used = [
+        (count, item.new_bad.get(name, 0))
+        for name, count in item.new.items()
+        if count > 0 and name in present
+    ]
+    answers = sum(count for count, _ in used)
+    bad = sum(count for _, count in used)
+    if bad and len(present) > 1:
+        # A replica that is bad by itself counts little beyond what its like have.
+        usual_rate = median_low(bad_count / count for count, bad_count in used)
+        usual_rate = usual_rate if len(used) > 1 else 0.0
+        bad = sum(
+            min(bad_count, OUTLIER_COUNT + int(OUTLIER_FACTOR * usual_rate * count))
+            for count, bad_count in used
+        )
+    if bad == 0:
+        return 0.0, 0
     old_rate = (item.old_bad + REFERENCE_PRIOR_BAD) / (item.old + REFERENCE_PRIOR_COUNT)
     expected = max(BAD_RATE_FLOOR, REFERENCE_FACTOR * old_rate)
-    rate = bad / answers
+    rate = min(1.0, bad / answers)
     if expected >= 1.0 or rate <= expected:
         return 0.0, bad
     divergence = rate * math.log(rate / expected)
@@ -169,9 +199,9 @@
 
 @dataclass(slots=True)
 class _Tally:
-    new: int = 0
     old: int = 0
     old_bad: int = 0
+    new: dict[str, int] = field(default_factory=dict)
     new_bad: dict[str, int] = field(default_factory=dict)
 
 
@@ -194,14 +224,22 @@
     def snapshot(self, offset: int, old_running: int) -> VersionCounts:
         """Return the counts for a digest."""
         routes = {
-            name: RouteCounts(item.new, item.old, item.old_bad, dict(item.new_bad))
+            name: RouteCounts(item.old, item.old_bad, dict(item.new), dict(item.new_bad))
             for name, item in self._tallies.items()
         }
         return VersionCounts(offset, old_running, routes)
 
-    def is_slow(self, reference: str, is_new: bool, timing: Timing, now_s: float) -> bool:
-        """Return whether a time is several times that of the old version."""
-        usual = self._usual_ratio(reference, now_s)
+    def is_slow(
+        self, references: tuple[str, ...], is_new: bool, timing: Timing, now_s: float
+    ) -> bool:
+        """Return whether a time is several times that of the old version.
+
+        :param references: names of the times to compare with; the first with enough of them holds.
+        """
+        usual = next(
+            (ratio for name in references if (ratio := self._usual_ratio(name, now_s)) is not None),
+            None,
+        )
         if usual is None:
             return False
         limit_s = SLOW_FACTOR * usual * timing.baseline_s
@@ -209,16 +247,18 @@
             limit_s = max(limit_s, COLD_SLOW_FACTOR * usual * timing.cold_s)
         return timing.taken_s > limit_s + SLOW_MIN_S
 
-    def note_time(self, reference: str, timing: Timing, now_s: float) -> None:
+    def note_time(self, references: tuple[str, ...], timing: Timing, now_s: float) -> None:
         """Add a time of the old version to those that others are compared with."""
-        ratios = self._ratios.setdefault(reference, deque(maxlen=REFERENCE_MAX_COUNT))
-        ratios.append((now_s, timing.taken_s / max(1e-4, timing.baseline_s)))
+        ratio = timing.taken_s / max(1e-4, timing.baseline_s)
+        for name in references:
+            ratios = self._ratios.setdefault(name, deque(maxlen=REFERENCE_MAX_COUNT))
+            ratios.append((now_s, ratio))
 
     def add(self, route: str, replica: str, is_new: bool, answers: int, bad: int) -> None:
         """Count answers of a replica."""
         tally = self._tallies.setdefault(route, _Tally())
         if is_new:
-            tally.new += answers
+            tally.new[replica] = tally.new.get(replica, 0) + answers
             if bad:
                 tally.new_bad[replica] = tally.new_bad.get(replica, 0) + bad
         else:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -10,8 +10,9 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -30,6 +31,7 @@
     RolloutNews,
     RolloutOrder,
     RolloutState,
+    bad_score,
     begin,
     decide,
 )
@@ -37,9 +39,12 @@
     Evidence,
     Judged,
     OwnCounts,
+    RouteCounts,
     Timing,
     VersionCounts,
+    counts_since,
     latest_counts,
+    sum_routes,
     weigh,
 )
 from coriandershelf_core.internal.gateway.selection import FIRST_EVENT_BASE_S
@@ -66,8 +71,10 @@
 # Replicas to which the requests of a canary go at a time, as a share of the target's; so they are
 # loaded like the old ones, and a version that is bad under load shows it. Then others follow.
 CANARY_REPLICAS_SHARE = 0.1
-CANARY_ROTATION_S = 1.0
+CANARY_ROTATION_S = 0.7
 EVALUATION_PERIOD_S = 0.25
+# The counts of this last time are judged by themselves as well.
+RECENT_S = 2.0
 # Streams with fewer events say nothing about the pace of events.
 PACE_EVENTS_MIN_COUNT = 4
 # Replicas are not released for this long after the end of a roll-out: the registry is behind.
@@ -84,6 +91,7 @@
         ``target_count`` are the attempts at the target.
     :param reserved: requests about to be sent to the target, with the end of the reservation.
     :param credit: requests owed to the target while its share grows.
+    :param past: all counts at times of the last ``RECENT_S``.
     :param is_held: whether the known answers prove the target bad.
     """
 
@@ -99,6 +107,7 @@
     reserved: dict[int, float] = field(default_factory=dict)
     credit: float = 0.0
     is_held: bool = False
+    past: deque[tuple[float, dict[str, RouteCounts]]] = field(default_factory=deque)
     evaluate_at_s: float = 0.0
     old_running: int = 0
     drained_since_s: float | None = None
@@ -232,8 +241,13 @@
             self.on_state(news.state, now_s - max(0, news.age_ms) / 1e3 - late_s, now_s)
         for service, counts in digest.versions.items():
             item = self._services.get(service)
-            if item is not None and counts.offset == item.order.offset:
-                item.peers[digest.vm_id, digest.incarnation] = counts
+            if item is None or counts.offset != item.order.offset:
+                continue
+            key = (digest.vm_id, digest.incarnation)
+            known = item.peers.get(key)
+            item.peers[key] = counts
+            if known is not None and known.bad_count != counts.bad_count:
+                item.evaluate_at_s = 0.0
 
     def news(self, now_s: float) -> dict[str, RolloutNews]:
         """Return the news for a digest: running and just ended roll-outs."""
@@ -408,10 +422,10 @@
         item.own.confirm_breaks(attempt.state.replica.replica_id, now_s)
         taken_s = now_s - attempt.started_at_s
         timing = _timing(attempt, taken_s)
-        reference = attempt.request.route.name
-        is_bad = failed or item.own.is_slow(reference, is_new, timing, now_s)
+        references = _references(attempt, "")
+        is_bad = failed or item.own.is_slow(references, is_new, timing, now_s)
         if not is_new and not failed:
-            item.own.note_time(reference, timing, now_s)
+            item.own.note_time(references, timing, now_s)
         self._judge(item, attempt, is_bad)
 
     def on_stream_ended(self, attempt: AttemptState, now_s: float) -> None:
@@ -425,10 +439,10 @@
         gap_s = (now_s - attempt.first_event_at_s) / attempt.events_count
         # The pace does not depend on prompts, so it is compared with the old version's alone.
         timing = Timing(gap_s, 1.0, 0.0)
-        reference = f"{attempt.request.route.name}/pace"
-        is_slow = item.own.is_slow(reference, is_new, timing, now_s)
+        references = _references(attempt, "pace")
+        is_slow = item.own.is_slow(references, is_new, timing, now_s)
         if not is_new:
-            item.own.note_time(reference, timing, now_s)
+            item.own.note_time(references, timing, now_s)
         if is_slow:
             self._judge(item, attempt, True)
 
@@ -460,7 +474,7 @@
             return
         timing = _timing(attempt, now_s - attempt.started_at_s)
         is_new = self._is_new(item, attempt)
-        if item.own.is_slow(attempt.request.route.name, is_new, timing, now_s):
+        if item.own.is_slow(_references(attempt, ""), is_new, timing, now_s):
             self._judge(item, attempt, True)
 
     def _judge(self, item: _ServiceRollout, attempt: AttemptState, is_bad: bool) -> None:
@@ -501,10 +515,12 @@
                 if attempt.request.service == service:
                     self.on_abandoned(attempt, now_s)
                     item.old_running += int(not self._is_new(item, attempt))
-            evidence = self._evidence(item, service)
-            if evidence.bad != item.is_held:
-                item.is_held = evidence.bad
-                event = "rollout held" if evidence.bad else "rollout no longer held"
+            evidence = self._evidence(item, service, now_s)
+            state = item.current
+            is_bad = evidence.score >= bad_score(state.phase if state is not None else "")
+            if is_bad != item.is_held:
+                item.is_held = is_bad
+                event = "rollout held" if is_bad else "rollout no longer held"
                 fields = (
                     ("service", service),
                     ("target", item.order.target),
@@ -512,14 +528,24 @@
                 )
                 self.emit(LogLine(event, fields))
 
-    def _evidence(self, item: _ServiceRollout, service: str) -> Evidence:
+    def _evidence(self, item: _ServiceRollout, service: str, now_s: float) -> Evidence:
         replicas = [
             state.replica.replica_id
             for state in self.pool.usable(service)
             if state.replica.software_version == item.order.target
         ]
         own = item.own.snapshot(item.order.offset, item.old_running)
-        return weigh(latest_counts(item.peers, own), replicas)
+        sums = sum_routes(latest_counts(item.peers, own))
+        whole = weigh(sums, replicas)
+        # A version that turns bad is not excused by its good answers before.
+        while len(item.past) > 1 and item.past[1][0] <= now_s - RECENT_S:
+            item.past.popleft()
+        recent = weigh(counts_since(sums, item.past[0][1]), replicas) if item.past else whole
+        if not item.past or now_s - item.past[-1][0] >= EVALUATION_PERIOD_S:
+            item.past.append((now_s, sums))
+        if recent.score > whole.score:
+            return replace(whole, score=recent.score, reason=f"{recent.reason} lately")
+        return whole
 
     def propose(
         self,
@@ -572,7 +598,7 @@
             item.drained_since_s = now_s
         drained_for_s = 0.0 if item.drained_since_s is None else now_s - item.drained_since_s
         return RolloutInputs(
-            self._evidence(item, service),
+            self._evidence(item, service, now_s),
             sum(replica.slots_count for replica in new),
             sum(replica.slots_count for replica in old),
             len(new),
@@ -592,6 +618,12 @@
     return news.state.phase == Phase.DRAINING and counts.old_running == 0
 
 
+def _references(attempt: AttemptState, measure: str) -> tuple[str, str]:
+    """Return what a time is compared with: its route, or all routes of the kind if rarely used."""
+    route = attempt.request.route
+    return f"{measure}/{route.name}", f"{measure}//{route.kind.value}"
+
+
 def _timing(attempt: AttemptState, taken_s: float) -> Timing:
     cold_s = attempt.baseline_s
     if attempt.request.arrival.prompt_tokens and attempt.request.route.kind is RouteKind.STREAM:
