--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
@@ -40,9 +40,14 @@
 MANY_BAD_COUNT = 25
 MANY_BAD_SCORE = 5.0
 # Bad answers of one of the target's several replicas count up to the first number, and beyond it up
-# to this multiple of the median rate: a replica may be bad by itself.
+# to this multiple of the median rate: a replica may be bad by itself. Replicas with fewer answers
+# than the minimum say nothing about the median, and a single bad answer says little.
 OUTLIER_COUNT = 1
 OUTLIER_FACTOR = 2.0
+RATE_MIN = 3
+RATE_DISCOUNT = 0.7
+# The score of all replicas is at most this multiple of that without the worst one.
+OTHERS_FACTOR = 4.0
 
 
 class Judged(Enum):
@@ -139,7 +144,8 @@
             score = math.inf
         if score > highest:
             highest = score
-            reason = f"{bad_count} bad of {sum(item.new.values())} on {name}, {item.old_bad} of {item.old}"
+            new = sum(item.new.values())
+            reason = f"{bad_count} bad of {new} on {name}, {item.old_bad} of {item.old}"
     return Evidence(highest, sum(total.new.values()), sum(total.new_bad.values()), reason)
 
 
@@ -161,27 +167,40 @@
         for name, count in item.new.items()
         if count > 0 and name in present
     ]
-    answers = sum(count for count, _ in used)
-    bad = sum(count for _, count in used)
-    if bad and len(present) > 1:
-        # A replica that is bad by itself counts little beyond what its like have.
-        usual_rate = median_low(bad_count / count for count, bad_count in used)
-        usual_rate = usual_rate if len(used) > 1 else 0.0
-        bad = sum(
-            min(bad_count, OUTLIER_COUNT + int(OUTLIER_FACTOR * usual_rate * count))
-            for count, bad_count in used
-        )
-    if bad == 0:
-        return 0.0, 0
     old_rate = (item.old_bad + REFERENCE_PRIOR_BAD) / (item.old + REFERENCE_PRIOR_COUNT)
     expected = max(BAD_RATE_FLOOR, REFERENCE_FACTOR * old_rate)
+    if len(present) > 1:
+        used = _without_outliers(used)
+    bad = sum(bad_count for _, bad_count in used)
+    score = _divergence(used, expected)
+    if len(present) > 1 and score > 0.0:
+        # Without the worst replica the others must still show it, if less clearly.
+        used.remove(max(used, key=lambda pair: pair[1]))
+        score = min(score, OTHERS_FACTOR * _divergence(used, expected))
+    return score, bad
+
+
+def _without_outliers(used: list[tuple[int, int]]) -> list[tuple[int, int]]:
+    """Return answers and bad ones by replica, with bad ones limited by the median rate."""
+    rates = [max(0.0, bad - RATE_DISCOUNT) / count for count, bad in used if count >= RATE_MIN]
+    usual_rate = median_low(rates) if len(rates) > 1 else 0.0
+    return [
+        (count, min(bad, OUTLIER_COUNT + int(OUTLIER_FACTOR * usual_rate * count)))
+        for count, bad in used
+    ]
+
+
+def _divergence(used: list[tuple[int, int]], expected: float) -> float:
+    """Return -log of Chernoff's bound on the chance of so many bad answers."""
+    answers = sum(count for count, _ in used)
+    bad = sum(count for _, count in used)
+    if bad == 0 or expected >= 1.0 or bad <= expected * answers:
+        return 0.0
     rate = min(1.0, bad / answers)
-    if expected >= 1.0 or rate <= expected:
-        return 0.0, bad
     divergence = rate * math.log(rate / expected)
     if rate < 1.0:
         divergence += (1.0 - rate) * math.log((1.0 - rate) / (1.0 - expected))
-    return answers * divergence, bad
+    return answers * divergence
 
 
 @dataclass(frozen=True, slots=True)
