--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -29,8 +29,10 @@
 # only once the replica has answered again, or has accepted and broken a later one.
 BREAK_KEPT_S = 6.0
 BREAK_CONFIRMED_AFTER_S = 0.1
-# Bad answers are expected at twice the old version's rate, but at no less than this one.
+# Bad answers are expected at twice the old version's rate, but at no less than the first rate; slow
+# ones at no less than the second, since replicas of one version differ in speed.
 BAD_RATE_FLOOR = 0.01
+SLOW_RATE_FLOOR = 0.05
 REFERENCE_FACTOR = 2.0
 REFERENCE_PRIOR_COUNT = 10.0
 REFERENCE_PRIOR_BAD = 0.5
@@ -60,15 +62,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteCounts:
-    """Answers on one route: of the target and of the other versions.
+    """Answers on one route: of the target by replica, and of the other versions.
 
-    :param new: answers of the target by replica, and ``new_bad`` the bad ones.
+    :param old_bad: failures among them, and ``old_slow`` slow answers; the same for ``new``.
     """
 
     old: int = 0
     old_bad: int = 0
+    old_slow: int = 0
     new: dict[str, int] = field(default_factory=dict)
     new_bad: dict[str, int] = field(default_factory=dict)
+    new_slow: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,8 +88,11 @@
 
     @property
     def bad_count(self) -> int:
-        """Return the bad answers of the target."""
-        return sum(sum(item.new_bad.values()) for item in self.routes.values())
+        """Return the bad and slow answers of the target."""
+        return sum(
+            sum(item.new_bad.values()) + sum(item.new_slow.values())
+            for item in self.routes.values()
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,54 +128,72 @@
         recent[name] = RouteCounts(
             item.old - past.old,
             item.old_bad - past.old_bad,
-            {key: count - past.new.get(key, 0) for key, count in item.new.items()},
-            {key: count - past.new_bad.get(key, 0) for key, count in item.new_bad.items()},
+            item.old_slow - past.old_slow,
+            _difference(item.new, past.new),
+            _difference(item.new_bad, past.new_bad),
+            _difference(item.new_slow, past.new_slow),
         )
     return recent
 
 
-def weigh(sums: Mapping[str, RouteCounts], replicas: Iterable[str]) -> Evidence:
+def _difference(counts: Mapping[str, int], earlier: Mapping[str, int]) -> dict[str, int]:
+    return {name: count - earlier.get(name, 0) for name, count in counts.items()}
+
+
+def weigh(
+    sums: Mapping[str, RouteCounts], replicas: Iterable[str], with_slow: bool = True
+) -> Evidence:
     """Compare the target with the old versions, on each route and on all together.
 
     :param replicas: the target's replicas; bad answers of those that are gone or leave are left
         out, since a replica that is reclaimed breaks its requests in any version.
+    :param with_slow: whether slow answers count.
     """
     present = set(replicas)
     total = _sum(sums.values())
     highest, reason = 0.0, ""
     for name, item in (*sums.items(), ("all", total)):
-        score, bad_count = _score(item, present)
-        if bad_count < BAD_MIN_COUNT:
-            continue
-        if bad_count >= MANY_BAD_COUNT and score >= MANY_BAD_SCORE:
-            score = math.inf
-        if score > highest:
-            highest = score
-            new = sum(item.new.values())
-            reason = f"{bad_count} bad of {new} on {name}, {item.old_bad} of {item.old}"
+        for slow_count in (False, True) if with_slow else (False,):
+            if slow_count and not item.new_slow:
+                continue
+            score, bad_count, old_bad = _score(item, present, slow_count)
+            if bad_count < BAD_MIN_COUNT:
+                continue
+            if bad_count >= MANY_BAD_COUNT and score >= MANY_BAD_SCORE:
+                score = math.inf
+            if score > highest:
+                highest = score
+                kind = "bad or slow" if slow_count else "bad"
+                new = sum(item.new.values())
+                reason = f"{bad_count} {kind} of {new} on {name}, {old_bad} of {item.old}"
     return Evidence(highest, sum(total.new.values()), sum(total.new_bad.values()), reason)
 
 
 def _sum(items: Iterable[RouteCounts]) -> RouteCounts:
-    old = old_bad = 0
-    new: Counter[str] = Counter()
-    new_bad: Counter[str] = Counter()
+    old = old_bad = old_slow = 0
+    new: dict[str, int] = {}
+    new_bad: dict[str, int] = {}
+    new_slow: dict[str, int] = {}
     for item in items:
         old, old_bad = old + item.old, old_bad + item.old_bad
-        new.update(item.new)
-        new_bad.update(item.new_bad)
-    return RouteCounts(old, old_bad, dict(new), dict(new_bad))
+        old_slow += item.old_slow
+        for total, counts in ((new, item.new), (new_bad, item.new_bad), (new_slow, item.new_slow)):
+            for name, count in counts.items():
+                total[name] = total.get(name, 0) + count
+    return RouteCounts(old, old_bad, old_slow, new, new_bad, new_slow)
 
 
-def _score(item: RouteCounts, present: set[str]) -> tuple[float, int]:
-    """Return -log of the bound on the chance of these counts, and the bad answers regarded."""
+def _score(item: RouteCounts, present: set[str], with_slow: bool) -> tuple[float, int, int]:
+    """Return the score of these counts, the bad answers regarded, and those of the old version."""
     used = [
-        (count, item.new_bad.get(name, 0))
+        (count, item.new_bad.get(name, 0) + (item.new_slow.get(name, 0) if with_slow else 0))
         for name, count in item.new.items()
         if count > 0 and name in present
     ]
-    old_rate = (item.old_bad + REFERENCE_PRIOR_BAD) / (item.old + REFERENCE_PRIOR_COUNT)
-    expected = max(BAD_RATE_FLOOR, REFERENCE_FACTOR * old_rate)
+    old_bad = item.old_bad + (item.old_slow if with_slow else 0)
+    old_rate = (old_bad + REFERENCE_PRIOR_BAD) / (item.old + REFERENCE_PRIOR_COUNT)
+    floor = SLOW_RATE_FLOOR if with_slow else BAD_RATE_FLOOR
+    expected = max(floor, REFERENCE_FACTOR * old_rate)
     if len(present) > 1:
         used = _without_outliers(used)
     bad = sum(bad_count for _, bad_count in used)
@@ -177,7 +202,7 @@
         # Without the worst replica the others must still show it, if less clearly.
         used.remove(max(used, key=lambda pair: pair[1]))
         score = min(score, OTHERS_FACTOR * _divergence(used, expected))
-    return score, bad
+    return score, bad, old_bad
 
 
 def _without_outliers(used: list[tuple[int, int]]) -> list[tuple[int, int]]:
@@ -220,8 +245,10 @@
 class _Tally:
     old: int = 0
     old_bad: int = 0
+    old_slow: int = 0
     new: dict[str, int] = field(default_factory=dict)
     new_bad: dict[str, int] = field(default_factory=dict)
+    new_slow: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,7 +270,14 @@
     def snapshot(self, offset: int, old_running: int) -> VersionCounts:
         """Return the counts for a digest."""
         routes = {
-            name: RouteCounts(item.old, item.old_bad, dict(item.new), dict(item.new_bad))
+            name: RouteCounts(
+                item.old,
+                item.old_bad,
+                item.old_slow,
+                dict(item.new),
+                dict(item.new_bad),
+                dict(item.new_slow),
+            )
             for name, item in self._tallies.items()
         }
         return VersionCounts(offset, old_running, routes)
@@ -273,16 +307,21 @@
             ratios = self._ratios.setdefault(name, deque(maxlen=REFERENCE_MAX_COUNT))
             ratios.append((now_s, ratio))
 
-    def add(self, route: str, replica: str, is_new: bool, answers: int, bad: int) -> None:
-        """Count answers of a replica."""
+    def add(
+        self, route: str, replica: str, is_new: bool, answers: int, bad: int, slow: int = 0
+    ) -> None:
+        """Count answers of a replica, failures and slow ones among them."""
         tally = self._tallies.setdefault(route, _Tally())
         if is_new:
             tally.new[replica] = tally.new.get(replica, 0) + answers
             if bad:
                 tally.new_bad[replica] = tally.new_bad.get(replica, 0) + bad
+            if slow:
+                tally.new_slow[replica] = tally.new_slow.get(replica, 0) + slow
         else:
             tally.old += answers
             tally.old_bad += bad
+            tally.old_slow += slow
 
     def add_break(
         self, route: str, replica: str, is_new: bool, started_s: float, counted: bool, now_s: float
