--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -14,6 +14,7 @@
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest
 from coriandershelf_core.internal.gateway.responder import LogValue
+from coriandershelf_core.internal.gateway.rollout_counts import Judged
 from coriandershelf_core.internal.gateway.selection import ReplicaSelector, ScoredReplica
 
 # Subtracted from the time limit sent to the replica, so that its response arrives in time.
@@ -46,6 +47,8 @@
     :param slowdown: the replica's slowdown, reported in the response headers.
     :param relay_address: the entry VM through which the replica is reached, if any.
     :param paused: whether nothing is read from the replica because the caller is slow.
+    :param events_count: events read from its stream.
+    :param judged: how it was counted in a roll-out of its service.
     """
 
     attempt_id: int
@@ -63,6 +66,8 @@
     paused: bool = False
     slowdown: float | None = None
     relay_address: str | None = None
+    events_count: int = 0
+    judged: Judged = Judged.NOT_YET
 
 
 class Attempts(Struct):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -6,6 +6,8 @@
 
 from coriandershelf_core.internal.gateway.poison_parts import PartDigest
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
+from coriandershelf_core.internal.gateway.rollout import RolloutNews
+from coriandershelf_core.internal.gateway.rollout_counts import VersionCounts
 
 
 class HolderInfo(Struct, frozen=True):
@@ -67,6 +69,8 @@
     :param parts: evidence on prompt parts that crash replicas, by hash of the part.
     :param no_path: whether the sender has no path of its own to some replicas.
     :param holder: the sender itself, while it holds the lease.
+    :param rollouts: the running and just ended roll-outs, by service.
+    :param versions: the sender's counts of answers by version, by service.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     :param digest_port: the port of the sender's host for digests; 0 if they go to ``address``.
     :param build: the sender's version and protocol level; empty from builds of level 0.
@@ -94,3 +98,5 @@
     complete: bool = False
     digest_port: int = 0
     build: str = ""
+    rollouts: dict[str, RolloutNews] = field(default_factory=dict)
+    versions: dict[str, VersionCounts] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -19,6 +19,7 @@
 from coriandershelf_core.internal.gateway.pool import Pool
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
+from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
 
@@ -74,6 +75,7 @@
     arrival_rates: ArrivalRates
     load_queries: LoadQueries
     entry_vms: EntryVms
+    rollouts: Rollouts
     emit: Callable[[Action], None]
     _sequence: int = 0
     _merged_at_s: float = 0.0
@@ -190,4 +192,6 @@
             # With few VMs, digests tell what runs at each replica and are read as they arrive.
             digest_port=self.identity.digest_port if self.load_queries.enabled else 0,
             build=BUILD,
+            rollouts=self.rollouts.news(now_s),
+            versions=self.rollouts.counts(),
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -11,6 +11,7 @@
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
 from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
 from coriandershelf_core.internal.gateway.request import Arrival
+from coriandershelf_core.internal.gateway.rollout import RolloutOrder, RolloutState
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -194,6 +195,19 @@
     addresses: dict[str, str]
 
 
+class RolloutOrdered(Struct, frozen=True):
+    """The operator's order of a roll-out was read."""
+
+    order: RolloutOrder
+
+
+class RolloutStateRead(Struct, frozen=True):
+    """The state of a roll-out was read from the store, or written to it, at ``at_s``."""
+
+    state: RolloutState
+    at_s: float
+
+
 class StopAsked(Struct, frozen=True):
     """The platform asked this process to stop."""
 
@@ -220,6 +234,8 @@
     | RoomMessageArrived
     | OriginMessageArrived
     | EntryVmsRead
+    | RolloutOrdered
+    | RolloutStateRead
     | StopAsked
     | Tick
 )
--- a/tests/cover/test_peer_input.py
+++ b/tests/cover/test_peer_input.py
@@ -23,6 +23,8 @@
     LoadTracker,
 )
 from coriandershelf_core.internal.gateway.request import PromptPart
+from coriandershelf_core.internal.gateway.rollout import RolloutNews, RolloutState
+from coriandershelf_core.internal.gateway.rollout_counts import RouteCounts, VersionCounts
 from coriandershelf_platform import peer_link
 from coriandershelf_platform.caller_server import _parse_prompt_parts, _parse_tokens
 from coriandershelf_platform.client_connection import ResponseHead
@@ -32,6 +34,8 @@
 from coriandershelf_rig.internal.standin_store import StoreState
 
 DIGEST = Digest("vm-2", "10.0.0.2:7500", "zone-1", 1, 1, 1_700_000_100.0, complete=True)
+ROLLOUT = RolloutState("engine", "v2", 12.0, 31, 1, 1, "canary", 0.0, 1.0, 1.0)
+NAN_SHARE = RolloutState("engine", "v2", 12.0, 31, 1, 1, "canary", math.nan, 1.0, 1.0)
 ALL_TAGS = sorted(peer_link._TYPE_OF_TAG)
 
 
@@ -204,6 +208,10 @@
         ({"begun": {3: {"c": -1}}}, "begun"),
         ({"crashes": {3: -1}}, "crashes"),
         ({"work": {"engine": ServiceRates(0.0, math.inf)}}, "work"),
+        ({"rollouts": {"engine": RolloutNews(ROLLOUT, -1)}}, "rollouts"),
+        ({"rollouts": {"engine": RolloutNews(NAN_SHARE, 1)}}, "rollouts"),
+        ({"versions": {"engine": VersionCounts(31, -1)}}, "versions"),
+        ({"versions": {"engine": VersionCounts(31, 0, {"r": RouteCounts(-1)})}}, "versions"),
     ],
 )
 def test_a_digest_with_a_value_that_no_build_sends_is_dropped_whole(changes, fault):
--- a/tests/support/wire_samples.py
+++ b/tests/support/wire_samples.py
@@ -53,6 +53,28 @@
         "parts": {"9223372036854775809": [[[4294967295, 400, 20]], 1500, True, [7, 8]]},
         "no_path": True, "holder": {"vm_id": "edge-2@10.0.0.2", "number": 41}, "complete": True,
         "build": "0.1.0+1", "digest_port": 7501,
+        "rollouts": {
+            "engine": {
+                "state": {
+                    "service": "engine", "target": "v2", "duration_s": 12.0, "offset": 31,
+                    "number": 41, "step": 2, "phase": "moving", "share": 0.5,
+                    "started_s": 1764850000.0, "changed_s": 1764850004.0,
+                    "observed_s": 1764850001.0, "barred": ["v0"], "reason": "good",
+                },
+                "age_ms": 40,
+            }
+        },
+        "versions": {
+            "engine": {
+                "offset": 31, "old_running": 3,
+                "routes": {
+                    "plan": {
+                        "old": 90, "old_bad": 2, "old_slow": 1, "new": {"i-3": 9},
+                        "new_bad": {"i-3": 1}, "new_slow": {"i-3": 1},
+                    }
+                },
+            }
+        },
     },
     "A": {
         "vm_id": "edge-2@10.0.0.2", "address": "10.0.0.2:7500", "ask_id": 5,
