--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from heapq import nlargest
 
+from msgspec import Struct, field
+
+from coriandershelf_core.internal.gateway.builds import level_of, lowest_level
 from coriandershelf_core.internal.gateway.digest import Digest
 
 # A peer's last digest is used for this long, or for the given number of digest periods where these
@@ -32,24 +34,37 @@
 SILENT_PERIOD_S = 1.0
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """Another entry VM.
 
+    :param address: where it receives messages; ``digest_address`` is for digests.
     :param received_at_s: when its last digest arrived.
     :param sent_at_s: when it was last sent a digest; ``full_sent_at_s`` a complete one.
+    :param level: the protocol level in its last digest.
     """
 
     address: str
     received_at_s: float
+    digest_address: str = ""
+    digest_port: int = 0
     sent_at_s: float = 0.0
     full_sent_at_s: float = 0.0
     zone: str = ""
     digest: Digest | None = None
+    level: int = 0
+
+    def __post_init__(self) -> None:
+        self.digest_address = self.digest_address or self.address
+
 
+def _digest_address(digest: Digest) -> str:
+    if digest.digest_port == 0:
+        return digest.address
+    host, _, _ = digest.address.rpartition(":")
+    return f"{host}:{digest.digest_port}"
 
-@dataclass(slots=True)
-class Peers:
+
+class Peers(Struct):
     """Other entry VMs by id.
 
     A starting VM reads the registrations and sends its digests to all of them, so each pair of VMs
@@ -57,6 +72,7 @@
     """
 
     vm_id: str
+    registrations_read: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
 
     @property
@@ -71,6 +87,7 @@
 
     def on_registered(self, addresses: dict[str, str], now_s: float) -> None:
         """Add VMs from their registrations; they may be gone already."""
+        self.registrations_read = True
         for vm_id, address in addresses.items():
             if vm_id != self.vm_id and vm_id not in self._peers:
                 self._peers[vm_id] = Peer(address, now_s)
@@ -87,8 +104,12 @@
         if known is not None and order <= (known.incarnation, known.sequence):
             return False
         peer.digest = digest
-        peer.address = digest.address
+        if peer.address != digest.address or peer.digest_port != digest.digest_port:
+            peer.address, peer.digest_port = digest.address, digest.digest_port
+            peer.digest_address = _digest_address(digest)
         peer.zone = digest.zone
+        if known is None or digest.build != known.build:
+            peer.level = level_of(digest.build)
         peer.received_at_s = now_s
         return True
 
@@ -127,17 +148,45 @@
         return full
 
     def address_of(self, vm_id: str) -> str:
-        """Return the address of a peer."""
-        return self._peers[vm_id].address
+        """Return the address to which a peer's digests are sent."""
+        return self._peers[vm_id].digest_address
 
     def lowest_ids(self, own_id: str, count: int, now_s: float) -> set[str]:
         """Return the lowest ids among this VM and the live peers that are not stopping."""
         live = [digest.vm_id for digest in self.live_digests(now_s) if not digest.stopping]
         return set(sorted([*live, own_id])[:count])
 
+    def lowest_level(self, now_s: float) -> int:
+        """Return the protocol level that this VM and all peers support; 0 if it is not known.
+
+        A silent peer may serve on the other side of a network cut and come back, so its level
+        counts until it is removed. Registered VMs that never sent a digest count as level 0, but
+        only as long as a live one may be silent: registrations of VMs that are gone stay in the
+        store.
+        """
+        if not self.registrations_read:
+            return 0
+        max_age_s = self._digest_max_age_s()
+        return lowest_level(
+            peer.level
+            for peer in self._peers.values()
+            if peer.digest is not None or now_s - peer.received_at_s <= max_age_s
+        )
+
+    def vm_ids_below(self, level: int) -> list[str]:
+        """Return the peers whose last digest names a lower protocol level."""
+        return sorted(
+            vm_id
+            for vm_id, peer in self._peers.items()
+            if peer.digest is not None and peer.level < level
+        )
+
+    def _digest_max_age_s(self) -> float:
+        return max(DIGEST_MIN_AGE_S, DIGEST_MAX_AGE_PERIODS_COUNT * self.longest_period_s)
+
     def live_digests(self, now_s: float) -> list[Digest]:
         """Return the last digests of the live peers."""
-        max_age_s = max(DIGEST_MIN_AGE_S, DIGEST_MAX_AGE_PERIODS_COUNT * self.longest_period_s)
+        max_age_s = self._digest_max_age_s()
         return [
             peer.digest
             for peer in self._peers.values()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -4,7 +4,8 @@
 
 import math
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Replica
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
@@ -35,8 +36,7 @@
 SLOWDOWN_SHARED_S = 0.6
 
 
-@dataclass(slots=True)
-class InFlightAttempt:
+class InFlightAttempt(Struct):
     """One attempt of this VM at a replica.
 
     :param waiting_tokens: prompt tokens that await prefill; 0 after the first event.
@@ -46,10 +46,10 @@
     started_at_s: float
 
 
-@dataclass(slots=True)
-class ReplicaState:
+class ReplicaState(Struct):
     """Load, latency and health of one replica.
 
+    :param limit: the request limit that the replica states.
     :param own_waiting_tokens: prompt tokens of this VM's requests that await prefill.
     :param peer_running_count: requests of other entry VMs, from their digests.
     :param peer_waiting_tokens: prompt tokens of those requests that await prefill.
@@ -60,12 +60,12 @@
     :param peer_latency_ratio: mean of the other entry VMs' ratios.
     :param slowdown: current ÷ usual service time, from the latest report of the replica to any VM.
     :param own_slowdown: the same, from the latest report to this VM.
-    :ivar limit: the request limit that the replica states.
     :param backoff_until_s: no requests are sent until then because the replica refused one.
     :param missing_since_s: when its registration vanished during a store outage.
     """
 
     replica: Replica
+    limit: RequestLimit
     in_flight: dict[int, InFlightAttempt] = field(default_factory=dict)
     own_waiting_tokens: int = 0
     peer_running_count: int = 0
@@ -88,10 +88,6 @@
     failures: float = 0.0
     failures_at_s: float = 0.0
     missing_since_s: float | None = None
-    limit: RequestLimit = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.limit = RequestLimit(self.replica.replica_id)
 
     @property
     def running_count(self) -> int:
@@ -115,6 +111,9 @@
 
     def on_peer_digests(self, digests: Sequence[ReplicaDigest], now_s: float) -> None:
         """Update from the other entry VMs' digests of this replica."""
+        if not digests:
+            self.peer_running_count = self.peer_waiting_tokens = 0
+            return
         self.peer_running_count = sum(item.running_count for item in digests)
         self.peer_waiting_tokens = sum(item.waiting_tokens for item in digests)
         known = [item.slowness_percent / 100.0 for item in digests if item.slowness_percent]
@@ -359,6 +358,7 @@
         digests = {
             name: state.limit.digest(state.replica.started_at_ms, now_s)
             for name, state in self._states.items()
+            if state.limit.was_stated
         }
         return {name: digest for name, digest in digests.items() if digest is not None}
 
@@ -386,7 +386,7 @@
                 state.leaving = True
                 if state.in_flight:
                     self._departed[f"{name}@{state.replica.started_at_ms}"] = state
-            state = ReplicaState(replica)
+            state = ReplicaState(replica, RequestLimit(replica.replica_id))
             self._states[name] = state
         state.replica = replica
         # A replica never comes back from leaving; a delayed registration may still say that it is
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
@@ -21,7 +22,7 @@
     Attempts,
     AttemptState,
     first_ms,
-    silence_timeout_s,
+    gap_timeout_s,
 )
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
@@ -33,6 +34,7 @@
     ResponseHeadRead,
     StreamEnded,
     StreamOpened,
+    StreamPaused,
     StreamRead,
 )
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries, PendingQuery
@@ -43,6 +45,7 @@
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
+from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.selection import CandidateSet, ReplicaSelector
 from coriandershelf_core.internal.gateway.stream_origins import StreamOrigins
 
@@ -58,8 +61,7 @@
 HEADER_LOGGED_MAX_CHARACTERS = 40
 
 
-@dataclass(slots=True)
-class Relay:
+class Relay(Struct):
     """Sends each request to a replica and handles its response or failure.
 
     :param emit: receives the actions for the process.
@@ -75,6 +77,7 @@
     origins: StreamOrigins
     paths: ReplicaPaths
     admission: AdmissionControl
+    rollouts: Rollouts
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
@@ -106,6 +109,7 @@
             "caller left", request, now_s, first_ms=first_ms(attempt), **dict(inputs)
         )
         if attempt is not None:
+            self.rollouts.on_abandoned(attempt, now_s)
             self.attempts.cancel(attempt, now_s)
         self.admission.on_caller_left(request)
         self.responder.remove(request)
@@ -187,6 +191,7 @@
             return
         self.responder.mark_started(request, attempt.started_at_s)
         request.may_have_run = True
+        self.rollouts.on_answer(attempt, event.status >= SERVER_ERROR, now_s)
         taken_s = now_s - attempt.started_at_s
         if event.status < SERVER_ERROR and event.has_receipt:
             state.on_success(now_s)
@@ -226,10 +231,15 @@
         if attempt is None:
             return
         request, state = attempt.request, attempt.state
+        if not event.events_count:
+            self.emit(ForwardEvents(request.arrival.handle, event.payload))
+            return
         self._check_lateness(attempt, now_s)
         attempt.last_event_at_s = now_s
+        attempt.events_count += event.events_count
         if attempt.first_event_at_s is None:
             attempt.first_event_at_s = now_s
+            self.rollouts.on_answer(attempt, False, now_s)
             self.responder.mark_started(request, now_s)
             self._note_version(request, state, now_s)
             state.on_first_event(attempt.attempt_id)
@@ -243,18 +253,29 @@
             )  # fmt: skip
             state.on_latency(taken_s, baseline_s, now_s, attempt.low_load)
         if attempt.silence_deadline_s is not None:
-            attempt.silence_deadline_s = now_s + silence_timeout_s(request, 0.0)
+            attempt.silence_deadline_s = now_s + gap_timeout_s(request)
         if event.last_event_id is not None:
             request.last_event_id = event.last_event_id
         request.bytes_sent += len(event.payload)
         self.emit(ForwardEvents(request.arrival.handle, event.payload))
 
+    def on_paused(self, event: StreamPaused, now_s: float) -> None:
+        """Judge no silence while a slow caller keeps its stream from being read."""
+        attempt = self.attempts.by_id.get(event.attempt_id)
+        if attempt is None:
+            return
+        attempt.paused = event.paused
+        attempt.last_event_at_s = now_s
+        if attempt.silence_deadline_s is not None:
+            attempt.silence_deadline_s = now_s + gap_timeout_s(attempt.request)
+
     def on_ended(self, event: StreamEnded, now_s: float) -> None:
         """End a stream that its replica ended normally."""
         attempt = self.attempts.by_id.get(event.attempt_id)
         if attempt is None:
             return
         attempt.state.on_success(now_s)
+        self.rollouts.on_stream_ended(attempt, now_s)
         self.attempts.end(attempt, now_s)
         request = attempt.request
         self.crash_suspects.on_completed(request, now_s)
@@ -284,6 +305,8 @@
             # It may have been the other VM that ended.
             self.paths.on_relay_failed(attempt.relay_address, now_s)
         else:
+            is_certain = event.cause is not FailureCause.CLOSED
+            self.rollouts.on_broken(attempt, now_s, is_certain)
             self._record_failure(state, now_s)
             if event.cause is FailureCause.CLOSED:
                 self.crash_suspects.on_crash(attempt, now_s)
@@ -314,13 +337,18 @@
         """Handle query time-outs, silent replicas and expired deadlines."""
         for pending in self.load_queries.pop_overdue(now_s):
             self._resume_pending(pending, now_s)
+        self.rollouts.on_tick(self.attempts.by_id.values(), now_s)
         for request in self.origins.pop_overdue(now_s):
             self._send_resumed(request, now_s)
         for attempt in list(self.attempts.by_id.values()):
             request = attempt.request
             if now_s >= request.deadline_s + TIMEOUT_GRACE_S:
                 self._time_out(attempt, now_s)
-            elif attempt.silence_deadline_s is not None and now_s >= attempt.silence_deadline_s:
+            elif (
+                attempt.silence_deadline_s is not None
+                and now_s >= attempt.silence_deadline_s
+                and not attempt.paused
+            ):
                 self._on_silence(attempt, now_s)
         self.admission.on_tick(now_s)
         self.send_waiting(now_s)
@@ -371,9 +399,10 @@
         deployment = self.deployment
         assert deployment is not None, "request admitted without a configuration"
         service = deployment.services.get(request.service, Service(request.service, 0))
-        states = self.pool.usable(request.service)
+        usable = self.pool.usable(request.service)
+        states = self.rollouts.allowed(request, usable, now_s)
         version = request.software_version
-        if version is not None and states:
+        if version is not None and usable:
             states = [state for state in states if state.replica.software_version == version]
             if not states:
                 self.responder.refuse(request, Refusal.NO_VERSION, now_s, version=version)
@@ -426,14 +455,16 @@
             self.admission.wait_or_refuse(request, now_s, **fields)
             return
         self.admission.on_selected(request, now_s)
+        self.rollouts.on_started(request, selected.state)
         self.attempts.start(request, candidate_set.service, selected, now_s)
 
     def _on_silence(self, attempt: AttemptState, now_s: float) -> None:
         request = attempt.request
         request.last_failure = "silent"
         attempt.silence_deadline_s = None
-        if not self._take_retry(request, now_s):
+        if not _may_continue(request) or not self._take_retry(request, now_s):
             return
+        self.rollouts.on_broken(attempt, now_s, certain=False)
         self.attempts.cancel(attempt, now_s)
         request.may_have_run = True
         if attempt.relay_address is None and not attempt.headers_received:
@@ -465,8 +496,7 @@
 
     def _recover(self, request: ActiveRequest, reason: RetryReason, now_s: float) -> None:
         """Retry or resume a request whose attempt may have run, or report an unknown outcome."""
-        resumable = request.bytes_sent == 0 or request.last_event_id is not None
-        if request.route.repeatable and resumable and self._take_retry(request, now_s):
+        if request.route.repeatable and _may_continue(request) and self._take_retry(request, now_s):
             reason = RetryReason.RESUMED if request.headers_sent else reason
             self._retry(request, reason, now_s, budgeted=True)
             return
@@ -492,9 +522,12 @@
         return self.retries.take(request.service, self.entry_vms_count, now_s)
 
     def _time_out(self, attempt: AttemptState, now_s: float) -> None:
+        if attempt.first_event_at_s is None:
+            self.rollouts.on_broken(attempt, now_s, certain=False)
         self.attempts.cancel(attempt, now_s)
         attempt.request.may_have_run = True
-        if attempt.first_event_at_s is None and not attempt.headers_received:
+        unanswered = attempt.first_event_at_s is None and not attempt.headers_received
+        if unanswered or _is_stalled(attempt, now_s):
             self._record_failure(attempt.state, now_s)
         self.responder.refuse(attempt.request, Refusal.TIMEOUT, now_s)
 
@@ -538,6 +571,18 @@
         self.emit(LogLine(event, fields))
 
 
+def _may_continue(request: ActiveRequest) -> bool:
+    """Return whether another attempt may go on with the response: no event comes twice."""
+    return request.bytes_sent == 0 or request.last_event_id is not None
+
+
+def _is_stalled(attempt: AttemptState, now_s: float) -> bool:
+    """Return whether a stream began and its replica then fell silent."""
+    if attempt.first_event_at_s is None or attempt.paused:
+        return False
+    return now_s - attempt.last_event_at_s >= gap_timeout_s(attempt.request)
+
+
 def _capacity_fields(states: Sequence[ReplicaState], now_s: float) -> dict[str, LogValue]:
     """Return the figures behind a lack of capacity, for the log."""
     return {
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
@@ -29,8 +30,7 @@
 RetryAfterCallback = Callable[[ActiveRequest, Refusal, float], float]
 
 
-@dataclass(slots=True)
-class Responder:
+class Responder(Struct):
     """Owns the requests in flight of one entry VM and ends each with exactly one response.
 
     :param emit: receives the actions for the process.
