--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
-from msgspec import Struct
+from msgspec import Struct, field
 from msgspec.structs import replace
 
-from coriandershelf_core.internal.gateway.actions import Action, SendDigest
+from coriandershelf_core.internal.gateway.actions import Action, LogLine, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
+from coriandershelf_core.internal.gateway.builds import BUILD, PROTOCOL_LEVEL
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo, ReplicaDigest
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
@@ -18,6 +19,7 @@
 from coriandershelf_core.internal.gateway.pool import Pool
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest
+from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
 
@@ -31,12 +33,16 @@
 
 
 class Identity(Struct, frozen=True):
-    """Identity of this process; ``address`` is where the peers reach it."""
+    """Identity of this process; ``address`` is where the peers reach it.
+
+    :param digest_port: the port for digests, if it is another one.
+    """
 
     vm_id: str
     address: str
     zone: str
     incarnation: int
+    digest_port: int = 0
 
 
 class VmStatus(Struct, frozen=True):
@@ -69,9 +75,11 @@
     arrival_rates: ArrivalRates
     load_queries: LoadQueries
     entry_vms: EntryVms
+    rollouts: Rollouts
     emit: Callable[[Action], None]
     _sequence: int = 0
     _merged_at_s: float = 0.0
+    _reporters: set[str] = field(default_factory=set)
 
     def merge_peer_digests(self, stopping: bool, now_s: float) -> None:
         """Update the peers' requests at each replica and the assignment of load trackers."""
@@ -79,6 +87,8 @@
             return
         self._merged_at_s = now_s
         self._update_trackers(stopping, now_s)
+        self._reporters = self.peers.lowest_ids(self.identity.vm_id, REPORTERS_COUNT, now_s)
+        self._update_lowest_level(now_s)
         by_replica: dict[str, list[ReplicaDigest]] = {}
         limits: dict[str, list[LimitDigest]] = {}
         for digest in self.peers.live_digests(now_s):
@@ -91,6 +101,15 @@
             state.on_peer_digests(by_replica.get(name, ()), now_s)
             state.limit.peers_sent_count = sum(limit.sent_count for limit in limits.get(name, ()))
 
+    def _update_lowest_level(self, now_s: float) -> None:
+        level = self.peers.lowest_level(now_s)
+        if level == self.entry_vms.lowest_level:
+            return
+        self.entry_vms.lowest_level = level
+        below = self.peers.vm_ids_below(PROTOCOL_LEVEL)
+        fields = (("level", level), ("below", len(below)), ("first", ",".join(below[:3])))
+        self.emit(LogLine("lowest protocol level", fields))
+
     def _update_trackers(self, stopping: bool, now_s: float) -> None:
         live = [digest for digest in self.peers.live_digests(now_s) if not digest.stopping]
         self.load_queries.enabled = self.peers.count > SMALL_SITE_PEERS_COUNT
@@ -119,25 +138,31 @@
         due = self.peers.due(self.identity.zone, now_s)
         if not due:
             return
-        minimal = self._make_digest(vm_status, now_s, clock_s)
-        full = replace(
-            minimal,
-            spent=self.caps.spent(),
-            demand=self.caps.demand(now_s),
-            work=self.arrival_rates.own_rates(now_s, self.pool.own_running()),
-            complete=True,
-        )
         # Usage counts make up most of a digest, so only VMs that may have to report them get them.
-        reporters = self.peers.lowest_ids(self.identity.vm_id, REPORTERS_COUNT, now_s)
+        reporters = set(self._reporters)
         if vm_status.last_holder is not None:
             reporters.add(vm_status.last_holder.vm_id)
-        reporting = replace(full, begun=self.usage.latest_windows())
-        groups: dict[int, list[str]] = {}
+        addresses: dict[str, list[str]] = {"minimal": [], "full": [], "reporting": []}
         for vm_id, is_full in due.items():
-            kind = 2 if vm_id in reporters else int(is_full)
-            groups.setdefault(kind, []).append(self.peers.address_of(vm_id))
-        for kind, addresses in groups.items():
-            digest = (minimal, full, reporting)[kind]
+            kind = "reporting" if vm_id in reporters else "full" if is_full else "minimal"
+            addresses[kind].append(self.peers.address_of(vm_id))
+        digest = self._make_digest(vm_status, now_s, clock_s)
+        self._emit_digest(digest, addresses["minimal"])
+        if addresses["full"] or addresses["reporting"]:
+            digest = replace(
+                digest,
+                spent=self.caps.spent(),
+                demand=self.caps.demand(now_s),
+                work=self.arrival_rates.own_rates(now_s, self.pool.own_running()),
+                complete=True,
+            )
+            self._emit_digest(digest, addresses["full"])
+        if addresses["reporting"]:
+            digest = replace(digest, begun=self.usage.latest_windows())
+            self._emit_digest(digest, addresses["reporting"])
+
+    def _emit_digest(self, digest: Digest, addresses: list[str]) -> None:
+        if addresses:
             self.emit(SendDigest(tuple(addresses), digest))
 
     def _make_digest(self, vm_status: VmStatus, now_s: float, clock_s: float) -> Digest:
@@ -164,4 +189,9 @@
             parts=self.poison_parts.digest(now_s),
             no_path=self.paths.any_lost,
             holder=vm_status.holder,
+            # With few VMs, digests tell what runs at each replica and are read as they arrive.
+            digest_port=self.identity.digest_port if self.load_queries.enabled else 0,
+            build=BUILD,
+            rollouts=self.rollouts.news(now_s),
+            versions=self.rollouts.counts(),
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -11,6 +11,7 @@
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
 from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
 from coriandershelf_core.internal.gateway.request import Arrival
+from coriandershelf_core.internal.gateway.rollout import RolloutOrder, RolloutState
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -114,6 +115,8 @@
 class StreamRead(Struct, frozen=True):
     """Complete events of a stream were read.
 
+    :param events_count: number of events with content; comments that a replica sends to keep a
+        connection open are forwarded but are no events.
     :param last_event_id: id of the last of them, or ``None`` if it has none.
     """
 
@@ -123,6 +126,13 @@
     last_event_id: int | None
 
 
+class StreamPaused(Struct, frozen=True):
+    """Reading of a stream paused because its caller is slow, or goes on."""
+
+    attempt_id: int
+    paused: bool
+
+
 class StreamEnded(Struct, frozen=True):
     """A stream ended cleanly at an event boundary."""
 
@@ -185,6 +195,19 @@
     addresses: dict[str, str]
 
 
+class RolloutOrdered(Struct, frozen=True):
+    """The operator's order of a roll-out was read."""
+
+    order: RolloutOrder
+
+
+class RolloutStateRead(Struct, frozen=True):
+    """The state of a roll-out was read from the store, or written to it, at ``at_s``."""
+
+    state: RolloutState
+    at_s: float
+
+
 class StopAsked(Struct, frozen=True):
     """The platform asked this process to stop."""
 
@@ -200,6 +223,7 @@
     | AnswerRead
     | StreamOpened
     | StreamRead
+    | StreamPaused
     | StreamEnded
     | AttemptFailed
     | ReplicaProbed
@@ -210,6 +234,8 @@
     | RoomMessageArrived
     | OriginMessageArrived
     | EntryVmsRead
+    | RolloutOrdered
+    | RolloutStateRead
     | StopAsked
     | Tick
 )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Customer, Route
+from coriandershelf_core.internal.gateway.returning_callers import Promise
 
 
 class PromptPart(Struct, frozen=True):
@@ -62,8 +63,12 @@
     :param replica_id: the replica it was last sent to.
     :param software_version: version of the replica that made the caller's first event; ``None``
         before that.
+    :param rollout_counted: whether it was counted as sent during a roll-out of its service.
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
+    :param promise: what its caller was told when this VM refused the request before.
+    :param elapsed_s: time from its caller's first attempt to its arrival here.
+    :param return_logged: whether it was logged what the caller found.
     """
 
     arrival: Arrival
@@ -85,8 +90,12 @@
     connect_failures_count: int = 0
     replica_id: str | None = None
     software_version: str | None = None
+    rollout_counted: bool = False
     last_failure: str | None = None
     error_response: ReplicaResponse | None = None
+    promise: Promise | None = None
+    return_logged: bool = False
+    elapsed_s: float = 0.0
 
     @property
     def resumes_stream(self) -> bool:
