--- a/tests/cover/test_mixed_fleet.py
+++ b/tests/cover/test_mixed_fleet.py
@@ -20,9 +20,9 @@
 PART = "bad"
 
 
-# Guards against more requests at a replica than it states. Limits of one a second are left out where
-# the older VMs tell none: two of twelve such limits were broken at 36 requests a second, four at 54,
-# in the first seconds; all landed builds that may be beside this one tell limits.
+# Guards against more requests at a replica than it states. Limits of one a second are left out
+# where the older VMs tell none: two of twelve such limits were broken at 36 requests a second, four
+# at 54, in the first seconds; all landed builds that may be beside this one tell limits.
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("hears_limits", [True, False])
 def test_stated_limits_hold_over_both_builds(hears_limits, seed):
