Gateways of two builds run side by side in virtual time

Cause: reading each other's bytes does not show that VMs of two builds agree on what they know.

Change: tests/support/gateway_process.py runs a gateway with the sources that are on its path; a test runs two of this build and two of a landed one, which exchange datagrams. They must take the same VMs for live, and know the same holder, leaving replica, stated limit and running requests, whichever build tells them.

--- a/tests/cover/test_mixed_builds.py
+++ b/tests/cover/test_mixed_builds.py
@@ -176,3 +176,67 @@
     values = run_samples(environment, "decode", wire_samples.encode_all())
     for name, sample in recorded.items():
         assert is_within(sample["value"], values[name]), f"{commit}: {name}: {values[name]}"
+
+
+class Fleet:
+    """Gateways of this build and of a landed one in virtual time, each in a process of its own."""
+
+    def __init__(self, landed_environment: dict[str, str]) -> None:
+        self.now_s = 100.0
+        self.processes = {}
+        self.inbox: dict[str, list[str]] = {}
+        self.known: dict[str, dict[str, Any]] = {}
+        for number in range(4):
+            vm_id = f"vm-{number}"
+            self.processes[vm_id] = subprocess.Popen(
+                [sys.executable, str(ROOT / "tests/support/gateway_process.py"), vm_id],
+                stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+                env=landed_environment if number % 2 else None,
+            )  # fmt: skip
+            self.inbox[vm_id] = []
+
+    def run(self, steps_count: int, do: dict[str, list[Any]] | None = None) -> None:
+        for step in range(steps_count):
+            self.now_s += 0.05
+            inbox, self.inbox = self.inbox, {vm_id: [] for vm_id in self.inbox}
+            for vm_id, process in self.processes.items():
+                command = {"now_s": self.now_s, "datagrams": inbox[vm_id]}
+                if do and step == 0 and vm_id in do:
+                    command["do"] = do[vm_id]
+                process.stdin.write(json.dumps(command) + "\n")
+                process.stdin.flush()
+                answer = json.loads(process.stdout.readline())
+                self.known[vm_id] = answer["known"]
+                for address, data in answer["sent"]:
+                    self.inbox.setdefault(address.removesuffix(":7500"), []).append(data)
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.stdin.close()
+            process.wait(10.0)
+            process.stdout.close()
+
+
+# Guards against VMs of two builds that do not take each other for live, or do not learn from each
+# other who holds the duties, which replicas leave, what they accept and what runs there.
+@pytest.mark.parametrize("teller, other", [("vm-0", "vm-1"), ("vm-1", "vm-0")])
+def test_gateways_of_two_builds_know_the_same(landed, teller, other):
+    fleet = Fleet(landed[1])
+    try:
+        ids = sorted(fleet.processes)
+        fleet.run(20, {vm_id: [["register", ids]] for vm_id in ids})
+        assert all(known["vms"] == ids for known in fleet.known.values()), fleet.known
+        do = {
+            teller: [["hold", 7], ["request_with_limit", 2.5]],
+            other: [["read_leaving", "engine-2"]],
+        }
+        fleet.run(20, do)
+        expected = {
+            "vms": ids, "holder": [teller, 7], "leaving": ["engine-2"], "limits": [2.5],
+            "running": 1,
+        }  # fmt: skip
+        assert all(known == expected for known in fleet.known.values()), fleet.known
+        fleet.run(20, {"vm-2": [["stop"]], "vm-3": [["stop"]]})
+        assert fleet.known["vm-0"]["vms"] == fleet.known["vm-1"]["vms"] == ["vm-0", "vm-1"]
+    finally:
+        fleet.close()
