--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -68,12 +68,12 @@
     :param limits: the request limits that replicas state, by replica id.
     :param parts: evidence on prompt parts that crash replicas, by hash of the part.
     :param no_path: whether the sender has no path of its own to some replicas.
+    :param build: the sender's version and protocol level; empty from builds of level 0.
     :param holder: the sender itself, while it holds the lease.
     :param rollouts: the running and just ended roll-outs, by service.
     :param versions: the sender's counts of answers by version, by service.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     :param digest_port: the port of the sender's host for digests; 0 if they go to ``address``.
-    :param build: the sender's version and protocol level; empty from builds of level 0.
     """
 
     vm_id: str
@@ -94,9 +94,9 @@
     limits: dict[str, LimitDigest] = field(default_factory=dict)
     parts: dict[int, PartDigest] = field(default_factory=dict)
     no_path: bool = False
+    build: str = ""
     holder: HolderInfo | None = None
     complete: bool = False
     digest_port: int = 0
-    build: str = ""
     rollouts: dict[str, RolloutNews] = field(default_factory=dict)
     versions: dict[str, VersionCounts] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -182,6 +182,7 @@
             clock_s,
             vm_status.stopping,
             vm_status.configuration_version,
+            build=BUILD,
             replicas=replicas,
             crashes=self.poison_requests.own_counts(),
             left=self.pool.recently_left(now_s),
@@ -191,7 +192,6 @@
             holder=vm_status.holder,
             # With few VMs, digests tell what runs at each replica and are read as they arrive.
             digest_port=self.identity.digest_port if self.load_queries.enabled else 0,
-            build=BUILD,
             rollouts=self.rollouts.news(now_s),
             versions=self.rollouts.counts(),
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -17,6 +17,16 @@
 from coriandershelf_core.internal.gateway.usage_counts import SourceCounts
 
 LEASE_KEY = "lease"
+# What a record of another shape raises as it is decoded.
+MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 _KNOWN_FIELDS = frozenset({"vm_id", "incarnation", "number", "reports", "counts"})
 # What a record of another shape raises as it is decoded.
 MALFORMED_ERRORS = (
