A fresh VM uses no key and no replica that its peers know to be gone

Cause: a VM that started again took any read of the store as proof of its keys, though the digests of its peers named a newer version; an older copy brought a withdrawn key back for as long as it was given. A replica whose registration was removed after it drained was used again if a late heartbeat wrote the registration anew, on VMs that ran and on fresh ones; word of it that came before the first read of the registry was lost, and peers spoke of it for 6 s only.

Change: a read that shows an older version than a live peer had before proves nothing; within 3 s of the first read such word takes that read's proof away, and a VM is ready only with a proof. A start that drained or stated that it leaves stays out for good; peers name it for as long as the registry says that it is ready.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -76,6 +76,10 @@
 LOAD_BALANCER_LAG_S = 3.2
 # Requests still in flight are aborted this long before the platform kills the process.
 STOP_MARGIN_S = 0.5
+# How long after its first read a VM takes word of a newer version as proof that it read an older
+# copy of the configuration: the longest period of the digests, 2.4 s at 195 VMs, and their way.
+SETTLING_S = 3.0
+HEARD_VERSIONS_MAX_COUNT = 16
 # New requests are refused from this long after a stop request: their streams would be cut off.
 STOP_ADMISSION_AFTER_S = 3.0
 
@@ -114,6 +118,9 @@
         self._outbox: list[Action] = []
         self._routes = RouteTable(())
         self._confirmed_at_s = float("-inf")
+        self._heard_at_s: dict[int, float] = {}
+        self._contradicted = False
+        self._first_deployment_at_s = float("inf")
         self._registry_read = False
         self._stop_at_s = 0.0
         self._stopped = False
@@ -161,7 +168,8 @@
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
-        return self.deployment is not None and self._registry_read and not self.stopping
+        is_proved = self._confirmed_at_s > float("-inf")
+        return is_proved and self._registry_read and not self.stopping
 
     def step(self, event: Event, now_s: float, clock_s: float) -> list[Action]:
         """Apply one event and return the actions for the process.
@@ -224,7 +232,7 @@
             case DeploymentRead(deployment):
                 self._on_deployment(deployment, now_s)
             case ConfigurationProved(at_s):
-                self._confirmed_at_s = max(self._confirmed_at_s, at_s)
+                self._on_configuration_proved(at_s, now_s)
             case ReplicasRead():
                 self._on_replicas(event, now_s)
             case EntryVmsRead(addresses):
@@ -315,6 +323,7 @@
     def _on_deployment(self, deployment: Deployment, now_s: float) -> None:
         if self.deployment is not None and deployment.version <= self.deployment.version:
             return
+        self._first_deployment_at_s = min(self._first_deployment_at_s, now_s)
         self.deployment = deployment
         self.relay.deployment = deployment
         self._routes = RouteTable(deployment.routes)
@@ -322,6 +331,40 @@
         fields = (("version", deployment.version), ("routes", len(deployment.routes)))
         self._outbox.append(LogLine("configuration in force", fields))
 
+    def _on_configuration_proved(self, at_s: float, now_s: float) -> None:
+        """Accept a read as proof unless another VM shows that it was one of an older copy."""
+        version = self.deployment.version if self.deployment is not None else 0
+        newest = max(
+            (digest.configuration_version for digest in self.peers.live_digests(now_s)), default=0
+        )
+        if newest <= version:
+            self._contradicted = False
+        elif not self._is_settled(now_s) or at_s > self._heard_at_s.get(newest, now_s):
+            if not self._contradicted:
+                fields = (("version", version), ("version_of_peers", newest))
+                self._outbox.append(LogLine("configuration older than that of peers", fields))
+                self._emit_count("old_configuration_reads")
+            self._contradicted = True
+            return
+        self._confirmed_at_s = max(self._confirmed_at_s, at_s)
+
+    def _is_settled(self, now_s: float) -> bool:
+        """Return whether this VM had time to hear from the others since it first read."""
+        return now_s - self._first_deployment_at_s >= SETTLING_S
+
+    def _hear_version(self, version: int, now_s: float) -> None:
+        """Note when a version newer than this VM's was first heard of."""
+        own_version = self.deployment.version if self.deployment is not None else 0
+        if version <= own_version:
+            return
+        if version not in self._heard_at_s:
+            newer = {item: at_s for item, at_s in self._heard_at_s.items() if item > own_version}
+            self._heard_at_s = dict(list(newer.items())[-HEARD_VERSIONS_MAX_COUNT:])
+            self._heard_at_s[version] = now_s
+        if not self._is_settled(now_s):
+            # What this VM read as it started was an older copy: its keys may be withdrawn.
+            self._confirmed_at_s = float("-inf")
+
     def _on_replicas(self, event: ReplicasRead, now_s: float) -> None:
         self._registry_read = True
         left = self.pool.apply(event.replicas, event.complete, event.after_outage, now_s)
@@ -347,6 +390,7 @@
     def _on_digest(self, digest: Digest, now_s: float) -> None:
         if not self.peers.on_digest(digest, now_s):
             return
+        self._hear_version(digest.configuration_version, now_s)
         if digest.complete:
             self.caps.on_digest(digest, now_s)
             self.arrival_rates.on_digest(digest)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -29,6 +29,8 @@
 SLOWDOWN_DECAY_S = 0.4
 # A replica's departure is sent to the peers for this long, several digest periods.
 LEFT_SHARED_S = 6.0
+# Replicas of which the leaving is kept: those of several hours at the largest site.
+LEAVING_STARTS_MAX_COUNT = 4096
 # Streams that began at a software version may be resumed for this long after its last replica left.
 VERSION_KEPT_S = 60.0
 # A slowdown reported by a replica is sent to the peers for this long.
@@ -233,6 +235,9 @@
         self._departed: dict[str, ReplicaState] = {}
         self._left_at: dict[str, tuple[int, float]] = {}
         self._version_left_at_s: dict[tuple[str, str], float] = {}
+        # Starts of replicas that are known to leave, which is final for a start.
+        self._leaving_starts: dict[str, int] = {}
+        self._is_read = False
 
     def __iter__(self) -> Iterator[ReplicaState]:
         return iter(self._states.values())
@@ -287,6 +292,7 @@
         now_s: float,
     ) -> list[ReplicaState]:
         """Apply registry changes and return the replicas removed by them."""
+        self._is_read = True
         gone = [name for name, replica in replicas.items() if replica is None]
         if complete:
             gone += [name for name in self._states if name not in replicas]
@@ -294,6 +300,7 @@
             if replica is not None:
                 self._put(name, replica, now_s)
                 if replica.leaving:
+                    self._note_leaving(name, replica.started_at_ms)
                     self._left_at.setdefault(name, (replica.started_at_ms, now_s))
         left = []
         for name in gone:
@@ -324,11 +331,16 @@
         self._left_at = {
             name: item for name, item in self._left_at.items() if now_s - item[1] <= LEFT_SHARED_S
         }
-        return {
+        left = {
             name: started_at_ms
             for name, (started_at_ms, _) in self._left_at.items()
             if name not in self._states or self._states[name].leaving
         }
+        for name, state in self._states.items():
+            # A VM that starts reads a delayed registration as ready, however old the leaving is.
+            if state.leaving and not state.replica.leaving and name in self._leaving_starts:
+                left[name] = state.replica.started_at_ms
+        return left
 
     def on_left(self, left: dict[str, int]) -> list[ReplicaState]:
         """Mark replicas as leaving that another VM saw leaving in the registry; return them.
@@ -338,8 +350,13 @@
         marked = []
         for name, started_at_ms in left.items():
             state = self._states.get(name)
-            same = state is not None and state.replica.started_at_ms == started_at_ms
-            if state is not None and same and not state.leaving:
+            if state is None:
+                if not self._is_read:
+                    # The VM starts, and may yet read a delayed registration.
+                    self._note_leaving(name, started_at_ms)
+                continue
+            same = state.replica.started_at_ms == started_at_ms
+            if same and not state.leaving:
                 state.leaving = True
                 marked.append(state)
         return marked
@@ -368,9 +385,17 @@
             return False
         state.leaving = True
         replica = state.replica
+        self._note_leaving(replica.replica_id, replica.started_at_ms)
         self._left_at.setdefault(replica.replica_id, (replica.started_at_ms, now_s))
         return True
 
+    def _note_leaving(self, name: str, started_at_ms: int) -> None:
+        """Keep that a start of a replica leaves, also once its registration is gone."""
+        self._leaving_starts.pop(name, None)
+        self._leaving_starts[name] = started_at_ms
+        if len(self._leaving_starts) > LEAVING_STARTS_MAX_COUNT:
+            del self._leaving_starts[next(iter(self._leaving_starts))]
+
     def mark_leaving(self, replica_id: str) -> None:
         """Send no more requests to a replica, because its address belongs to another one."""
         state = self._states.get(replica_id)
@@ -391,7 +416,8 @@
         state.replica = replica
         # A replica never comes back from leaving; a delayed registration may still say that it is
         # ready.
-        state.leaving = state.leaving or replica.leaving
+        is_late = self._leaving_starts.get(name) == replica.started_at_ms
+        state.leaving = state.leaving or replica.leaving or is_late
         state.missing_since_s = None
 
     def _note_version_left(self, state: ReplicaState, now_s: float) -> None:
