The product's own border: late answers, resets and malformed upstreams

Cause: tornado takes a reset for the end of a response without length, so a part of a plain service's answer passed for the whole. A connection with an unread second answer was used again, and one on which another attempt's end marker came was too, so that each later request on it got the answer before its own and failed. A position of more than 4,300 digits, or a payload of another shape before a stream was sent again, raised in the attempt's task and ended the process. A 103 response failed its attempt. Each read of an incomplete event copied all of it.

Change: each is checked where it is read; an attempt that ends with an error fails, and only a broken invariant ends the process. The fake stream of the test of the limit of plain answers got the attribute error of real streams.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/application.py
@@ -31,7 +31,12 @@
     Stopped,
     StopVm,
 )
-from coriandershelf_core.internal.vocabulary.events import SeedsGiven, StopAsked
+from coriandershelf_core.internal.vocabulary.events import (
+    AttemptFailed,
+    FailureCause,
+    SeedsGiven,
+    StopAsked,
+)
 from coriandershelf_core.internal.vocabulary.records import (
     CONFIGURATION_STREAM,
     CONTROL_STREAM,
@@ -214,9 +219,19 @@
     def _start_attempt(self, action: StartAttempt) -> None:
         wait_for_space = partial(space_waiter, self._mailboxes)
         coroutine = run_attempt(action, self._pool, self._core_task.post, wait_for_space)
-        task = self._spawn(coroutine)
+        task = asyncio.create_task(coroutine)
         self._attempts[action.attempt_id] = task
-        task.add_done_callback(lambda _: self._attempts.pop(action.attempt_id, None))
+        task.add_done_callback(partial(self._on_attempt_done, action.attempt_id))
+
+    def _on_attempt_done(self, attempt_id: str, task: asyncio.Task[None]) -> None:
+        """Fail an attempt that ended with an error; a broken invariant ends the process."""
+        self._attempts.pop(attempt_id, None)
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, AssertionError):
+            self._on_task_done(task)
+        elif error is not None:
+            self._log.error("attempt failed unexpectedly", attempt_id=attempt_id, error=repr(error))
+            self._core_task.post(AttemptFailed(attempt_id, FailureCause.SERVER_ERROR, sent=True))
 
     async def _exit_after_responses(self) -> None:
         """Wait until the last responses are sent, then end the process.
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/sse.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/sse.py
@@ -6,6 +6,8 @@
 
 END_MARKER = b"[DONE]"
 EVENT_LIMIT_BYTES = 1 << 20
+# Python converts no number of more than 4,300 digits.
+POSITION_MAX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,11 +34,17 @@
     """Splits the bytes of a stream into events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, chunk: bytes) -> list[StreamEvent] | BadStream:
         """Return the events completed by ``chunk``."""
-        *blocks, self._buffer = (self._buffer + chunk).split(b"\n\n")
+        # Only the new bytes are searched, and one before: the cost is linear in the bytes received.
+        searched_from = max(0, len(self._buffer) - 1)
+        self._buffer += chunk
+        blocks: list[bytes] = []
+        if self._buffer.find(b"\n\n", searched_from) >= 0:
+            *blocks, rest = bytes(self._buffer).split(b"\n\n")
+            self._buffer = bytearray(rest)
         if len(self._buffer) > EVENT_LIMIT_BYTES:
             return BadStream("an event is too large")
         events = []
@@ -53,6 +61,6 @@
     if not separator or not id_line.startswith(b"id: "):
         return BadStream("an event lacks its id or data")
     attempt_id, colon, position = id_line[4:].rpartition(b":")
-    if not colon or not position.isdigit():
+    if not colon or not position.isdigit() or len(position) > POSITION_MAX_DIGITS:
         return BadStream("an event's id is not attempt:position")
     return StreamEvent(attempt_id.decode("utf-8", "replace"), int(position), payload)
--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -33,6 +34,8 @@
 from coriandershelf_entry.internal.sse import END_MARKER, BadStream, StreamEvent, StreamParser
 
 IDLE_CONNECTIONS_MAX_COUNT = 32
+# Responses below it are informational (1xx); the final one follows.
+FINAL_STATUS_MIN = 200
 BODY_LIMIT_BYTES = 1 << 30
 PLAIN_BODY_LIMIT_BYTES = 4 << 20
 
@@ -55,8 +58,9 @@
         idle = self._idle.get(address, [])
         while idle and not fresh:
             stream = idle.pop()
-            if not stream.closed():
+            if _is_usable(stream):
                 return stream
+            stream.close()
         host, _, port = address.rpartition(":")
         stream = await self._client.connect(host, int(port))
         stream.set_nodelay(True)
@@ -91,6 +95,7 @@
         self._parser = StreamParser()
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._ends_with_connection = False
         self.status = 0
         self.keep_alive = True
         self.ended = False
@@ -101,7 +106,11 @@
     ) -> None:
         """Handle the status line and headers of the response."""
         assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < FINAL_STATUS_MIN:
+            return
         self.status = start_line.code
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        self._ends_with_connection = not framed
         self.keep_alive = headers.get("Connection", "").lower() != "close"
         if self._action.kind is ServiceKind.PLAIN:
             return
@@ -147,6 +156,9 @@
                 self._post_run(run)
                 run = []
                 self.ended = True
+                if event.attempt_id != self._action.attempt_id:
+                    # The end of another attempt's stream: this one's is still to come.
+                    self.keep_alive = False
                 self._post(StreamEnded(self._action.attempt_id, event.attempt_id, event.position))
                 continue
             last = run[-1] if run else None
@@ -168,6 +180,9 @@
 
     def finish(self) -> None:
         """Handle the end of the response."""
+        if self._ends_with_connection and self._stream.error is not None:
+            # tornado takes a reset for the end of a response without length.
+            return
         if self._action.kind is ServiceKind.PLAIN and self.failure is None:
             self.ended = True
             self._post(PlainAnswered(self._action.attempt_id, self.status, b"".join(self._body)))
@@ -181,11 +196,32 @@
     if not action.resume_payloads:
         return action.body
     body = json.loads(action.body)
-    deltas = [json.loads(payload)["choices"][0]["delta"] for payload in action.resume_payloads]
-    body["resume_text"] = "".join(delta.get("content", "") for delta in deltas)
+    body["resume_text"] = "".join(_text_of(payload) for payload in action.resume_payloads)
     return json.dumps(body).encode()
 
 
+def _text_of(payload: bytes) -> str:
+    """Return the text of a payload; none if an upstream sent something else."""
+    try:
+        return str(json.loads(payload)["choices"][0]["delta"].get("content", ""))
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError, RecursionError):
+        return ""
+
+
+def _is_usable(stream: IOStream) -> bool:
+    """Return whether an idle connection is open and received nothing, such as a second answer."""
+    # tornado has no public way to see bytes that it read beyond a response.
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _request_headers(action: StartAttempt, body: bytes) -> HTTPHeaders:
     headers = HTTPHeaders(
         {
--- a/tests/cover/test_malformed_platform.py
+++ b/tests/cover/test_malformed_platform.py
@@ -86,6 +86,8 @@
 
 class Stream:
     closed = False
+    # What a stream of tornado has until its connection fails.
+    error: Exception | None = None
 
     def close(self) -> None:
         self.closed = True
