An address that is none costs a connection, not the process

Cause: connecting to an address such as 1..2:80, which the patterns of the registry and of the settings file allow, raised UnicodeError in the task that connected: a consumer of the store after a reload, or an attempt.

Change: it counts as a peer that cannot be connected.

--- a/tests/cover/test_malformed_input.py
+++ b/tests/cover/test_malformed_input.py
@@ -7,10 +7,11 @@
 
 import pytest
 from platform_site import Site
+from tornado.tcpclient import TCPClient
 
 from coriandershelf_core.internal.gateway.duty_lease import LeaseRecord
 from coriandershelf_platform.application import steady_s
-from coriandershelf_platform.client_connection import ResponseHead
+from coriandershelf_platform.client_connection import ResponseHead, connect
 from coriandershelf_platform.configuration import decode_configuration
 from coriandershelf_platform.registry import decode_replica
 from coriandershelf_platform.replica_client import _parse_idle_limit_s, _parse_load
@@ -37,7 +38,7 @@
     assert events is not None and events.last_event_id is None
 
 
-# Guards against a registered port that no connection can be opened to: it raised in each attempt.
+# Guards against a registered port that no connection can be opened to, tried by each request.
 def test_a_replica_with_a_port_beyond_the_largest_is_no_replica():
     entry = {
         "service": "a", "address": "10.0.0.1:65535", "zone": "z", "slots": 1, "state": "ready",
@@ -48,6 +49,20 @@
     assert decode_replica("r", json.dumps(entry).encode()) is None
 
 
+# Guards against an address that raises in the task that connects to it: it ended the process, also
+# after a reload of settings with such an address of the store.
+@pytest.mark.parametrize(
+    "address", ["1..2:80", "a..b:80", "127.0.0.1:99999", "127.0.0.1:x", "", ":"]
+)
+def test_an_address_that_is_none_is_unreachable(address):
+    async def scenario() -> None:
+        assert await connect(TCPClient(), address, 0.5) is None
+        store = StoreClient(lambda: address, steady_s)
+        assert await store.newest("keyed.op") is StoreFailure.UNREACHABLE
+
+    run(scenario)
+
+
 # Guards against nesting so deep that decoders raise RecursionError.
 def test_deeply_nested_records_and_settings_are_malformed(tmp_path):
     nested = b'{"x":' + DEEP + b"]" * len(DEEP) + b"}"
