Roll-outs: barred versions are no old version, so an order for the old one ends a roll-out

Cause: an order for the old version, while replicas of the unproved target still serve, began a canary of the old version; nearly all requests would have been refused.

Change: versions without a good verdict don't count as old ones when an order begins.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -67,9 +67,9 @@
 ENDED_SHARED_S = 30.0
 # Without news of a running roll-out for this long, the state is read from the store.
 READ_STATE_AFTER_S = 1.5
-# Replicas to which the requests of a canary go at a time, as a share of the target's. Later it is the
-# share of the requests. So they are loaded like the old ones, and a version that is bad under load
-# shows it while its share is small. Then others follow.
+# Replicas to which the requests of a canary go at a time, as a share of the target's; later it is
+# the share of the requests. So they are loaded like the old ones, and a version that is bad under
+# load shows it while its share is small. Then others follow.
 CANARY_REPLICAS_SHARE = 0.1
 CANARY_ROTATION_S = 0.7
 # All counts are evaluated at this period, or at this share of the peers' digest period where that
@@ -609,7 +609,8 @@
         target = item.order.target
         usable = self.pool.usable(service)
         new = [state.replica for state in usable if state.replica.software_version == target]
-        old = [state.replica for state in usable if state.replica.software_version != target]
+        not_old = {target, *item.barred}
+        old = [state.replica for state in usable if state.replica.software_version not in not_old]
         starts = [replica.started_at_ms / 1e3 for replica in new if replica.started_at_ms]
         is_drained = all(_is_drained(digest, item, service) for digest in live_digests)
         if item.old_running or not is_drained:
--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -181,6 +181,24 @@
     assert late == []
 
 
+def test_an_order_for_the_old_version_ends_a_running_roll_out():
+    """Fails if the operator can't stop a roll-out, or if the old version becomes a canary."""
+
+    def prepare(site: RolloutSite) -> None:
+        def stop() -> None:
+            site.new_count = 0
+            site.place_order(OLD, offset=8)
+
+        site.time.at(5.0, stop)
+
+    site = run_rollout(11, prepare=prepare)
+    assert [item[1:] for item in site.store.statuses] == [(NEW, "in_progress"), (OLD, "completed")]
+    assert site.store.statuses[-1][0] - site.order_at_s < 1.0
+    late = [s for s in site.sent if s.version == NEW and s.caller_sent_s > site.order_at_s + 1.0]
+    assert late == []
+    assert set(site.outcomes()) <= {"200", "500", "stream"}
+
+
 def test_an_order_for_the_present_version_is_completed_at_once():
     """Fails if a roll-out without anything to move runs to its limit."""
     site = RolloutSite(12, new=0)
