Roll-outs: lower expected rate of slow answers; the share waits while in doubt

Change: 0.025; in moving, the next share waits while the score is above 3, until 0.75 of the time. The holder uses the evidence of its last evaluation. A test that the autoscaler releases nothing during a roll-out.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
@@ -20,7 +20,7 @@
 CANARY_BAD_SCORE = 11.0
 MOVING_BAD_SCORE = 8.0
 VERDICT_BAD_SCORE = 6.0
-# Above this score an early verdict waits for more evidence.
+# Above this score an early verdict, and the next share, wait for more evidence.
 DOUBT_SCORE = 3.0
 # Shares of an order's time. Evidence is gathered at least until ``VERDICT_SHARE``, so that a
 # version that turns bad later is seen; what follows is needed to move the traffic and to let
@@ -233,7 +233,8 @@
         higher = [value for value in MOVING_SHARES if value > state.share]
         next_share = higher[0] if higher else 1.0
         has_capacity = _capacity_share(inputs) >= next_share or share >= LATE_CAPACITY_SHARE
-        if lasted_s < step_s or not has_capacity:
+        is_doubtful = evidence.score >= DOUBT_SCORE and share < LATE_CAPACITY_SHARE
+        if lasted_s < step_s or not has_capacity or is_doubtful:
             return None
         return change(Phase.MOVING if higher else Phase.DRAINING, "next share", next_share)
     if state.phase == Phase.DRAINING and min(lasted_s, inputs.drained_for_s) >= DRAINED_FOR_S:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
@@ -32,7 +32,7 @@
 # Bad answers are expected at twice the old version's rate, but at no less than the first rate; slow
 # ones at no less than the second, since replicas of one version differ in speed.
 BAD_RATE_FLOOR = 0.01
-SLOW_RATE_FLOOR = 0.05
+SLOW_RATE_FLOOR = 0.025
 REFERENCE_FACTOR = 2.0
 REFERENCE_PRIOR_COUNT = 10.0
 REFERENCE_PRIOR_BAD = 0.5
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -98,6 +98,7 @@
     :param reserved: requests about to be sent to the target, with the end of the reservation.
     :param credit: requests owed to the target while its share grows.
     :param past: all counts at times of the last ``RECENT_S``.
+    :param evidence: what the counts proved when they were last evaluated.
     :param is_held: whether the known answers prove the target bad.
     """
 
@@ -113,6 +114,7 @@
     reserved: dict[int, float] = field(default_factory=dict)
     credit: float = 0.0
     is_held: bool = False
+    evidence: Evidence = field(default_factory=Evidence)
     past: deque[tuple[float, dict[str, RouteCounts]]] = field(default_factory=deque)
     evaluate_at_s: float = 0.0
     old_running: int = UNKNOWN_RUNNING
@@ -526,7 +528,7 @@
                 if attempt.request.service == service:
                     self.on_abandoned(attempt, now_s)
                     item.old_running += int(not self._is_new(item, attempt))
-            evidence = self._evidence(item, service, now_s)
+            evidence = item.evidence = self._evidence(item, service, now_s)
             state = item.current
             is_bad = evidence.score >= bad_score(state.phase if state is not None else "")
             if is_bad != item.is_held:
@@ -619,7 +621,7 @@
             item.drained_since_s = now_s
         drained_for_s = 0.0 if item.drained_since_s is None else now_s - item.drained_since_s
         return RolloutInputs(
-            self._evidence(item, service, now_s),
+            item.evidence,
             sum(replica.slots_count for replica in new),
             sum(replica.slots_count for replica in old),
             len(new),
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -263,3 +263,19 @@
     assert max(late_boosts) <= LATE_BOOST_STEP
     cloud.run(60.0, 2.0 * RATE)
     assert cloud.spot_count() <= LATE_BOOST_MAX * before + 3
+
+
+def test_during_a_roll_out_the_new_replicas_are_no_surplus():
+    """Fails if the replicas of a new version, or the old ones beside them, are released."""
+    steady = FakeCloud()
+    steady.run(20.0, 4000.0)
+    cloud = FakeCloud()
+    cloud.counts = dict(steady.counts)
+    cloud.run(20.0, 4000.0)
+    cloud.scaling.held_services = {"engine"}
+    cloud.counts = {key: 2 * value for key, value in steady.counts.items()}
+    cloud.run(20.0, 4000.0)
+    assert cloud.orders == []
+    cloud.scaling.held_services = set()
+    cloud.run(20.0, 4000.0)
+    assert cloud.counts == steady.counts
