--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -49,8 +49,9 @@
 from coriandershelf_core.internal.gateway.selection import FIRST_EVENT_BASE_S
 from coriandershelf_core.internal.gateway.settings import GatewaySettings
 
-# Share of the bound that a canary uses: VMs count requests at slightly different times than callers,
-# and what is left lets a version that turns bad under the first larger shares keep within the bound.
+# Share of the bound that a canary uses: VMs count requests at slightly different times than
+# callers, and what is left lets a version that turns bad under the first larger shares keep within
+# the bound.
 EXPOSURE_MARGIN = 0.8
 # At most this share of a VM's requests goes to the target, so that both versions are compared in
 # the same seconds; half of the slack is spent at once, the rest evenly until the verdict.
