--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -9,7 +9,7 @@
 
 from coriandershelf_core.internal.gateway.actions import Action, LogLine, SendDigest
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
-from coriandershelf_core.internal.gateway.builds import PROTOCOL_LEVEL
+from coriandershelf_core.internal.gateway.builds import BUILD, PROTOCOL_LEVEL
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo, ReplicaDigest
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
@@ -182,6 +182,7 @@
             clock_s,
             vm_status.stopping,
             vm_status.configuration_version,
+            build=BUILD,
             replicas=replicas,
             crashes=self.poison_requests.own_counts(),
             left=self.pool.recently_left(now_s),
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -275,6 +275,7 @@
                 self._on_deployment(deployment, now_s)
             case ConfigurationProved(at_s):
                 self._on_configuration_proved(at_s, now_s)
+                self.rollouts.on_orders_proved(at_s, now_s)
             case ReplicasRead():
                 self._on_replicas(event, now_s)
             case EntryVmsRead(addresses):
@@ -414,6 +415,7 @@
 
     def _on_replicas(self, event: ReplicasRead, now_s: float) -> None:
         self._registry_read = True
+        self.rollouts.on_replicas(event.replicas.values(), now_s)
         left = self.pool.apply(event.replicas, event.complete, event.after_outage, now_s)
         self._on_left(left)
         self.admission.on_room_change()
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
@@ -19,15 +19,16 @@
 # lowest at the one look when the verdict is due.
 CANARY_BAD_SCORE = 11.0
 MOVING_BAD_SCORE = 8.0
-VERDICT_BAD_SCORE = 6.0
-# Above this score an early verdict waits for more evidence.
+VERDICT_BAD_SCORE = 5.0
+# Above this score an early verdict, and the next share, wait for more evidence.
 DOUBT_SCORE = 3.0
 # Shares of an order's time. Evidence is gathered at least until ``VERDICT_SHARE``, so that a
 # version that turns bad later is seen; what follows is needed to move the traffic and to let
 # streams of the old version end.
-VERDICT_SHARE = 0.5
+VERDICT_SHARE = 0.55
 # With too little or doubtful evidence, or too few new replicas, the verdict waits until then.
-LATE_VERDICT_SHARE = 0.62
+LATE_VERDICT_SHARE = 0.64
+DOUBTFUL_VERDICT_SHARE = 0.7
 LATE_CAPACITY_SHARE = 0.75
 # Shortest observation of the first new replica before the verdict, as a share and in seconds.
 OBSERVED_MIN_SHARE = 0.15
@@ -233,7 +234,8 @@
         higher = [value for value in MOVING_SHARES if value > state.share]
         next_share = higher[0] if higher else 1.0
         has_capacity = _capacity_share(inputs) >= next_share or share >= LATE_CAPACITY_SHARE
-        if lasted_s < step_s or not has_capacity:
+        is_doubtful = evidence.score >= DOUBT_SCORE and share < LATE_CAPACITY_SHARE
+        if lasted_s < step_s or not has_capacity or is_doubtful:
             return None
         return change(Phase.MOVING if higher else Phase.DRAINING, "next share", next_share)
     if state.phase == Phase.DRAINING and min(lasted_s, inputs.drained_for_s) >= DRAINED_FOR_S:
@@ -267,11 +269,11 @@
     is_observed = unix_s - state.observed_s >= observed_min_s
     if share < VERDICT_SHARE or not (is_observed or share >= LATE_CAPACITY_SHARE):
         return None
-    if share < LATE_VERDICT_SHARE:
-        is_enough = evidence.answers_count >= ANSWERS_MIN_COUNT
-        if evidence.score >= DOUBT_SCORE or not is_enough:
-            return None
-    elif evidence.score >= VERDICT_BAD_SCORE:
+    if share < LATE_VERDICT_SHARE and evidence.answers_count < ANSWERS_MIN_COUNT:
+        return None
+    if evidence.score >= DOUBT_SCORE and share < DOUBTFUL_VERDICT_SHARE:
+        return None
+    if evidence.score >= VERDICT_BAD_SCORE:
         return Phase.REVERTED
     if _capacity_share(inputs) < MOVING_SHARES[0] and share < LATE_CAPACITY_SHARE:
         return None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -18,7 +18,7 @@
 
 from coriandershelf_core.internal.gateway.actions import Action, IncrementCounter, LogLine
 from coriandershelf_core.internal.gateway.attempts import AttemptState
-from coriandershelf_core.internal.gateway.deployment import RouteKind
+from coriandershelf_core.internal.gateway.deployment import Replica, RouteKind
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.load_tracking import PREFILL_TOKEN_S
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
@@ -49,7 +49,9 @@
 from coriandershelf_core.internal.gateway.selection import FIRST_EVENT_BASE_S
 from coriandershelf_core.internal.gateway.settings import GatewaySettings
 
-# Share of the bound that is used: VMs count requests at slightly different times than callers.
+# Share of the bound that a canary uses: VMs count requests at slightly different times than
+# callers, and what is left lets a version that turns bad under the first larger shares keep within
+# the bound.
 EXPOSURE_MARGIN = 0.8
 # At most this share of a VM's requests goes to the target, so that both versions are compared in
 # the same seconds; half of the slack is spent at once, the rest evenly until the verdict.
@@ -67,9 +69,9 @@
 ENDED_SHARED_S = 30.0
 # Without news of a running roll-out for this long, the state is read from the store.
 READ_STATE_AFTER_S = 1.5
-# Replicas to which a canary's requests go at a time, as a share of the target's. Later it is the
-# share of the requests. So they are loaded like the old ones, and a version that is bad under load
-# shows it while its share is small. Then others follow.
+# Replicas to which the requests of a canary go at a time, as a share of the target's; later it is
+# the share of the requests. So they are loaded like the old ones, and a version that is bad under
+# load shows it while its share is small. Then others follow.
 CANARY_REPLICAS_SHARE = 0.1
 CANARY_ROTATION_S = 0.7
 # All counts are evaluated at this period, or at this share of the peers' digest period where that
@@ -77,6 +79,9 @@
 EVALUATION_PERIOD_S = 0.25
 EVALUATION_PERIODS_SHARE = 0.25
 SOON_SHARE = 0.2
+# Replicas of a version are started after its order is written. So one that is new to this VM waits
+# until the orders are known up to when it was first seen, at most this long if they can't be read.
+UNPROVED_MAX_S = 3.0
 # Stands for a number of requests in flight that was not counted yet.
 UNKNOWN_RUNNING = 1
 # The counts of this last time are judged by themselves as well.
@@ -98,6 +103,7 @@
     :param reserved: requests about to be sent to the target, with the end of the reservation.
     :param credit: requests owed to the target while its share grows.
     :param past: all counts at times of the last ``RECENT_S``.
+    :param evidence: what the counts proved when they were last evaluated.
     :param is_held: whether the known answers prove the target bad.
     """
 
@@ -113,6 +119,7 @@
     reserved: dict[int, float] = field(default_factory=dict)
     credit: float = 0.0
     is_held: bool = False
+    evidence: Evidence = field(default_factory=Evidence)
     past: deque[tuple[float, dict[str, RouteCounts]]] = field(default_factory=deque)
     evaluate_at_s: float = 0.0
     old_running: int = UNKNOWN_RUNNING
@@ -163,6 +170,37 @@
     emit: Callable[[Action], None]
     lead_until_s: float = -math.inf
     _services: dict[str, _ServiceRollout] = field(default_factory=dict)
+    _versions: dict[str, set[str]] = field(default_factory=dict)
+    _unproved: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def on_replicas(self, replicas: Iterable[Replica | None], now_s: float) -> None:
+        """Hold back a version that is new to this VM until it knows of any order for it."""
+        for replica in replicas:
+            if replica is None:
+                continue
+            versions = self._versions.setdefault(replica.service, set())
+            if replica.software_version not in versions:
+                versions.add(replica.software_version)
+                self._unproved[replica.service, replica.software_version] = now_s
+
+    def on_orders_proved(self, at_s: float, now_s: float) -> None:
+        """Take note that all orders written before ``at_s`` are known."""
+        if self._unproved:
+            self._unproved = {
+                key: seen_s
+                for key, seen_s in self._unproved.items()
+                if seen_s >= at_s and now_s - seen_s < UNPROVED_MAX_S
+            }
+
+    def _proved(
+        self, service: str, states: Sequence[ReplicaState], now_s: float
+    ) -> Sequence[ReplicaState]:
+        held = {
+            version
+            for (name, version), seen_s in self._unproved.items()
+            if name == service and now_s - seen_s < UNPROVED_MAX_S
+        }
+        return [s for s in states if s.replica.software_version not in held] or states
 
     @property
     def known(self) -> bool:
@@ -301,6 +339,8 @@
 
         :param states: the usable replicas of its service.
         """
+        if self._unproved and request.software_version is None:
+            states = self._proved(request.service, states, now_s)
         item = self._services.get(request.service)
         if item is None:
             return states
@@ -526,7 +566,7 @@
                 if attempt.request.service == service:
                     self.on_abandoned(attempt, now_s)
                     item.old_running += int(not self._is_new(item, attempt))
-            evidence = self._evidence(item, service, now_s)
+            evidence = item.evidence = self._evidence(item, service, now_s)
             state = item.current
             is_bad = evidence.score >= bad_score(state.phase if state is not None else "")
             if is_bad != item.is_held:
@@ -555,9 +595,9 @@
         # A version that turns bad is not excused by its good answers before.
         while len(item.past) > 1 and item.past[1][0] <= now_s - RECENT_S:
             item.past.popleft()
-        # Of a canary only a few replicas were used lately; their speed says little of the others.
+        # Before, only a few replicas were used lately; their speed says little of the others.
         state = item.current
-        with_slow = state is not None and state.phase in (Phase.MOVING, Phase.DRAINING)
+        with_slow = state is not None and state.phase == Phase.DRAINING
         recent = whole
         if item.past:
             recent = weigh(counts_since(sums, item.past[0][1]), replicas, with_slow)
@@ -609,7 +649,8 @@
         target = item.order.target
         usable = self.pool.usable(service)
         new = [state.replica for state in usable if state.replica.software_version == target]
-        old = [state.replica for state in usable if state.replica.software_version != target]
+        not_old = {target, *item.barred}
+        old = [state.replica for state in usable if state.replica.software_version not in not_old]
         starts = [replica.started_at_ms / 1e3 for replica in new if replica.started_at_ms]
         is_drained = all(_is_drained(digest, item, service) for digest in live_digests)
         if item.old_running or not is_drained:
@@ -618,7 +659,7 @@
             item.drained_since_s = now_s
         drained_for_s = 0.0 if item.drained_since_s is None else now_s - item.drained_since_s
         return RolloutInputs(
-            self._evidence(item, service, now_s),
+            item.evidence,
             sum(replica.slots_count for replica in new),
             sum(replica.slots_count for replica in old),
             len(new),
--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -180,6 +180,27 @@
     assert late == []
 
 
+def test_an_order_for_the_old_version_ends_a_running_roll_out():
+    """Fails if the operator can't stop a roll-out, or if the old version becomes a canary."""
+
+    def prepare(site: RolloutSite) -> None:
+        def stop() -> None:
+            site.new_count = 0
+            site.place_order(OLD, offset=8)
+
+        site.time.at(5.0, stop)
+
+    site = run_rollout(11, prepare=prepare)
+    assert [item[1:] for item in site.store.statuses] == [(NEW, "in_progress"), (OLD, "completed")]
+    assert site.store.statuses[-1][0] - site.order_at_s < 1.0
+    late = [s for s in site.sent if s.version == NEW and s.caller_sent_s > site.order_at_s + 1.0]
+    assert late == []
+    # Streams that the target began end with its replicas; every other request is served.
+    after = [r.outcome for r in site.requests.values() if r.sent_s > site.order_at_s + 1.0]
+    assert after and set(after) <= {"200", "500", "stream"}
+    assert set(site.outcomes()) <= {"200", "500", "stream", "broken"}
+
+
 def test_an_order_for_the_present_version_is_completed_at_once():
     """Fails if a roll-out without anything to move runs to its limit."""
     site = RolloutSite(12, new=0)
@@ -222,3 +243,21 @@
     handles = [driver.ask("/ask/x") for _ in range(10)]
     assert {driver.attempts(handle)[0].replica_id for handle in handles} == {old.replica_id}
     assert driver.gateway.rollouts.needs_state(driver.now_s + 2.0)
+
+
+def test_a_version_that_is_new_waits_until_its_order_would_be_known():
+    """Fails if a VM that reads an order late uses the target's replicas without any bound."""
+    driver = GatewayDriver().begin(plains=0, engines=0)
+    site = RolloutSite(16, old=2)
+    old, other = (item.registration for item in site.replicas.values())
+    new = replace(other, software_version=NEW)
+    driver.post(ReplicasRead({old.replica_id: old}))
+    driver.run(0.1)
+    driver.now_s += 1.0
+    driver.post(ReplicasRead({new.replica_id: new}))
+    early = [driver.ask("/ask/x") for _ in range(8)]
+    assert {driver.attempts(handle)[0].replica_id for handle in early} == {old.replica_id}
+    driver.now_s += 0.5
+    driver.confirm_configuration()
+    late = [driver.ask("/ask/x") for _ in range(8)]
+    assert new.replica_id in {driver.attempts(handle)[0].replica_id for handle in late}
