What has waited goes to the old versions while a roll-out's target is a canary

Cause: a canary's requests may only use a few replicas; one that found them full waited, and held back others although the old versions had capacity. Change: such a request is treated as a retry.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
@@ -391,6 +391,7 @@
         rate = self._rate_of(request.service)
         rate.on_queue_change(self.queue.service_count(request.service), 0, now_s)
         self._next_sequence += 1
+        request.has_waited = True
         for displaced in self.queue.add(item):
             if displaced is item:
                 self.emit(IncrementCounter("waiting", "full"))
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -67,6 +67,7 @@
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
     :param promise: what its caller was told when this VM refused the request before.
+    :param has_waited: whether it has waited for capacity.
     :param elapsed_s: time from its caller's first attempt to its arrival here.
     :param return_logged: whether it was logged what the caller found.
     """
@@ -95,6 +96,7 @@
     error_response: ReplicaResponse | None = None
     promise: Promise | None = None
     return_logged: bool = False
+    has_waited: bool = False
     elapsed_s: float = 0.0
 
     @property
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -348,8 +348,9 @@
                 return is_target or self._takes_share(item, state, request)
         if state is None or not is_fresh:
             return False
-        # A retry of a failed request goes to the old version, so that its caller is served.
-        if request.sent_count and not is_target:
+        # A retry of a failed request goes to the old version, so that its caller is served. So does
+        # one that found no capacity at the target, or it would hold back what waits behind it.
+        if (request.sent_count or request.has_waited) and not is_target:
             return False
         return self._is_within_bound(item, state, request, now_s)
 
--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -14,8 +14,12 @@
     run_rollout,
 )
 
-from coriandershelf_core.internal.gateway.events import ReplicasRead, RolloutOrdered
-from coriandershelf_core.internal.gateway.rollout import RolloutOrder
+from coriandershelf_core.internal.gateway.events import (
+    ReplicasRead,
+    RolloutOrdered,
+    RolloutStateRead,
+)
+from coriandershelf_core.internal.gateway.rollout import Phase, RolloutOrder, RolloutState
 
 BAD = {
     "at once": Quality(failures=0.3),
@@ -222,3 +226,35 @@
     handles = [driver.ask("/ask/x") for _ in range(10)]
     assert {driver.attempts(handle)[0].replica_id for handle in handles} == {old.replica_id}
     assert driver.gateway.rollouts.needs_state(driver.now_s + 2.0)
+
+
+def test_what_has_waited_for_capacity_goes_to_the_old_version_while_the_target_is_a_canary():
+    """Fails if a full canary holds back what waits although the old version has capacity."""
+    driver = GatewayDriver().begin(plains=0, engines=0)
+    site = RolloutSite(16, old=2)
+    old, other = (item.registration for item in site.replicas.values())
+    new = replace(other, software_version=NEW)
+    driver.post(ReplicasRead({old.replica_id: old, new.replica_id: new}))
+    unix_s = driver.now_s + driver.clock_offset_s
+    driver.post(RolloutOrdered(RolloutOrder(SERVICE, NEW, 12.0, 3, 100.0)))
+    state = RolloutState(SERVICE, NEW, 12.0, 3, 1, 1, Phase.CANARY, 0.0, unix_s, unix_s)
+    driver.post(RolloutStateRead(state, driver.now_s))
+    states = driver.gateway.pool.usable(SERVICE)
+
+    def allowed_versions(has_waited: bool) -> set[str]:
+        request.sent_count, request.has_waited = 0, has_waited
+        allowed = driver.gateway.rollouts.allowed(request, states, driver.now_s)
+        return {item.replica.software_version for item in allowed}
+
+    canaries_count = 0
+    for _ in range(30):
+        # The bound of exposure grows with the requests.
+        driver.run(0.05)
+        driver.post(RolloutStateRead(state, driver.now_s))
+        handle = driver.ask("/ask/x")
+        request = driver.gateway.relay.active_requests[handle]
+        if allowed_versions(has_waited=False) == {NEW}:
+            canaries_count += 1
+            assert allowed_versions(has_waited=True) == {OLD}
+        driver.end(driver.attempts(handle)[0].attempt_id)
+    assert canaries_count
