--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
@@ -18,6 +18,7 @@
     :param expose_share: share of a service's requests that a version without a verdict may get.
     :param canary_slack_count: requests that it may get in addition, over all entry VMs.
     :param rollback_s: time after a version's 50th bad answer within which it must get no more.
+    :param expects_rollouts: whether the deployment bounds what a version without a verdict may get.
     :param grace_s: time between the stop request and the end of the process.
     """
 
@@ -31,6 +32,7 @@
     expose_share: float = 0.1
     canary_slack_count: float = 50.0
     rollback_s: float = 5.0
+    expects_rollouts: bool = True
 
 
 # Share of the retry budget that is used, since VMs see requests and retries at slightly different
