Roll-outs: a state without usable times is counted and ignored

Cause: a duration of 0 in a state from a digest or the store divided by zero at the holder, which ends the process.

Change: such states are counted as rollouts malformed.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -248,6 +248,10 @@
 
     def on_state(self, state: RolloutState, heard_s: float, now_s: float) -> None:
         """Take note of a state that was current at ``heard_s``; later states replace earlier."""
+        times = (state.duration_s, state.started_s, state.changed_s, state.observed_s)
+        if state.duration_s <= 0.0 or not all(map(math.isfinite, times)):
+            self.emit(IncrementCounter("rollouts", "malformed"))
+            return
         item = self._services.get(state.service)
         if item is None or state.offset > item.order.offset:
             order = RolloutOrder(state.service, state.target, state.duration_s, state.offset)
--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -15,7 +15,11 @@
     run_rollout,
 )
 
-from coriandershelf_core.internal.gateway.events import ReplicasRead, RolloutOrdered
+from coriandershelf_core.internal.gateway.events import (
+    ReplicasRead,
+    RolloutOrdered,
+    RolloutStateRead,
+)
 from coriandershelf_core.internal.gateway.rollout import RolloutOrder
 
 BAD = {
@@ -262,3 +266,16 @@
     driver.confirm_configuration()
     late = [driver.ask("/ask/x") for _ in range(8)]
     assert new.replica_id in {driver.attempts(handle)[0].replica_id for handle in late}
+
+
+@pytest.mark.parametrize("duration_s", [0.0, -1.0, float("nan"), float("inf")])
+def test_a_malformed_state_is_ignored(duration_s: float):
+    """Fails if a state of another VM without a usable duration ends the holder's process."""
+    driver = GatewayDriver().begin()
+    order = RolloutOrder(SERVICE, NEW, 12.0, 3, 100.0)
+    driver.post(RolloutOrdered(order))
+    (state,) = driver.gateway.propose_rollouts(1, driver.now_s)
+    driver.post(RolloutStateRead(replace(state, duration_s=duration_s), driver.now_s))
+    assert driver.gateway.rollouts.state_of(SERVICE) is None
+    driver.post(RolloutStateRead(state, driver.now_s))
+    assert driver.gateway.rollouts.state_of(SERVICE) == state
