--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
@@ -8,7 +8,8 @@
 
 import math
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.actions import (
     Action,
@@ -79,8 +80,7 @@
 _PromiseKey = tuple[str, Rank]
 
 
-@dataclass(slots=True)
-class AdmissionControl:
+class AdmissionControl(Struct):
     """The queue of this VM, the measured rates and the promises to refused callers.
 
     :param emit: receives the actions for the process.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/customer_shares.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/customer_shares.py
@@ -10,7 +10,8 @@
 import bisect
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.drain_rate import DecayingSum
 
@@ -23,8 +24,7 @@
 FLOWS_MAX_COUNT = 4096
 
 
-@dataclass(slots=True)
-class _Flow:
+class _Flow(Struct):
     """Recent work of one customer at one service, in tokens.
 
     :param demand: of the requests that arrived.
@@ -35,8 +35,7 @@
     usage: DecayingSum = field(default_factory=lambda: DecayingSum(MEMORY_S))
 
 
-@dataclass(slots=True)
-class CustomerShares:
+class CustomerShares(Struct):
     """Recent demand and usage of all customers at this VM, by service."""
 
     _flows: dict[tuple[str, str], _Flow] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/returning_callers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/returning_callers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 PROMISES_MAX_COUNT = 2048
 # A caller that has not come back this long after the promised time has gone to another VM.
@@ -25,8 +26,7 @@
 LIMITS_MAX_COUNT = 2048
 
 
-@dataclass(frozen=True, slots=True)
-class Promise:
+class Promise(Struct, frozen=True):
     """What a refused caller was told.
 
     :param arrived_at_s: when its first attempt arrived.
@@ -38,14 +38,12 @@
     due_at_s: float
 
 
-@dataclass(slots=True)
-class _UsualLimit:
+class _UsualLimit(Struct):
     limit_s: float
     score: float = 1.0
 
 
-@dataclass(slots=True)
-class UsualLimits:
+class UsualLimits(Struct):
     """The time limit that a customer's requests of a route usually state.
 
     A caller keeps its time limit when it comes back, so what is missing from the usual one is the
@@ -75,8 +73,7 @@
         return below_s if may_return and usual.score >= SCORE_MIN else 0.0
 
 
-@dataclass(slots=True)
-class ReturningCallers:
+class ReturningCallers(Struct):
     """Promises by the fingerprint of the refused request, the oldest first."""
 
     _promises: OrderedDict[int, Promise] = field(default_factory=OrderedDict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from coriandershelf_core.internal.gateway.rollout_counts import Evidence
 
 # Score of the evidence (see ``rollout_counts``) that ends a roll-out while little is at stake: the
@@ -66,8 +68,7 @@
 TERMINAL = frozenset((Phase.COMPLETED, Phase.REVERTED))
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
+class RolloutOrder(Struct, frozen=True):
     """The operator's order to move a service to a version.
 
     :param offset: offset of its record; a higher one replaces it.
@@ -81,8 +82,7 @@
     earliest_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutState:
+class RolloutState(Struct, frozen=True):
     """State of a roll-out, as kept in the store.
 
     :param offset: offset of the order's record.
@@ -125,16 +125,14 @@
         return (self.offset, self.ended, self.number, self.step)
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutNews:
+class RolloutNews(Struct, frozen=True):
     """A state as known to a VM, with the time since the holder is known to have stood by it."""
 
     state: RolloutState
     age_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutInputs:
+class RolloutInputs(Struct, frozen=True):
     """What the holder knows of a service.
 
     :param new_slots: request slots of the target's replicas, and ``old_slots`` of the others.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_counts.py
@@ -10,10 +10,11 @@
 import math
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 from enum import Enum
 from statistics import median, median_low
 
+from msgspec import Struct, field
+
 # An answer is slow beyond this multiple of the median of the old version on its route.
 SLOW_FACTOR = 2.8
 # New replicas have empty prompt caches, so their answers must also exceed this multiple of the time
@@ -60,8 +61,7 @@
     BAD = "bad"
 
 
-@dataclass(frozen=True, slots=True)
-class RouteCounts:
+class RouteCounts(Struct, frozen=True):
     """Answers on one route: of the target by replica, and of the other versions.
 
     :param old_bad: failures among them, and ``old_slow`` slow answers; the same for ``new``.
@@ -75,8 +75,7 @@
     new_slow: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class VersionCounts:
+class VersionCounts(Struct, frozen=True):
     """One VM's counts for the order at ``offset``.
 
     :param old_running: its requests in flight at other versions than the target.
@@ -95,8 +94,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Evidence:
+class Evidence(Struct, frozen=True):
     """What the counts say about the target.
 
     :param score: a sound version gives so many bad answers with a chance of at most e^-score.
@@ -228,8 +226,7 @@
     return answers * divergence
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+class Timing(Struct, frozen=True):
     """A measured time and what it is compared with.
 
     :param baseline_s: expected time on a replica of nominal speed.
@@ -241,8 +238,7 @@
     cold_s: float
 
 
-@dataclass(slots=True)
-class _Tally:
+class _Tally(Struct):
     old: int = 0
     old_bad: int = 0
     old_slow: int = 0
@@ -251,16 +247,14 @@
     new_slow: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class _Break:
+class _Break(Struct, frozen=True):
     route: str
     is_new: bool
     at_s: float
     counts_answer: bool
 
 
-@dataclass(slots=True)
-class OwnCounts:
+class OwnCounts(Struct):
     """This VM's counts for one order."""
 
     _tallies: dict[str, _Tally] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -12,9 +12,10 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
 
 import xxhash
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import Action, IncrementCounter, LogLine
 from coriandershelf_core.internal.gateway.attempts import AttemptState
@@ -92,8 +93,7 @@
 SETTLED_AFTER_S = 6.0
 
 
-@dataclass(slots=True)
-class _ServiceRollout:
+class _ServiceRollout(Struct):
     """The roll-out of one service, as known to this VM.
 
     :param heard_s: when the state was last known to be current.
@@ -152,8 +152,7 @@
         return state is None or not state.ended
 
 
-@dataclass(slots=True)
-class Rollouts:
+class Rollouts(Struct):
     """The roll-outs known to this VM, by service.
 
     :param fleet_count: returns the number of VMs among which the slack is divided.
@@ -250,6 +249,10 @@
 
     def on_state(self, state: RolloutState, heard_s: float, now_s: float) -> None:
         """Take note of a state that was current at ``heard_s``; later states replace earlier."""
+        times = (state.duration_s, state.started_s, state.changed_s, state.observed_s)
+        if state.duration_s <= 0.0 or not all(map(math.isfinite, times)):
+            self.emit(IncrementCounter("rollouts", "malformed"))
+            return
         item = self._services.get(state.service)
         if item is None or state.offset > item.order.offset:
             order = RolloutOrder(state.service, state.target, state.duration_s, state.offset)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.drain_rate import DRAIN_MEMORY_S, DecayingSum, DrainRate
 
@@ -18,8 +19,7 @@
 Rank = tuple[int, int, int]
 
 
-@dataclass(slots=True)
-class RoomRate:
+class RoomRate(Struct):
     """The rate at which capacity of one service becomes free for this VM.
 
     While requests wait, it is the rate at which they are sent, which includes what other VMs free
@@ -90,8 +90,7 @@
         return per_s * (1.0 - better / (sum(by_rank.values()) + PRIOR_WEIGHT_S * prior))
 
 
-@dataclass(frozen=True, slots=True)
-class Blocked:
+class Blocked(Struct, frozen=True):
     """Replicas that may not be used before a known time, though they have free capacity.
 
     :param until_s: the earliest of these times.
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/waiting_requests.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/waiting_requests.py
@@ -4,7 +4,8 @@
 
 import bisect
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.request import ActiveRequest
 from coriandershelf_core.internal.gateway.room_rate import Rank
@@ -19,8 +20,7 @@
 Order = tuple[bool, Rank, bool, float, int]
 
 
-@dataclass(slots=True)
-class Waiting:
+class Waiting(Struct):
     """A request that waits.
 
     :param latest_start_s: when its answer can no longer be in time if it has not been sent.
@@ -67,8 +67,7 @@
         )  # fmt: skip
 
 
-@dataclass(slots=True)
-class WaitingRequests:
+class WaitingRequests(Struct):
     """Waiting requests by lane, each lane in order.
 
     :param max_count: bound on all lanes together; 0 to let nothing wait.
--- a/tests/cover/test_rollout_decision.py
+++ b/tests/cover/test_rollout_decision.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.rollout import (
     Phase,
--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -312,3 +312,16 @@
             assert allowed_versions(has_waited=True) == {OLD}
         driver.end(driver.attempts(handle)[0].attempt_id)
     assert canaries_count
+
+
+@pytest.mark.parametrize("duration_s", [0.0, -1.0, float("nan"), float("inf")])
+def test_a_malformed_state_is_ignored(duration_s: float):
+    """Fails if a state of another VM without a usable duration ends the holder's process."""
+    driver = GatewayDriver().begin()
+    order = RolloutOrder(SERVICE, NEW, 12.0, 3, 100.0)
+    driver.post(RolloutOrdered(order))
+    (state,) = driver.gateway.propose_rollouts(1, driver.now_s)
+    driver.post(RolloutStateRead(replace(state, duration_s=duration_s), driver.now_s))
+    assert driver.gateway.rollouts.state_of(SERVICE) is None
+    driver.post(RolloutStateRead(state, driver.now_s))
+    assert driver.gateway.rollouts.state_of(SERVICE) == state
--- a/tests/support/gateway_process.py
+++ b/tests/support/gateway_process.py
@@ -38,7 +38,7 @@
         for item in command.get("do", ()):
             getattr(self, item[0])(*item[1:])
         for data in map(bytes.fromhex, command["datagrams"]):
-            message = peer_link._DECODERS[data[:1]].decode(data[1:])
+            message = msgspec.msgpack.decode(data[1:], type=peer_link._TYPE_OF_TAG[data[:1]])
             assert isinstance(message, Digest)
             driver.post(events.DigestArrived(message))
         first = len(driver.actions)
