A request that waits counts once toward the share of a roll-out's target

Cause: Rollouts.allowed is asked at each look at a waiting request, and each look earned the target a share while traffic moves, so that the share drifted upwards while capacity was short.

Change: only a request's first look earns a share.

Measured: the new test fails without the change (20 looks of one request).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/rollout_traffic.py
@@ -403,7 +403,9 @@
     def _takes_share(item: _ServiceRollout, state: RolloutState, request: ActiveRequest) -> bool:
         if request.sent_count:
             return False
-        item.credit = min(1.0 + state.share, item.credit + state.share)
+        # A waiting request is looked at each time capacity may be free, and counts once.
+        if not request.has_waited:
+            item.credit = min(1.0 + state.share, item.credit + state.share)
         if item.credit < 1.0:
             return False
         item.credit -= 1.0
--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -325,3 +325,23 @@
     assert driver.gateway.rollouts.state_of(SERVICE) is None
     driver.post(RolloutStateRead(state, driver.now_s))
     assert driver.gateway.rollouts.state_of(SERVICE) == state
+
+
+def test_what_waits_does_not_raise_the_share_of_the_target_at_each_look():
+    """Fails if a request that waits for capacity earns the target a share of each look."""
+    driver = GatewayDriver().begin(plains=0, engines=0)
+    site = RolloutSite(16, old=2)
+    old, other = (item.registration for item in site.replicas.values())
+    new = replace(other, software_version=NEW)
+    driver.post(ReplicasRead({old.replica_id: old, new.replica_id: new}))
+    unix_s = driver.now_s + driver.clock_offset_s
+    driver.post(RolloutOrdered(RolloutOrder(SERVICE, NEW, 12.0, 3, 100.0)))
+    state = RolloutState(SERVICE, NEW, 12.0, 3, 1, 1, Phase.MOVING, 0.25, unix_s, unix_s)
+    driver.post(RolloutStateRead(state, driver.now_s))
+    handle = driver.ask("/ask/x")
+    request = driver.gateway.relay.active_requests[handle]
+    request.sent_count, request.has_waited = 0, True
+    states = driver.gateway.pool.usable(SERVICE)
+    for _ in range(20):
+        (allowed,) = driver.gateway.rollouts.allowed(request, states, driver.now_s)
+        assert allowed.replica.software_version == OLD
