--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -282,17 +282,22 @@
     assert new.replica_id in {driver.attempts(handle)[0].replica_id for handle in handles}
 
 
-def test_what_has_waited_for_capacity_goes_to_the_old_version_while_the_target_is_a_canary():
-    """Fails if a full canary holds back what waits although the old version has capacity."""
+def begin_at(phase: Phase, share: float) -> tuple[GatewayDriver, RolloutState]:
+    """Return a gateway with a replica of each version, in a phase of a roll-out, and its state."""
     driver = GatewayDriver().begin(plains=0, engines=0)
-    site = RolloutSite(16, old=2)
-    old, other = (item.registration for item in site.replicas.values())
+    old, other = (item.registration for item in RolloutSite(16, old=2).replicas.values())
     new = replace(other, software_version=NEW)
     driver.post(ReplicasRead({old.replica_id: old, new.replica_id: new}))
     unix_s = driver.now_s + driver.clock_offset_s
     driver.post(RolloutOrdered(RolloutOrder(SERVICE, NEW, 12.0, 3, 100.0)))
-    state = RolloutState(SERVICE, NEW, 12.0, 3, 1, 1, Phase.CANARY, 0.0, unix_s, unix_s)
+    state = RolloutState(SERVICE, NEW, 12.0, 3, 1, 1, phase, share, unix_s, unix_s)
     driver.post(RolloutStateRead(state, driver.now_s))
+    return driver, state
+
+
+def test_what_has_waited_for_capacity_goes_to_the_old_version_while_the_target_is_a_canary():
+    """Fails if a full canary holds back what waits although the old version has capacity."""
+    driver, state = begin_at(Phase.CANARY, 0.0)
     states = driver.gateway.pool.usable(SERVICE)
 
     def allowed_versions(has_waited: bool) -> set[str]:
@@ -329,15 +334,7 @@
 
 def test_what_waits_does_not_raise_the_share_of_the_target_at_each_look():
     """Fails if a request that waits for capacity earns the target a share of each look."""
-    driver = GatewayDriver().begin(plains=0, engines=0)
-    site = RolloutSite(16, old=2)
-    old, other = (item.registration for item in site.replicas.values())
-    new = replace(other, software_version=NEW)
-    driver.post(ReplicasRead({old.replica_id: old, new.replica_id: new}))
-    unix_s = driver.now_s + driver.clock_offset_s
-    driver.post(RolloutOrdered(RolloutOrder(SERVICE, NEW, 12.0, 3, 100.0)))
-    state = RolloutState(SERVICE, NEW, 12.0, 3, 1, 1, Phase.MOVING, 0.25, unix_s, unix_s)
-    driver.post(RolloutStateRead(state, driver.now_s))
+    driver, _ = begin_at(Phase.MOVING, 0.25)
     handle = driver.ask("/ask/x")
     request = driver.gateway.relay.active_requests[handle]
     request.sent_count, request.has_waited = 0, True
