--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/admission_control.py
@@ -30,7 +30,11 @@
     LogValue,
     Responder,
 )
-from coriandershelf_core.internal.gateway.returning_callers import Promise, ReturningCallers
+from coriandershelf_core.internal.gateway.returning_callers import (
+    Promise,
+    ReturningCallers,
+    UsualLimits,
+)
 from coriandershelf_core.internal.gateway.room_rate import (
     Blocked,
     Rank,
@@ -93,6 +97,7 @@
     random_fraction: Callable[[], float]
     queue: WaitingRequests = field(default_factory=WaitingRequests)
     returning: ReturningCallers = field(default_factory=ReturningCallers)
+    usual_limits: UsualLimits = field(default_factory=UsualLimits)
     shares: CustomerShares = field(default_factory=CustomerShares)
     shares_enabled: bool = True
     stop_end_s: float = math.inf
@@ -114,6 +119,13 @@
         self.shares.on_request(request.service, _customer_of(request), _tokens_of(request), now_s)
         if len(self.returning):
             request.promise = self.returning.take(request.arrival.fingerprint, now_s)
+        limit_s = request.arrival.time_left_s
+        if request.promise is not None:
+            request.elapsed_s = request.arrived_at_s - request.promise.arrived_at_s
+        elif limit_s is not None and not request.resumes_stream:
+            request.elapsed_s = self.usual_limits.elapsed_s(
+                _customer_of(request), request.route.name, limit_s
+            )
 
     def on_attempt_end(self, attempt: AttemptState, accepted: bool, now_s: float) -> None:
         """Record the end of an attempt.
@@ -330,13 +342,14 @@
             in_time_s = _clock_start_s(request) + route.objective_s
         longest_s = request.deadline_s - answer_s
         latest_start_s = keep_until_s = min(in_time_s - answer_s, longest_s)
+        is_returning = request.elapsed_s > 0.0
         if request.promise is not None or request.may_have_run:
-            # After a refusal nothing more becomes of it: the caller does not come back again.
+            # It has no other chance after a refusal, and was promised capacity here or has run.
             late_s = now_s + RETRY_AFTER_SHARE * (request.deadline_s - now_s)
             keep_until_s = max(keep_until_s, min(late_s, longest_s))
         item = Waiting(
             request, latest_start_s, min(keep_until_s, self.stop_end_s),
-            request.promise is not None, now_s, 0.0, self._next_sequence,
+            is_returning, now_s, 0.0, self._next_sequence,
         )  # fmt: skip
         item.is_late = now_s >= latest_start_s
         item.share_class = self._share_class(request, now_s)
@@ -488,6 +501,4 @@
 
 def _clock_start_s(request: ActiveRequest) -> float:
     """Return when the caller's first attempt arrived."""
-    if request.promise is not None:
-        return request.promise.arrived_at_s
-    return request.arrived_at_s
+    return request.arrived_at_s - request.elapsed_s
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/returning_callers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/returning_callers.py
@@ -10,6 +10,19 @@
 OVERDUE_MAX_S = 2.0
 # A caller that comes back after less than this share of the promised time gains nothing by it.
 EARLIEST_SHARE = 0.5
+# Time limits this close to the usual one are taken as equal to it. A returning caller has been away
+# for longer, at least the shortest time that refused callers are told.
+SAME_LIMIT_S = 0.02
+# The usual limit is relied on once this many more requests had it than others, where one below it
+# counts a quarter: under overload many are of returning callers.
+SCORE_MIN = 8.0
+SCORE_MAX = 40.0
+SCORE_LEAST = -4.0
+BELOW_WEIGHT = 0.25
+# Callers are told to come back within a third of their time; what is further below the usual limit
+# is another limit.
+ELAPSED_MAX_SHARE = 0.45
+LIMITS_MAX_COUNT = 2048
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +38,43 @@
     due_at_s: float
 
 
+@dataclass(slots=True)
+class _UsualLimit:
+    limit_s: float
+    score: float = 1.0
+
+
+@dataclass(slots=True)
+class UsualLimits:
+    """The time limit that a customer's requests of a route usually state.
+
+    A caller keeps its time limit when it comes back, so what is missing from the usual one is the
+    time since its first attempt, also if another VM refused that. Customers whose callers state
+    many different limits have no usual one.
+    """
+
+    _limits: dict[tuple[str, str], _UsualLimit] = field(default_factory=dict)
+
+    def elapsed_s(self, customer: str, route: str, limit_s: float) -> float:
+        """Learn from a request; return the time since its first attempt, 0 if unknown."""
+        usual = self._limits.get((customer, route))
+        if usual is None:
+            if len(self._limits) >= LIMITS_MAX_COUNT:
+                self._limits.clear()
+            self._limits[customer, route] = _UsualLimit(limit_s)
+            return 0.0
+        below_s = usual.limit_s - limit_s
+        if abs(below_s) <= SAME_LIMIT_S:
+            usual.score = min(SCORE_MAX, usual.score + 1.0)
+            return 0.0
+        may_return = 0.0 < below_s <= ELAPSED_MAX_SHARE * usual.limit_s
+        usual.score -= BELOW_WEIGHT if may_return else 1.0
+        if usual.score < (0.0 if below_s < 0.0 else SCORE_LEAST):
+            self._limits[customer, route] = _UsualLimit(limit_s)
+            return 0.0
+        return below_s if may_return and usual.score >= SCORE_MIN else 0.0
+
+
 @dataclass(slots=True)
 class ReturningCallers:
     """Promises by the fingerprint of the refused request, the oldest first."""
--- a/tests/cover/test_waiting_requests.py
+++ b/tests/cover/test_waiting_requests.py
@@ -46,6 +46,7 @@
     PROMISES_MAX_COUNT,
     Promise,
     ReturningCallers,
+    UsualLimits,
 )
 from coriandershelf_core.internal.gateway.room_rate import Blocked, RoomRate, expected_wait_s
 
@@ -344,6 +345,28 @@
     assert len(returning) == 0
 
 
+# Guards against callers who return to another VM than the one that refused them and are taken for
+# new ones there, and against callers of many different limits that are taken for returning ones.
+def test_a_caller_that_returns_to_another_vm_is_known_by_its_time_limit():
+    usual, varied = UsualLimits(), UsualLimits()
+    rng = random.Random(2)
+    for number in range(300):
+        # Half of the callers come back.
+        away_s = rng.uniform(0.05, 1.0) if number % 2 else 0.0
+        elapsed_s = usual.elapsed_s("customer-1", "work", 3.0 - away_s)
+        known_s = away_s if number > 40 else 0.0
+        assert known_s - 1e-9 <= elapsed_s <= away_s + 1e-9
+        assert varied.elapsed_s("customer-1", "work", rng.uniform(1.0, 15.0)) == 0.0
+    driver = warm_driver()
+    attempts = fill(driver)
+    new = driver.ask("/work/1")
+    returned = driver.ask("/work/1", time_left_s=2.9)
+    late = driver.ask("/work/1", time_left_s=2.5)
+    assert driver.refusals(late), "its objective counts from its first attempt"
+    driver.answer(attempts[0])
+    assert driver.attempts(returned) and not driver.attempts(new)
+
+
 # Guards against a VM without messages that promises capacity which it can't measure.
 def test_a_vm_that_hears_nothing_expects_only_what_its_own_attempts_free():
     driver = GatewayDriver().begin(make_deployment(routes=(WORK,)), engines=0, plains=1)
