Duties: a holder announces the end of its term, and others take over at once

Others waited for the 2.5 s in which a peer's last digest counts as live, another second of silence, and then 3.6 s from their first read of the record.

Change: a VM whose term is over gives its fencing token up, says so in its digests, and acts again only with a higher one. Others then read the record and take over in the order of their ranks. A holder's silence counts from the arrival of its last digest. Digests name the end offset of the lease's partition, so the wait for a lost holder counts from its last known renewal. A VM takes no released term within the wait after its own last term.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -72,6 +72,8 @@
     :param holder: the sender itself, while it holds the lease.
     :param rollouts: the running and just ended roll-outs, by service.
     :param versions: the sender's counts of answers by version, by service.
+    :param lease_end: end offset of the lease's partition, as known to the holder; 0 from others.
+    :param released: the highest fencing token that the sender gave up: it never acts with it again.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     :param digest_port: the port of the sender's host for digests; 0 if they go to ``address``.
     """
@@ -100,3 +102,5 @@
     digest_port: int = 0
     rollouts: dict[str, RolloutNews] = field(default_factory=dict)
     versions: dict[str, VersionCounts] = field(default_factory=dict)
+    lease_end: int = 0
+    released: int = 0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -50,12 +50,16 @@
 
     :param holder: this VM, while it holds the lease.
     :param last_holder: the lease holder named in the most recent digest that named one.
+    :param lease_end: end offset of the lease's partition while this VM holds it, else 0.
+    :param released_number: the highest fencing token that this VM gave up.
     """
 
     stopping: bool
     configuration_version: int
     holder: HolderInfo | None
     last_holder: HolderInfo | None
+    lease_end: int = 0
+    released_number: int = 0
 
 
 class DigestExchange(Struct):
@@ -194,4 +198,6 @@
             digest_port=self.identity.digest_port if self.load_queries.enabled else 0,
             rollouts=self.rollouts.news(now_s),
             versions=self.rollouts.counts(),
+            lease_end=vm_status.lease_end,
+            released=vm_status.released_number,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import Any, TypeVar
@@ -132,6 +133,9 @@
     :param read_at_s: when the record was last read or written; after a call with unknown result,
         the earliest time of the next read.
     :param holder_digest_at_s: when a digest from the holder last arrived.
+    :param released_number: the highest fencing token that this VM gave up. The rest of its term
+        is void, so it acts again only with a higher one.
+    :param own_end_s: when this VM's last term ended.
     :param call_in_flight: whether a store operation is in flight.
     :param unreadable: whether the store has a record that this build cannot read. It is taken for
         that of a live holder.
@@ -154,6 +158,11 @@
     stopping: bool = False
     unreadable: bool = False
     highest_number: int = 0
+    released_number: int = 0
+    own_end_s: float = -math.inf
+    _holder_ends: dict[int, float] = field(default_factory=dict)
+    _released_by: dict[str, int] = field(default_factory=dict)
+    _heard_released_at_s: float = -math.inf
 
     def is_held(self, now_s: float) -> bool:
         """Return whether this VM holds an unexpired lease."""
@@ -164,10 +173,44 @@
         """Return the fencing token of the lease last read or written."""
         return self.record.fencing_number if self.record is not None else 0
 
-    def on_holder_digest(self, vm_id: str, number: int, now_s: float) -> None:
-        """Record a digest from the holder; while these arrive, this VM need not read the store."""
-        if vm_id != self.vm_id and number >= self.fencing_number:
-            self.holder_digest_at_s = now_s
+    def on_holder_digest(self, vm_id: str, number: int, end: int, at_s: float) -> None:
+        """Record a digest from the holder; while these arrive, this VM need not read the store.
+
+        :param end: end offset of the partition as known to the holder; 0 if it does not state it.
+        :param at_s: when the digest arrived.
+        """
+        if vm_id == self.vm_id or number < self.fencing_number:
+            return
+        if self._released_by.get(vm_id, 0) >= number:
+            return
+        self.holder_digest_at_s = max(self.holder_digest_at_s, at_s)
+        if end and end not in self._holder_ends:
+            if end < max(self._holder_ends, default=0):
+                # The store came back from an older copy, and offsets are given out again.
+                self._holder_ends.clear()
+            self._holder_ends[end] = at_s
+            if len(self._holder_ends) > HOLDER_ENDS_MAX_COUNT:
+                del self._holder_ends[next(iter(self._holder_ends))]
+
+    def on_released(self, vm_id: str, number: int, now_s: float) -> None:
+        """Record that another VM gave up a fencing token and will not act with it again."""
+        if vm_id == self.vm_id or number <= self._released_by.get(vm_id, 0):
+            return
+        self._released_by[vm_id] = number
+        self._heard_released_at_s = now_s
+        # The next digest of a holder with a higher token sets it again.
+        self.holder_digest_at_s = -math.inf
+
+    def release_expired(self, now_s: float) -> bool:
+        """Give up this VM's token if its term is over; true if it did so now.
+
+        Others may then take over at once, where they would otherwise have to wait until the record
+        is surely out of date. The caller makes sure that no call under this token is in flight.
+        """
+        if not self._is_own() or now_s < self.held_until_s + RELEASE_MARGIN_S:
+            return False
+        self.released_number = self.fencing_number
+        return True
 
     def next_step(self, rank: int, now_s: float) -> LeaseStep:
         """Return the store operation to start now.
@@ -183,9 +226,15 @@
             return LeaseStep.READ if self.end_offset is None else LeaseStep.WRITE
         if now_s - self.holder_digest_at_s < HOLDER_DIGEST_TIMEOUT_S + TAKEOVER_RANK_DELAY_S * rank:
             return LeaseStep.NONE
+        if now_s - self._heard_released_at_s < TAKEOVER_RANK_DELAY_S * rank:
+            return LeaseStep.NONE
         if self.end_offset is None:
             return LeaseStep.READ if now_s >= self.read_at_s else LeaseStep.NONE
-        free = (self.record is None and not self.unreadable) or self._is_own_vm()
+        free = (
+            (self.record is None and not self.unreadable)
+            or self._is_own_vm()
+            or self._is_released(now_s)
+        )
         if (
             free
             or now_s - self.end_changed_at_s >= self.takeover_wait_s + TAKEOVER_RANK_DELAY_S * rank
@@ -221,8 +270,9 @@
             most, so it is no lower than any of them; used if no record can be read.
         """
         if end != self.end_offset:
-            # A record seen for the first time may have been written just now.
-            self.end_changed_at_s = now_s
+            # A record seen for the first time may have been written just now, unless its holder
+            # named its offset before.
+            self.end_changed_at_s = self._holder_ends.get(end, now_s)
         self.record, self.end_offset, self.unreadable = record, end, unreadable
         self.highest_number = max(
             self.highest_number, end if record is None else record.fencing_number
@@ -239,7 +289,7 @@
         self.record, self.end_offset, self.unreadable = record, end, False
         self.highest_number = max(self.highest_number, record.fencing_number)
         self.end_changed_at_s = self.read_at_s = now_s
-        self.held_until_s = sent_at_s + self.lease_s
+        self.held_until_s = self.own_end_s = sent_at_s + self.lease_s
         self.renew_at_s = sent_at_s + self.renew_s
         self.call_in_flight = False
 
@@ -264,14 +314,23 @@
 
     def _is_own(self) -> bool:
         record = self.record
-        return record is not None and (record.vm_id, record.incarnation) == (
-            self.vm_id,
-            self.incarnation,
+        return (
+            record is not None
+            and (record.vm_id, record.incarnation) == (self.vm_id, self.incarnation)
+            and record.fencing_number > self.released_number
         )
 
     def _is_own_vm(self) -> bool:
         return self.record is not None and self.record.vm_id == self.vm_id
 
+    def _is_released(self, now_s: float) -> bool:
+        """Return whether the holder in the record gave it up, so that this VM may take over."""
+        record = self.record
+        # Two changes of holder within a lease must not lead back to the first one.
+        if record is None or now_s - self.own_end_s < self.takeover_wait_s:
+            return False
+        return self._released_by.get(record.vm_id, 0) >= record.fencing_number
+
 
 # Digests arrive several times a second; after this silence the holder may have failed.
 HOLDER_DIGEST_TIMEOUT_S = 1.0
@@ -279,3 +338,7 @@
 REREAD_PERIOD_S = 1.0
 FRESH_READ_MAX_AGE_S = 0.3
 UNKNOWN_RESULT_BACKOFF_S = 0.2
+# Calls that were reset at the end of the term have reached the platform by then, or never will.
+RELEASE_MARGIN_S = 0.2
+# Offsets of a holder that renews four times a second, for longer than others wait to take over.
+HOLDER_ENDS_MAX_COUNT = 64
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -124,6 +124,8 @@
         self.clock_estimate = ClockEstimate(clock_offset_s)
         self.own_lease: HolderInfo | None = None
         self.last_holder: HolderInfo | None = None
+        self.lease_end = 0
+        self.released_number = 0
         self.arrival_rates = ArrivalRates()
         self.stopping = False
         self._outbox: list[Action] = []
@@ -479,7 +481,14 @@
             self.usage.expire(self.clock_estimate.time_of_day_s(now_s))
         self._on_left(self.pool.expire(now_s))
         version = self.deployment.version if self.deployment is not None else 0
-        vm_status = VmStatus(self.stopping, version, self.own_lease, self.last_holder)
+        vm_status = VmStatus(
+            self.stopping,
+            version,
+            self.own_lease,
+            self.last_holder,
+            self.lease_end,
+            self.released_number,
+        )
         self._digest_exchange.send(vm_status, now_s, clock_s)
         self._update_entry_vms_count()
         if self.stopping:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -186,9 +186,13 @@
 
     def live_digests(self, now_s: float) -> list[Digest]:
         """Return the last digests of the live peers."""
+        return [digest for digest, _ in self.heard(now_s)]
+
+    def heard(self, now_s: float) -> list[tuple[Digest, float]]:
+        """Return the last digests of the live peers, each with when it arrived."""
         max_age_s = self._digest_max_age_s()
         return [
-            peer.digest
+            (peer.digest, peer.received_at_s)
             for peer in self._peers.values()
             if peer.digest is not None and now_s - peer.received_at_s <= max_age_s
         ]
--- a/tests/cover/test_duty_lease.py
+++ b/tests/cover/test_duty_lease.py
@@ -54,11 +54,89 @@
 
 def test_while_the_holder_is_heard_nobody_reads_the_store():
     lease = DutyLease("vm-2", 1, 3.0, 3.6, 1.2)
-    lease.on_holder_digest("vm-1", 4, 10.0)
+    lease.on_holder_digest("vm-1", 4, 0, 10.0)
     assert lease.next_step(0, 10.5) is LeaseStep.NONE
     assert lease.next_step(0, 11.5) is LeaseStep.READ
 
 
+# Guards against seconds without orders after a holder that lost the store: others waited for a term
+# that it had given up.
+def test_a_term_that_its_holder_gave_up_is_taken_over_at_once():
+    lease = make_lease("vm-2")
+    lease.on_holder_digest("vm-1", 4, 0, 10.0)
+    lease.on_released("vm-1", 4, 10.2)
+    assert lease.next_step(1, 10.3) is LeaseStep.NONE, "the VM of rank 0 comes first"
+    assert lease.next_step(1, 10.5) is LeaseStep.READ
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 10.5, 10.5)
+    assert lease.next_step(1, 10.6) is LeaseStep.WRITE
+    assert lease.next_record(()).fencing_number == 5
+
+
+# Guards against a takeover from a holder that gave up a term, and has begun another one since.
+def test_a_later_term_of_the_same_vm_is_not_given_up():
+    lease = make_lease("vm-2")
+    lease.on_released("vm-1", 4, 10.0)
+    lease.on_read(LeaseRecord("vm-1", 1, 5), 9, 10.5, 10.5)
+    assert lease.next_step(0, 10.6) is LeaseStep.NONE
+    lease.on_holder_digest("vm-1", 5, 0, 10.7)
+    lease.on_released("vm-1", 4, 10.8)
+    assert lease.next_step(0, 11.6) is LeaseStep.NONE
+
+
+# Guards against a VM that acts under a token that it gave up, because a delayed write of it took
+# effect or was answered late.
+def test_a_vm_acts_only_with_a_higher_token_after_it_gave_one_up():
+    lease = make_lease("vm-1")
+    lease.on_write_succeeded(LeaseRecord("vm-1", 1, 4), 9, 10.0, 10.0)
+    assert not lease.release_expired(13.0)
+    assert lease.release_expired(13.3)
+    assert not lease.release_expired(13.4)
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 10, 13.5, 13.5)
+    lease.on_write_succeeded(LeaseRecord("vm-1", 1, 4), 10, 13.4, 13.5)
+    assert not lease.is_held(13.6)
+    assert lease.next_step(0, 13.6) is LeaseStep.WRITE
+    assert lease.next_record(()).fencing_number == 5
+
+
+# Guards against two changes of holder within a lease that lead back to the first one.
+def test_a_vm_does_not_take_a_given_up_term_soon_after_its_own():
+    lease = make_lease("vm-1")
+    lease.on_write_succeeded(LeaseRecord("vm-1", 1, 4), 9, 10.0, 10.0)
+    assert lease.release_expired(13.3)
+    lease.on_released("vm-2", 5, 15.0)
+    lease.on_read(LeaseRecord("vm-2", 1, 5), 10, 15.1, 15.1)
+    assert lease.next_step(0, 15.2) is LeaseStep.NONE
+    lease.on_read(LeaseRecord("vm-2", 1, 5), 10, 16.6, 16.6)
+    assert lease.next_step(0, 16.7) is LeaseStep.WRITE
+
+
+# Guards against a wait that begins anew at the first read, although the holder's digests said which
+# record was its last.
+def test_the_wait_for_a_lost_holder_counts_from_its_last_known_record():
+    lease = make_lease("vm-2")
+    lease.on_holder_digest("vm-1", 4, 9, 10.0)
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 11.1, 11.1)
+    assert lease.next_step(0, 13.5) is LeaseStep.READ
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 13.6, 13.6)
+    assert lease.next_step(0, 13.65) is LeaseStep.WRITE
+    renewed = make_lease("vm-2")
+    renewed.on_holder_digest("vm-1", 4, 9, 10.0)
+    renewed.on_read(LeaseRecord("vm-1", 1, 4), 10, 11.1, 11.1)
+    renewed.on_read(LeaseRecord("vm-1", 1, 4), 10, 13.6, 13.6)
+    assert renewed.next_step(0, 13.65) is LeaseStep.NONE
+
+
+# Guards against offsets that a store which came back from an older copy gives out again.
+def test_offsets_of_an_earlier_copy_of_the_store_are_forgotten():
+    lease = make_lease("vm-2")
+    lease.on_holder_digest("vm-1", 4, 9, 10.0)
+    lease.on_holder_digest("vm-1", 4, 10, 10.2)
+    lease.on_holder_digest("vm-1", 4, 8, 20.0)
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 10, 21.5, 21.5)
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 10, 21.6, 21.6)
+    assert lease.next_step(0, 21.65) is LeaseStep.NONE
+
+
 def test_a_restarted_process_of_the_same_vm_takes_over_at_once_with_a_higher_number():
     lease = DutyLease("vm-1", 2, 3.0, 3.6, 1.2)
     lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 10.0, 10.0)
--- a/tests/support/lease_model.py
+++ b/tests/support/lease_model.py
@@ -43,6 +43,7 @@
     lease: DutyLease
     paused_until_s: float = 0.0
     reply: tuple[float, object] | None = None
+    digests: list[tuple[float, str, tuple[int, int] | None, int]] = field(default_factory=list)
 
 
 @dataclass
@@ -83,6 +84,7 @@
                 return
             vm.reply = None
             reply()
+        self._exchange_digests(vm, faults)
         if vm.lease.is_held(self.now_s):
             self.holder_steps.append((self.now_s, vm.lease.vm_id, vm.lease.fencing_number))
         step = vm.lease.next_step(rank, self.now_s)
@@ -97,6 +99,24 @@
         )
         vm.reply = (self.now_s + self.rng.choice([0.0, 0.0, 0.05, 0.3]), reply)
 
+    def _exchange_digests(self, vm: Vm, faults: bool) -> None:
+        """Handle the digests that have arrived, and send this VM's, which may be late or lost."""
+        lease = vm.lease
+        for item in [item for item in vm.digests if item[0] <= self.now_s]:
+            vm.digests.remove(item)
+            _, sender, holder, released = item
+            lease.on_released(sender, released, self.now_s)
+            if holder is not None:
+                lease.on_holder_digest(sender, *holder, item[0])
+        lease.release_expired(self.now_s)
+        holder = None
+        if lease.is_held(self.now_s):
+            holder = (lease.fencing_number, lease.end_offset or 0)
+        for other in self.vms:
+            if other is not vm and not (faults and self.rng.random() < 0.3):
+                at_s = self.now_s + self.rng.choice([0.0, 0.05, 0.3] if faults else [0.0])
+                other.digests.append((at_s, lease.vm_id, holder, lease.released_number))
+
     def _read(self, vm: Vm, sent_at_s: float):
         record, end = self.store.record, self.store.end
         return lambda: vm.lease.on_read(record, end, sent_at_s, self.now_s)
--- a/tests/support/rollout_site.py
+++ b/tests/support/rollout_site.py
@@ -303,9 +303,11 @@
         lease, now_s, store = self.leases[vm_id], self.time.now_s, self.store
         if vm_id in self.frozen:
             return
-        for digest in gateway.peers.live_digests(now_s):
+        for digest, received_at_s in gateway.peers.heard(now_s):
+            lease.on_released(digest.vm_id, digest.released, now_s)
             if digest.holder is not None and digest.holder.vm_id == digest.vm_id:
-                lease.on_holder_digest(digest.vm_id, digest.holder.number, now_s)
+                number = digest.holder.number
+                lease.on_holder_digest(digest.vm_id, number, digest.lease_end, received_at_s)
         step = lease.next_step(gateway.peers.rank(now_s), now_s)
         is_due = now_s - lease.read_at_s >= 1.0
         if store.away:
@@ -324,8 +326,11 @@
                 written = lease.next_record(())
                 store.records.append(("lease", written))
                 lease.on_write_succeeded(written, len(store.records), now_s, now_s)
+        lease.release_expired(now_s)
+        gateway.released_number = lease.released_number
         is_holder = lease.is_held(now_s)
         gateway.own_lease = HolderInfo(vm_id, lease.fencing_number) if is_holder else None
+        gateway.lease_end = (lease.end_offset or 0) if is_holder else 0
         gateway.rollouts.lead_until_s = lease.held_until_s if is_holder else -1.0
         if is_holder and not store.away:
             self._lead(vm_id, gateway, lease, now_s)
