Scaling: a new lease holder that knows the replicas orders at once

Cause: each new holder ordered nothing for 3.5 s, which a VM needs only after its start, while replicas register.

Change: a VM that has known the service and the registry for 8 s when it takes the lease orders at its first look.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -20,8 +20,10 @@
 REFUSED_BACKOFF_S = 3.0
 # Replicas register one after the other, and load becomes visible only after some seconds. After the
 # first call for a service, nothing is ordered for ``SETTLE_S`` and no surplus is released for
-# ``SCALE_IN_HOLD_S``.
+# ``SCALE_IN_HOLD_S``. A VM that has known the replicas for ``KNOWN_S`` when it takes the lease
+# orders at once.
 SETTLE_S = 3.5
+KNOWN_S = 8.0
 SCALE_IN_HOLD_S = 8.0
 # Ordered replicas count as present for their boot time plus this margin.
 BOOT_MARGIN_S = 2.0
@@ -187,9 +189,17 @@
         group.ordered_count = None
 
     def orders(
-        self, service: Service, replicas: list[Replica], load: ServiceLoad, now_s: float
+        self,
+        service: Service,
+        replicas: list[Replica],
+        load: ServiceLoad,
+        now_s: float,
+        known_since_s: float = math.inf,
     ) -> list[ScalingOrder]:
-        """Return the orders that scale a service to its load."""
+        """Return the orders that scale a service to its load.
+
+        :param known_since_s: since when this VM knows the service and the registered replicas.
+        """
         scale = service.scale
         if scale is None or not scale.zone_prices:
             return []
@@ -201,7 +211,8 @@
         on_demand_needed = self._needed_count(
             service, highest, self.on_demand_rate_per_replica, ON_DEMAND_SLOTS_USE_SHARE, replicas
         )
-        if now_s - self._first_seen_at_s.setdefault(service.name, now_s) < self.settle_s:
+        seen_s = now_s - self._first_seen_at_s.setdefault(service.name, now_s)
+        if seen_s < self.settle_s and now_s - known_since_s < KNOWN_S - SETTLE_S + self.settle_s:
             return []
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
         late_boost = self._late_boosts.setdefault(service.name, _LateBoost())
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -279,3 +279,16 @@
     cloud.scaling.held_services = set()
     cloud.run(20.0, 4000.0)
     assert cloud.counts == steady.counts
+
+
+# Guards against seconds without orders at each change of the lease holder: a reclaim then went
+# unanswered until the new holder had waited for what it had known all along.
+def test_a_new_holder_that_knows_the_replicas_orders_at_once():
+    replicas = [Replica("a0", "engine", "x:1", "a", 64, reclaimable=True)]
+    load = ServiceLoad(10.0 * RATE, 0)
+    known = Autoscaler(RATE, RATE)
+    assert known.orders(SERVICE, replicas, load, 100.0, known_since_s=80.0)
+    started = Autoscaler(RATE, RATE)
+    assert not started.orders(SERVICE, replicas, load, 100.0, known_since_s=98.0)
+    assert not started.orders(SERVICE, replicas, load, 103.0, known_since_s=98.0)
+    assert started.orders(SERVICE, replicas, load, 103.6, known_since_s=98.0)
