Scaling: replicas that boot in a reclaimed zone are not waited for

Cause: after an order, the ordered number counted as present for 6 s, also when a reclaim had taken the zone since.

Change: while replicas of a reclaimable group leave and fewer are present than ordered, none counts as booting.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -108,12 +108,14 @@
 class _ReplicaGroup(Struct):
     """Spot or on-demand replicas of a service in a zone.
 
+    :param leaving_count: replicas that leave.
     :param ordered_count: count of the last accepted order, ``None`` if there is none.
     :param refused_until_s: end of the back-off after a refused order.
     :param surplus_since_s: since when there are more replicas than desired.
     """
 
     present_count: int = 0
+    leaving_count: int = 0
     ordered_count: int | None = None
     ordered_at_s: float = -math.inf
     refused_until_s: float = -math.inf
@@ -364,10 +366,21 @@
     def _count_present(self, service: str, scale: ScaleLimits, replicas: list[Replica]) -> None:
         for zone in scale.zone_prices:
             for reclaimable in (True, False):
-                self._group(service, zone, reclaimable).present_count = 0
+                group = self._group(service, zone, reclaimable)
+                group.present_count = group.leaving_count = 0
         for replica in replicas:
-            if replica.service == service and not replica.leaving:
-                self._group(service, replica.zone, replica.reclaimable).present_count += 1
+            if replica.service != service:
+                continue
+            group = self._group(service, replica.zone, replica.reclaimable)
+            if replica.leaving:
+                group.leaving_count += 1
+            else:
+                group.present_count += 1
+        for zone in scale.zone_prices:
+            group = self._group(service, zone, True)
+            if group.leaving_count and group.present_count < (group.ordered_count or 0):
+                # A reclaim takes the replicas that boot as well, so none of them is waited for.
+                group.ordered_count = None
 
     def _group(self, service: str, zone: str, reclaimable: bool) -> _ReplicaGroup:
         return self._groups.setdefault((service, zone, reclaimable), _ReplicaGroup())
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
 from coriandershelf_core.internal.gateway.scaling import (
     INITIAL_COUNT,
@@ -292,3 +294,20 @@
     assert not started.orders(SERVICE, replicas, load, 100.0, known_since_s=98.0)
     assert not started.orders(SERVICE, replicas, load, 103.0, known_since_s=98.0)
     assert started.orders(SERVICE, replicas, load, 103.6, known_since_s=98.0)
+
+
+# Guards against a reclaim shortly after an order: the reclaimed replicas were expected to boot for
+# seconds, and neither reclaimable nor lasting ones were ordered in their place.
+def test_a_reclaim_right_after_an_order_is_made_up_for_at_once():
+    scaling = Autoscaler(RATE, RATE)
+    load = ServiceLoad(4.0 * RATE, 0)
+    present = [
+        Replica(f"{zone}{index}", "engine", "x:1", zone, 64, reclaimable=True)
+        for zone in "abc"
+        for index in range(2)
+    ]
+    for order in scaling.orders(SERVICE, present[:5], load, 20.0, known_since_s=0.0):
+        scaling.on_accepted(order, 20.0)
+    reclaimed = [replace(item, leaving=item.zone == "c") for item in present]
+    orders = scaling.orders(SERVICE, reclaimed, load, 21.0, known_since_s=0.0)
+    assert ("c", 2, True) in [(order.zone, order.count, order.reclaimable) for order in orders]
