Scaling: during a spot shortage all zones may be reclaimed

Twelve replicas are reclaimed in three zones within 6 s while none can be had; on-demand ones that make up for the first zone counted on the other two, and boot slower than the wave moves.

--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -16,6 +16,7 @@
     LATE_BOOST_STEP,
     LATE_HIGH_SHARE,
     SETTLE_S,
+    SHORTAGE_LOSS_SHARE,
     ZONE_LOSS_SHARE,
     Autoscaler,
     ScalingOrder,
@@ -311,3 +312,16 @@
     reclaimed = [replace(item, leaving=item.zone == "c") for item in present]
     orders = scaling.orders(SERVICE, reclaimed, load, 21.0, known_since_s=0.0)
     assert ("c", 2, True) in [(order.zone, order.count, order.reclaimable) for order in orders]
+
+
+# Guards against a wave of reclaims through all zones while nothing can be ordered: what made up for
+# the first zone counted on the others, and on-demand replicas boot slower than the wave moves.
+def test_in_a_drought_the_other_zones_may_be_reclaimed_as_well():
+    cloud = FakeCloud()
+    cloud.run(20.0, 4.0 * RATE)
+    cloud.spot_shortage = True
+    cloud.reclaim_zone("a")
+    cloud.run(SCALE.boot_s + 1.0, 4.0 * RATE)
+    cloud.reclaim_zone("b")
+    cloud.reclaim_zone("c")
+    assert cloud.on_demand_count() >= SHORTAGE_LOSS_SHARE * 4
