Usage caps: expensive requests leave a reserve for cheaper ones

Change: a request leaves in the bucket what the customer's cheaper requests ask for in a second, at most half of the bucket. The demand by class of cost is this VM's, scaled to all VMs.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -19,6 +19,13 @@
 # could hardly pass otherwise. A new bucket has as much, so that it admits any one request.
 NEEDED_LEVEL_MAX_SHARE = INITIAL_LEVEL_SHARE
 DEMAND_DECAY_S = 2.0
+# A request leaves in the bucket what the customer's cheaper requests ask for in this time, up to a
+# share of the bucket's size. One long prompt costs as much as dozens of bookings, so while the cap
+# binds the long ones are refused first, and most callers are served.
+RESERVE_S = 1.0
+RESERVE_MAX_SHARE = 0.5
+# Requests are as cheap as each other within a factor of two.
+COST_CLASSES_COUNT = 24
 # Up to this many VMs exchange digests at the full rate; with more, each VM limits its own usage
 # between digests.
 FREQUENT_DIGEST_VMS_COUNT = 12
@@ -39,6 +46,7 @@
     """This VM's view of a token bucket shared by all entry VMs.
 
     :param local_level: level of the local limit, refilled at this VM's share of the rate.
+    :param cost_demands: requested usage per second at this VM, by class of cost.
     """
 
     level: float
@@ -50,6 +58,7 @@
     demand_at_s: float = 0.0
     local_level: float = 0.0
     local_at_s: float = 0.0
+    cost_demands: list[float] = field(default_factory=lambda: [0.0] * COST_CLASSES_COUNT)
 
 
 class UsageCaps(Struct):
@@ -96,6 +105,7 @@
         self._refill(bucket, now_s)
         self._update_demand(bucket, cost, now_s)
         needed = min(cost, NEEDED_LEVEL_MAX_SHARE * bucket.burst)
+        needed += self._reserve(customer.name, bucket, cost)
         if bucket.level < needed:
             return max(0.05, (needed - bucket.level) / bucket.rate_per_s)
         return self._local_wait_s(customer.name, bucket, now_s)
@@ -181,6 +191,18 @@
             return 0.0
         return max(0.05, -bucket.local_level / rate)
 
+    def _reserve(self, name: str, bucket: _Bucket, cost: float) -> float:
+        """Return what a request leaves in the bucket for cheaper ones of its customer.
+
+        This VM's arrivals stand for those of all VMs, in proportion to their demand.
+        """
+        cheaper_per_s = sum(bucket.cost_demands[: _cost_class(cost)])
+        if cheaper_per_s <= 0.0:
+            return 0.0
+        total = self._peer_demand_per_s.get(name, 0.0) + bucket.demand_per_s
+        scale = total / bucket.demand_per_s if bucket.demand_per_s > 0.0 else 1.0
+        return min(RESERVE_S * cheaper_per_s * scale, RESERVE_MAX_SHARE * bucket.burst)
+
     def _charge_share(self, peer: _Peer, now_s: float) -> None:
         elapsed_s, peer.charged_at_s = now_s - peer.charged_at_s, now_s
         for name, peer_demand in peer.demand.items():
@@ -212,6 +234,13 @@
     @staticmethod
     def _update_demand(bucket: _Bucket, cost: float, now_s: float) -> None:
         elapsed_s = now_s - bucket.demand_at_s
-        bucket.demand_per_s *= max(0.0, 1.0 - elapsed_s / DEMAND_DECAY_S)
+        kept_share = max(0.0, 1.0 - elapsed_s / DEMAND_DECAY_S)
+        bucket.demand_per_s *= kept_share
         bucket.demand_per_s += cost / DEMAND_DECAY_S
         bucket.demand_at_s = now_s
+        bucket.cost_demands = [item * kept_share for item in bucket.cost_demands]
+        bucket.cost_demands[_cost_class(cost)] += cost / DEMAND_DECAY_S
+
+
+def _cost_class(cost: float) -> int:
+    return min(COST_CLASSES_COUNT - 1, int(cost).bit_length())
--- a/tests/cover/test_gateway_caps.py
+++ b/tests/cover/test_gateway_caps.py
@@ -173,3 +173,54 @@
         assert inside <= (rate * 8.0 + rate) * 1.1, f"window from {start} s"
     late = sum(amount for at_s, amount in admitted if at_s >= 10.0)
     assert late >= 0.75 * rate * 12.0
+
+
+def admitted_counts(
+    vms: int, costs_per_s: dict[float, float], duration_s: float
+) -> dict[float, tuple[int, int]]:
+    """Return the requests admitted and asked for by cost, over VMs that exchange digests.
+
+    The first 2 s, in which the VMs learn the customer's demand, are not counted.
+    """
+    caps = [UsageCaps() for _ in range(vms)]
+    for item in caps:
+        item.adopt((CUSTOMER,), 0.0)
+    counts = dict.fromkeys(costs_per_s, (0, 0))
+    pending = dict.fromkeys(costs_per_s, 0.0)
+    turn = sequence = 0
+    for step in range(int(duration_s / STEP_S)):
+        now_s = step * STEP_S
+        for cost, per_s in costs_per_s.items():
+            pending[cost] += per_s * STEP_S
+            while pending[cost] >= 1.0:
+                pending[cost] -= 1.0
+                turn += 1
+                item = caps[turn % vms]
+                admitted = item.wait_s(CUSTOMER, cost, now_s) == 0.0
+                if admitted:
+                    item.spend(CUSTOMER, cost)
+                if now_s >= 2.0:
+                    counts[cost] = (counts[cost][0] + admitted, counts[cost][1] + 1)
+        if step % 2 == 0:
+            sequence += 1
+            digests = [digest_of(f"vm-{i}", sequence, item, now_s) for i, item in enumerate(caps)]
+            for index, item in enumerate(caps):
+                for other, digest in enumerate(digests):
+                    if other != index:
+                        item.on_digest(digest, now_s)
+    return counts
+
+
+# Guards against a customer whose bookings are refused because long prompts, admitted by several VMs
+# between two digests, have overdrawn its cap.
+def test_while_the_cap_binds_cheap_requests_go_before_expensive_ones():
+    counts = admitted_counts(8, {2.0: 60.0, 10.0: 20.0, 200.0: 25.0}, 12.0)
+    assert counts[2.0][0] >= 0.9 * counts[2.0][1]
+    assert counts[10.0][0] >= 0.9 * counts[10.0][1]
+    left = 10.0 * RATE - 10.0 * (60.0 * 2.0 + 20.0 * 10.0)
+    assert counts[200.0][0] >= 0.8 * left / 200.0
+
+
+def test_within_the_cap_the_reserve_refuses_nothing():
+    counts = admitted_counts(8, {2.0: 20.0, 10.0: 20.0, 100.0: 6.0}, 20.0)
+    assert all(admitted == asked for admitted, asked in counts.values())
