Scaling: spot replicas are ordered first, on-demand ones where they are refused

Cause: on-demand replicas, at 5.5 times the price, were ordered in the same step as the spot ones that replace reclaimed ones, or 0.5 s after the refusal.

Change: a spot order that may succeed counts as replicas to come; if it is refused, the orders are decided again at once. Any reclaimable group that shrinks below its order has nothing booting. A zone's least number keeps on-demand replicas, and orders none.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import math
-from collections import deque
+from collections import Counter, deque
 from statistics import fmean
 
 from msgspec import Struct, field
@@ -109,14 +109,12 @@
 class _ReplicaGroup(Struct):
     """Spot or on-demand replicas of a service in a zone.
 
-    :param leaving_count: replicas that leave.
     :param ordered_count: count of the last accepted order, ``None`` if there is none.
     :param refused_until_s: end of the back-off after a refused order.
     :param surplus_since_s: since when there are more replicas than desired.
     """
 
     present_count: int = 0
-    leaving_count: int = 0
     ordered_count: int | None = None
     ordered_at_s: float = -math.inf
     refused_until_s: float = -math.inf
@@ -201,6 +199,9 @@
     ) -> list[ScalingOrder]:
         """Return the orders that scale a service to its load.
 
+        Spot replicas are ordered first. If any of these orders is refused, call this again: the
+        on-demand replicas that make up for them depend on it.
+
         :param known_since_s: since when this VM knows the service and the registered replicas.
         """
         scale = service.scale
@@ -247,7 +248,9 @@
         An order that takes a zone below its minimum, both kinds together, is never carried out.
         """
         expected = self._group(service, zone, True).expected_count(scale.boot_s, now_s)
-        return scale.min_count if expected < min(spot_count, scale.min_count) else 0
+        if expected >= min(spot_count, scale.min_count):
+            return 0
+        return min(scale.min_count, self._group(service, zone, False).present_count)
 
     @property
     def _is_before_traffic(self) -> bool:
@@ -329,7 +332,8 @@
         self, service: str, zone: str, wanted: int, scale: ScaleLimits, now_s: float
     ) -> int:
         group = self._group(service, zone, True)
-        if self._is_before_traffic and now_s >= group.refused_until_s:
+        if now_s >= group.refused_until_s:
+            # They are ordered now. If they are refused, the caller asks for the orders again.
             return wanted
         return group.expected_count(scale.boot_s, now_s)
 
@@ -366,23 +370,19 @@
         )
 
     def _count_present(self, service: str, scale: ScaleLimits, replicas: list[Replica]) -> None:
+        counts = Counter(
+            (replica.zone, replica.reclaimable)
+            for replica in replicas
+            if replica.service == service and not replica.leaving
+        )
         for zone in scale.zone_prices:
             for reclaimable in (True, False):
                 group = self._group(service, zone, reclaimable)
-                group.present_count = group.leaving_count = 0
-        for replica in replicas:
-            if replica.service != service:
-                continue
-            group = self._group(service, replica.zone, replica.reclaimable)
-            if replica.leaving:
-                group.leaving_count += 1
-            else:
-                group.present_count += 1
-        for zone in scale.zone_prices:
-            group = self._group(service, zone, True)
-            if group.leaving_count and group.present_count < (group.ordered_count or 0):
-                # A reclaim takes the replicas that boot as well, so none of them is waited for.
-                group.ordered_count = None
+                before_count, group.present_count = group.present_count, counts[zone, reclaimable]
+                lost = group.present_count < min(before_count, group.ordered_count or 0)
+                if reclaimable and lost:
+                    # A reclaim takes the replicas that boot as well, so none is waited for.
+                    group.ordered_count = None
 
     def _group(self, service: str, zone: str, reclaimable: bool) -> _ReplicaGroup:
         return self._groups.setdefault((service, zone, reclaimable), _ReplicaGroup())
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from msgspec.structs import replace
-
 from coriandershelf_core.internal.gateway.deployment import Replica, ScaleLimits, Service
 from coriandershelf_core.internal.gateway.scaling import (
     INITIAL_COUNT,
@@ -58,15 +56,21 @@
                 self.booting.remove(item)
                 self.counts[item[1]] = max(self.counts[item[1]], item[2])
             load = ServiceLoad(tokens_per_s, self.running, late_share=self.late_share)
-            for order in self.scaling.orders(SERVICE, self.replicas(), load, self.now_s):
-                self.handle_order(order)
+            if self.order_all(load):
+                self.order_all(load)
+
+    def order_all(self, load: ServiceLoad) -> bool:
+        orders = self.scaling.orders(SERVICE, self.replicas(), load, self.now_s)
+        refused = [self.handle_order(order) for order in orders]
+        return any(refused)
 
-    def handle_order(self, order: ScalingOrder) -> None:
+    def handle_order(self, order: ScalingOrder) -> bool:
+        """Handle an order; return whether it is refused."""
         self.orders.append((self.now_s, order))
         key = (order.zone, order.reclaimable)
         if self.spot_shortage and order.reclaimable and order.count > self.counts[key]:
             self.scaling.on_refused(order, self.now_s)
-            return
+            return True
         self.scaling.on_accepted(order, self.now_s)
         if order.count < self.counts[key]:
             # A zone keeps its minimum, both kinds together and including booting ones.
@@ -76,6 +80,7 @@
             self.counts[key] = max(order.count, minimum)
         else:
             self.booting.append((self.now_s + SCALE.boot_s, key, order.count))
+        return False
 
     def reclaim_zone(self, zone: str) -> None:
         self.counts[(zone, True)] = 0
@@ -309,7 +314,8 @@
     ]
     for order in scaling.orders(SERVICE, present[:5], load, 20.0, known_since_s=0.0):
         scaling.on_accepted(order, 20.0)
-    reclaimed = [replace(item, leaving=item.zone == "c") for item in present]
+    assert not scaling.orders(SERVICE, present, load, 20.5, known_since_s=0.0)
+    reclaimed = [item for item in present if item.zone != "c"]
     orders = scaling.orders(SERVICE, reclaimed, load, 21.0, known_since_s=0.0)
     assert ("c", 2, True) in [(order.zone, order.count, order.reclaimable) for order in orders]
 
@@ -325,3 +331,19 @@
     cloud.reclaim_zone("b")
     cloud.reclaim_zone("c")
     assert cloud.on_demand_count() >= SHORTAGE_LOSS_SHARE * 4
+
+
+# Guards against on-demand replicas, at several times the price, that are ordered for seconds beside
+# the reclaimable ones that replace what was reclaimed.
+def test_lasting_ones_are_ordered_only_where_reclaimable_ones_are_refused():
+    cloud = FakeCloud()
+    cloud.run(20.0, 4.0 * RATE)
+    cloud.reclaim_zone("a")
+    cloud.run(SCALE.boot_s + 1.0, 4.0 * RATE)
+    assert cloud.spot_count() == 6
+    assert not [order for _, order in cloud.orders if not order.reclaimable and order.count]
+    cloud.spot_shortage = True
+    cloud.reclaim_zone("a")
+    cloud.run(0.5, 4.0 * RATE)
+    at_s = [at_s for at_s, order in cloud.orders if not order.reclaimable and order.count]
+    assert at_s and min(at_s) == cloud.now_s, "in the same step as the refusal"
