--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -12,6 +12,7 @@
 
 from coriandershelf_rig.internal import experiments, slopes
 from coriandershelf_rig.internal.cluster import Cluster
+from coriandershelf_rig.internal.day_reports import compare, plot_seconds, read_reports
 from coriandershelf_rig.internal.demo import run_demo
 from coriandershelf_rig.internal.deployments import DEPLOYMENTS, inventory_yaml, rules_yaml
 from coriandershelf_rig.internal.engine_model import EngineShape
@@ -152,6 +153,24 @@
     sys.exit(EXIT_FAILURE if report.violations else 0)
 
 
+@main.command("compare-days")
+@click.argument("folders", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
+@click.option("--plot", help="File for a plot of --day by seconds.")
+@click.option("--day", help="The day to plot.")
+def compare_days(folders: tuple[Path, ...], plot: str | None, day: str | None) -> None:
+    """Compare states of the code by folders of the bench's reports, the first as the base."""
+    try:
+        states = {folder.name: read_reports(folder) for folder in folders}
+        click.echo(compare(states))
+    except ValueError as error:
+        raise click.ClickException(str(error)) from error
+    if plot is not None:
+        played = {name: reports[day] for name, reports in states.items() if day in reports}
+        if day is None or not played:
+            raise click.UsageError("--plot needs a --day that was played")
+        click.echo(plot_seconds(plot, day, played))
+
+
 @main.command("fault-soak")
 @seed_option
 @click.option(
