--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -29,11 +29,13 @@
 BOOT_MARGIN_S = 2.0
 # A surplus is released once it has lasted this long.
 SCALE_IN_DELAY_S = 4.0
-# Share of the needed replicas that must remain when the zone with most spot replicas loses them.
+# Share of the needed replicas that must remain when the zone with most spot replicas loses them;
+# more during a spot shortage, when they could not be replaced.
 ZONE_LOSS_SHARE = 0.6
-# The same when all zones lose them, during a spot shortage: a provider that lacks capacity reclaims
-# one zone after the other, faster than on-demand replicas boot, and none can be replaced.
-SHORTAGE_LOSS_SHARE = 0.85
+SHORTAGE_ZONE_LOSS_SHARE = 0.85
+# Share of the needed replicas that must remain during a spot shortage when all zones lose theirs: a
+# provider that lacks capacity reclaims one zone after the other, faster than on-demand ones boot.
+SHORTAGE_LOSS_SHARE = 0.5
 # Spot replicas cost little compared to requests queued behind other prompts, so this multiple of
 # the needed count is ordered if it exceeds what the loss of a zone requires.
 OVERPROVISION_FACTOR = 1.7
@@ -309,12 +311,13 @@
             zone: min(spot[zone], self._expected_spot(service, zone, spot[zone], scale, now_s))
             for zone in zones
         }
-        total = sum(available.values())
-        # After the loss the rest must serve most of the load until on-demand ones are up.
+        total, largest = sum(available.values()), max(available.values())
+        # After the loss of a zone the rest must serve most of the load until on-demand ones are up.
         shortage = self._is_spot_shortage(service, now_s)
-        share = SHORTAGE_LOSS_SHARE if shortage else ZONE_LOSS_SHARE
-        lost = total if shortage else max(available.values())
-        missing = max(needed - total, math.ceil(share * needed) - (total - lost))
+        share = SHORTAGE_ZONE_LOSS_SHARE if shortage else ZONE_LOSS_SHARE
+        missing = max(needed - total, math.ceil(share * needed) - (total - largest))
+        if shortage:
+            missing = max(missing, math.ceil(SHORTAGE_LOSS_SHARE * needed))
         on_demand = dict.fromkeys(zones, 0)
         while missing > 0:
             open_zones = [
