Scaling: all VMs observe the load, and an outage of the store keeps the holder

Change: VMs without the lease observe the load once a second, which replaces the rule of 8 s for a new holder. For 1.5 s after a call without answer a VM leaves a released term to its former holder.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -163,6 +163,7 @@
     _holder_ends: dict[int, float] = field(default_factory=dict)
     _released_by: dict[str, int] = field(default_factory=dict)
     _heard_released_at_s: float = -math.inf
+    _failed_at_s: float = -math.inf
 
     def is_held(self, now_s: float) -> bool:
         """Return whether this VM holds an unexpired lease."""
@@ -309,6 +310,7 @@
     def on_unknown_result(self, now_s: float) -> None:
         """Handle a call with unknown result: only a read shows whether it took effect."""
         self.end_offset = None
+        self._failed_at_s = now_s
         self.read_at_s = now_s + UNKNOWN_RESULT_BACKOFF_S
         self.call_in_flight = False
 
@@ -329,6 +331,9 @@
         # Two changes of holder within a lease must not lead back to the first one.
         if record is None or now_s - self.own_end_s < self.takeover_wait_s:
             return False
+        # After an outage of the store its former holder, which knows most, renews it first.
+        if now_s - self._failed_at_s < OUTAGE_HEAD_START_S:
+            return False
         return self._released_by.get(record.vm_id, 0) >= record.fencing_number
 
 
@@ -340,5 +345,7 @@
 UNKNOWN_RESULT_BACKOFF_S = 0.2
 # Calls that were reset at the end of the term have reached the platform by then, or never will.
 RELEASE_MARGIN_S = 0.2
+# How long a VM leaves a released term to its former holder after the store failed to answer.
+OUTAGE_HEAD_START_S = 1.5
 # Offsets of a holder that renews four times a second, for longer than others wait to take over.
 HOLDER_ENDS_MAX_COUNT = 64
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -135,8 +135,6 @@
         self._contradicted = False
         self._first_deployment_at_s = float("inf")
         self._registry_read = False
-        self._registry_read_at_s = float("inf")
-        self._services_known_at_s: dict[str, float] = {}
         self._registered_vms_count = 1
         self._stop_at_s = 0.0
         self._expired_at_s = float("-inf")
@@ -217,6 +215,11 @@
         self._outbox.clear()
         return actions
 
+    @property
+    def knows_replicas(self) -> bool:
+        """Return whether the registry of replicas was read."""
+        return self._registry_read
+
     def configuration_age_s(self, now_s: float) -> float:
         """Return the time since the configuration was last known to be current."""
         return now_s - self._confirmed_at_s
@@ -233,10 +236,6 @@
             rates.tokens_per_s, rates.running_count, latency_ratio, min(1.0, late_share)
         )
 
-    def known_since_s(self, service: str) -> float:
-        """Return since when this VM knows a service and its replicas; infinite if it does not."""
-        return max(self._registry_read_at_s, self._services_known_at_s.get(service, float("inf")))
-
     def propose_rollouts(self, fencing_number: int, now_s: float) -> list[RolloutState]:
         """Return the changes of roll-outs that this VM, as the lease holder, should write."""
         if not self._registry_read:
@@ -382,8 +381,6 @@
         self._first_deployment_at_s = min(self._first_deployment_at_s, now_s)
         self.deployment = deployment
         self.relay.deployment = deployment
-        known = self._services_known_at_s
-        self._services_known_at_s = {name: known.get(name, now_s) for name in deployment.services}
         self._routes = RouteTable(deployment.routes)
         self.caps.adopt(deployment.customers, now_s)
         fields = (("version", deployment.version), ("routes", len(deployment.routes)))
@@ -424,9 +421,7 @@
             self._confirmed_at_s = float("-inf")
 
     def _on_replicas(self, event: ReplicasRead, now_s: float) -> None:
-        if not self._registry_read:
-            self._registry_read = True
-            self._registry_read_at_s = now_s
+        self._registry_read = True
         self.rollouts.on_replicas(event.replicas.values(), now_s)
         left = self.pool.apply(event.replicas, event.complete, event.after_outage, now_s)
         self._on_left(left)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -18,12 +18,10 @@
 LOAD_WINDOW_S = 10.0
 # After a refused order no replicas of the same kind are ordered in the zone for this long.
 REFUSED_BACKOFF_S = 3.0
-# Replicas register one after the other, and load becomes visible only after some seconds. After the
-# first call for a service, nothing is ordered for ``SETTLE_S`` and no surplus is released for
-# ``SCALE_IN_HOLD_S``. A VM that has known the replicas for ``KNOWN_S`` when it takes the lease
-# orders at once.
-SETTLE_S = 3.5
-KNOWN_S = 8.0
+# Replicas register one after the other, and load becomes visible only after some seconds. After
+# this VM first saw a service, it orders nothing for ``SETTLE_S`` and releases no surplus for
+# ``SCALE_IN_HOLD_S``.
+SETTLE_S = 5.0
 SCALE_IN_HOLD_S = 8.0
 # Ordered replicas count as present for their boot time plus this margin.
 BOOT_MARGIN_S = 2.0
@@ -149,7 +147,10 @@
 
 
 class Autoscaler(Struct):
-    """Decides orders from the present replicas and the load; used only by the lease holder.
+    """Decides orders from the present replicas and the load.
+
+    Only the lease holder orders. The other VMs observe the load, so that each of them knows its
+    highest recent value, and need not wait, when it takes the lease.
 
     Spot replicas are spread over zones so that the rest can serve the load when one zone loses all
     of them at once. If not enough are available, on-demand replicas replace them at once, at higher
@@ -197,28 +198,25 @@
         replicas: list[Replica],
         load: ServiceLoad,
         now_s: float,
-        known_since_s: float = math.inf,
     ) -> list[ScalingOrder]:
         """Return the orders that scale a service to its load.
 
         Spot replicas are ordered first. If any of these orders is refused, call this again: the
         on-demand replicas that make up for them depend on it.
-
-        :param known_since_s: since when this VM knows the service and the registered replicas.
         """
         scale = service.scale
         if scale is None or not scale.zone_prices:
             return []
         self._count_present(service.name, scale, replicas)
-        highest = self._highest_load(service.name, load, now_s)
+        self.observe(service.name, load, now_s)
+        highest = self._highest_load(service.name, load)
         needed = self._needed_count(
             service, highest, self.rate_per_replica, SLOTS_USE_SHARE, replicas
         )
         on_demand_needed = self._needed_count(
             service, highest, self.on_demand_rate_per_replica, ON_DEMAND_SLOTS_USE_SHARE, replicas
         )
-        seen_s = now_s - self._first_seen_at_s.setdefault(service.name, now_s)
-        if seen_s < self.settle_s and now_s - known_since_s < KNOWN_S - SETTLE_S + self.settle_s:
+        if now_s - self._first_seen_at_s[service.name] < self.settle_s:
             return []
         zones = sorted(scale.zone_prices, key=lambda zone: scale.zone_prices[zone])
         late_boost = self._late_boosts.setdefault(service.name, _LateBoost())
@@ -276,7 +274,9 @@
         by_tokens = load.tokens_per_s * load.latency_ratio / rate
         return max(1, math.ceil(by_tokens), math.ceil(by_slots))
 
-    def _highest_load(self, service: str, load: ServiceLoad, now_s: float) -> ServiceLoad:
+    def observe(self, service: str, load: ServiceLoad, now_s: float) -> None:
+        """Record the load of a service."""
+        self._first_seen_at_s.setdefault(service, now_s)
         loads = self._loads.setdefault(service, deque())
         loads.append((now_s, load))
         self._has_seen_load = (
@@ -284,6 +284,9 @@
         )
         while loads[0][0] < now_s - LOAD_WINDOW_S:
             loads.popleft()
+
+    def _highest_load(self, service: str, load: ServiceLoad) -> ServiceLoad:
+        loads = self._loads[service]
         return ServiceLoad(
             max(item.tokens_per_s for _, item in loads),
             max(item.running_count for _, item in loads),
--- a/tests/cover/test_duty_lease.py
+++ b/tests/cover/test_duty_lease.py
@@ -110,6 +110,17 @@
     assert lease.next_step(0, 16.7) is LeaseStep.WRITE
 
 
+# Guards against a change of holder at each outage of the store: a new one knows less.
+def test_after_an_outage_of_the_store_the_former_holder_comes_first():
+    lease = make_lease("vm-2")
+    lease.on_released("vm-1", 4, 10.0)
+    lease.on_unknown_result(12.0)
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 12.5, 12.5)
+    assert lease.next_step(0, 12.6) is LeaseStep.NONE
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 13.6, 13.6)
+    assert lease.next_step(0, 13.7) is LeaseStep.WRITE
+
+
 # Guards against a wait that begins anew at the first read, although the holder's digests said which
 # record was its last.
 def test_the_wait_for_a_lost_holder_counts_from_its_last_known_record():
--- a/tests/cover/test_gateway_scaling.py
+++ b/tests/cover/test_gateway_scaling.py
@@ -289,17 +289,17 @@
     assert cloud.counts == steady.counts
 
 
-# Guards against seconds without orders at each change of the lease holder: a reclaim then went
-# unanswered until the new holder had waited for what it had known all along.
-def test_a_new_holder_that_knows_the_replicas_orders_at_once():
+# Guards against seconds without orders at each change of the lease holder, and against a new one
+# that knows nothing of a peak some seconds ago.
+def test_a_new_holder_that_observed_the_load_orders_at_once_and_for_the_peak():
     replicas = [Replica("a0", "engine", "x:1", "a", 64, reclaimable=True)]
-    load = ServiceLoad(10.0 * RATE, 0)
-    known = Autoscaler(RATE, RATE)
-    assert known.orders(SERVICE, replicas, load, 100.0, known_since_s=80.0)
-    started = Autoscaler(RATE, RATE)
-    assert not started.orders(SERVICE, replicas, load, 100.0, known_since_s=98.0)
-    assert not started.orders(SERVICE, replicas, load, 103.0, known_since_s=98.0)
-    assert started.orders(SERVICE, replicas, load, 103.6, known_since_s=98.0)
+    observer, started = Autoscaler(RATE, RATE), Autoscaler(RATE, RATE)
+    for second in range(100, 110):
+        tokens_per_s = (10.0 if second < 104 else 2.0) * RATE
+        observer.observe("engine", ServiceLoad(tokens_per_s, 0), float(second))
+    orders = observer.orders(SERVICE, replicas, ServiceLoad(2.0 * RATE, 0), 110.0)
+    assert orders[0].inputs.needed_count == 10
+    assert not started.orders(SERVICE, replicas, ServiceLoad(2.0 * RATE, 0), 110.0)
 
 
 # Guards against a reclaim shortly after an order: the reclaimed replicas were expected to boot for
@@ -312,11 +312,12 @@
         for zone in "abc"
         for index in range(2)
     ]
-    for order in scaling.orders(SERVICE, present[:5], load, 20.0, known_since_s=0.0):
+    scaling.observe("engine", load, 0.0)
+    for order in scaling.orders(SERVICE, present[:5], load, 20.0):
         scaling.on_accepted(order, 20.0)
-    assert not scaling.orders(SERVICE, present, load, 20.5, known_since_s=0.0)
+    assert not scaling.orders(SERVICE, present, load, 20.5)
     reclaimed = [item for item in present if item.zone != "c"]
-    orders = scaling.orders(SERVICE, reclaimed, load, 21.0, known_since_s=0.0)
+    orders = scaling.orders(SERVICE, reclaimed, load, 21.0)
     assert ("c", 2, True) in [(order.zone, order.count, order.reclaimable) for order in orders]
 
 
