Scaling: the floor for the loss of all zones ends when spot replicas are accepted

Cause: a shortage is remembered for 8 s after its last refusal, and on-demand replicas for the loss of all zones were held for as long.

Change: the floor holds only while a spot order was refused and none accepted since.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/scaling.py
@@ -31,8 +31,9 @@
 # more during a spot shortage, when they could not be replaced.
 ZONE_LOSS_SHARE = 0.6
 SHORTAGE_ZONE_LOSS_SHARE = 0.85
-# Share of the needed replicas that must remain during a spot shortage when all zones lose theirs: a
-# provider that lacks capacity reclaims one zone after the other, faster than on-demand ones boot.
+# Share of the needed replicas that must remain if all zones lose their spot replicas, while new
+# ones are refused: a provider that lacks capacity reclaims one zone after the other, faster than
+# on-demand replicas boot.
 SHORTAGE_LOSS_SHARE = 0.5
 # Spot replicas cost little compared to requests queued behind other prompts, so this multiple of
 # the needed count is ordered if it exceeds what the loss of a zone requires.
@@ -319,7 +320,7 @@
         shortage = self._is_spot_shortage(service, now_s)
         share = SHORTAGE_ZONE_LOSS_SHARE if shortage else ZONE_LOSS_SHARE
         missing = max(needed - total, math.ceil(share * needed) - (total - largest))
-        if shortage:
+        if self._is_spot_refused(service, now_s):
             missing = max(missing, math.ceil(SHORTAGE_LOSS_SHARE * needed))
         on_demand = dict.fromkeys(zones, 0)
         while missing > 0:
@@ -375,6 +376,14 @@
             if name == service and reclaimable
         )
 
+    def _is_spot_refused(self, service: str, now_s: float) -> bool:
+        """Return whether spot replicas were recently refused in a zone, and not accepted since."""
+        return any(
+            group.ordered_count is None and now_s < group.refused_until_s + SPOT_SHORTAGE_S
+            for (name, _, reclaimable), group in self._groups.items()
+            if name == service and reclaimable
+        )
+
     def _count_present(self, service: str, scale: ScaleLimits, replicas: list[Replica]) -> None:
         counts = Counter(
             (replica.zone, replica.reclaimable)
