Streams: origins and versions in the store, so that a loss of all VMs joins no two versions

Cause: the origin of a stream lay in the memory of four VMs. After a loss of all VMs, a VM that had just started took the one version in its registry for the only one there had been, though it had not seen the time before; with two versions in the registry it refused each stream that a caller took up.

Ruled out: a version by hash of the request's id (a release moves past most ids within a stream's life), asking replicas (a run ends with its channel), write-ahead of newer versions (stops them while the store is away).

Change: versions of services with resumable streams are recorded before they begin one; while there is more than one, origins of streams under way are appended in batches by one VM; a take-up that no VM knows waits for a read of the store that was sent after it came.

Tests changed: a take-up of unknown origin is now answered after a read, so two tests let time pass first.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -9,7 +9,11 @@
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.events import Headers
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
-from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
+from coriandershelf_core.internal.gateway.origin_messages import (
+    OriginMessage,
+    ServiceVersion,
+    StreamOrigin,
+)
 
 
 class Refusal(Enum):
@@ -173,6 +177,29 @@
     message: OriginMessage
 
 
+class ReadOrigins(Struct, frozen=True):
+    """Read the recorded versions and the stored origins of streams."""
+
+
+class AppendOrigins(Struct, frozen=True):
+    """Append origins of streams to the store, in one record."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+class RecordVersions(Struct, frozen=True):
+    """Record in the store that versions serve."""
+
+    versions: tuple[ServiceVersion, ...]
+
+
+class RetireVersion(Struct, frozen=True):
+    """Remove a recorded version, unless something was recorded after the offset ``end``."""
+
+    version: ServiceVersion
+    end: int
+
+
 class ScheduleTick(Struct, frozen=True):
     """Post an extra tick after this time, before the next regular one."""
 
@@ -224,6 +251,10 @@
     | SendDigest
     | SendLoadMessage
     | SendOriginMessage
+    | ReadOrigins
+    | AppendOrigins
+    | RecordVersions
+    | RetireVersion
     | ScheduleTick
     | CloseIdleConnections
     | IncrementCounter
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/builds.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/builds.py
@@ -9,8 +9,9 @@
 from collections.abc import Iterable
 
 VERSION = "0.1.0"
-# 0: builds that send no level. Raised by one in a landing with behaviour that needs all VMs.
-PROTOCOL_LEVEL = 1
+# 0: builds that send no level. 2: messages about stored origins of streams. Raised by one in a
+# landing with behaviour that needs all VMs.
+PROTOCOL_LEVEL = 2
 BUILD = f"{VERSION}+{PROTOCOL_LEVEL}"
 LEVEL_DIGITS_MAX_COUNT = 4
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -9,7 +9,11 @@
 from coriandershelf_core.internal.gateway.deployment import Deployment, Replica
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.load_tracking import LoadMessage
-from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
+from coriandershelf_core.internal.gateway.origin_messages import (
+    OriginMessage,
+    ServiceVersion,
+    StreamOrigin,
+)
 from coriandershelf_core.internal.gateway.request import Arrival
 from coriandershelf_core.internal.gateway.rollout import RolloutOrder, RolloutState
 
@@ -189,6 +193,31 @@
     message: OriginMessage
 
 
+class OriginsRead(Struct, frozen=True):
+    """The store was read for recorded versions and origins of streams, or could not be read.
+
+    :param versions: all recorded versions; ``None`` if the read failed.
+    :param end: offset after the last record of a version.
+    """
+
+    versions: tuple[ServiceVersion, ...] | None
+    origins: tuple[StreamOrigin, ...] = ()
+    end: int = 0
+
+
+class OriginsAppended(Struct, frozen=True):
+    """The batch of origins that was being written is stored, or may not be."""
+
+    stored: bool
+
+
+class VersionsRecorded(Struct, frozen=True):
+    """Versions are recorded in the store, or may not be."""
+
+    versions: tuple[ServiceVersion, ...]
+    stored: bool
+
+
 class EntryVmsRead(Struct, frozen=True):
     """The registered entry VMs were read: addresses by id."""
 
@@ -233,6 +262,9 @@
     | DigestArrived
     | RoomMessageArrived
     | OriginMessageArrived
+    | OriginsRead
+    | OriginsAppended
+    | VersionsRecorded
     | EntryVmsRead
     | RolloutOrdered
     | RolloutStateRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -36,6 +36,8 @@
     EntryVmsRead,
     Event,
     OriginMessageArrived,
+    OriginsAppended,
+    OriginsRead,
     ReplicaProbed,
     ReplicasRead,
     RequestArrived,
@@ -49,6 +51,7 @@
     StreamPaused,
     StreamRead,
     Tick,
+    VersionsRecorded,
 )
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries
 from coriandershelf_core.internal.gateway.load_tracking import (
@@ -57,10 +60,12 @@
     LoadQuery,
     LoadReply,
 )
+from coriandershelf_core.internal.gateway.origin_batches import OriginBatches
 from coriandershelf_core.internal.gateway.peers import Peers
 from coriandershelf_core.internal.gateway.poison_parts import PoisonParts
 from coriandershelf_core.internal.gateway.poison_requests import PoisonRequests
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
+from coriandershelf_core.internal.gateway.recorded_versions import RecordedVersions
 from coriandershelf_core.internal.gateway.relay import Relay
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest, Arrival
@@ -177,6 +182,8 @@
         responder.retry_after_s = self.admission.retry_after_s
         responder.on_removed = self.admission.on_removed
         attempts.on_end = self.admission.on_attempt_end
+        origins = StreamOrigins(address, entry_vms, emit)
+        self.recorded_versions = RecordedVersions(self.pool, entry_vms, emit, origins.read)
         self.relay = Relay(
             self.pool,
             selector,
@@ -189,7 +196,9 @@
                 settings.retry_window_s,
             ),
             self.crash_suspects,
-            StreamOrigins(address, entry_vms, emit),
+            origins,
+            OriginBatches(address, self.pool, entry_vms, emit),
+            self.recorded_versions,
             paths,
             self.admission,
             self.rollouts,
@@ -285,6 +294,12 @@
                 self.rollouts.on_orders_proved(at_s, now_s)
             case ReplicasRead():
                 self._on_replicas(event, now_s)
+            case OriginsRead():
+                self.relay.on_origins_read(event, now_s)
+            case OriginsAppended(stored):
+                self.relay.origin_batches.on_appended(stored)
+            case VersionsRecorded():
+                self.recorded_versions.on_recorded(event, now_s)
             case EntryVmsRead(addresses):
                 self.peers.on_registered(addresses, now_s)
                 self._registered_vms_count = len(addresses)
@@ -382,6 +397,13 @@
         self.deployment = deployment
         self.relay.deployment = deployment
         self._routes = RouteTable(deployment.routes)
+        services = {
+            backend.service
+            for route in deployment.routes
+            if route.resumable
+            for backend in route.backends
+        }
+        self.recorded_versions.on_services(services, now_s)
         self.caps.adopt(deployment.customers, now_s)
         fields = (("version", deployment.version), ("routes", len(deployment.routes)))
         self._outbox.append(LogLine("configuration in force", fields))
@@ -421,10 +443,13 @@
             self._confirmed_at_s = float("-inf")
 
     def _on_replicas(self, event: ReplicasRead, now_s: float) -> None:
+        if not self._registry_read:
+            self.relay.origins.read(now_s)
         self._registry_read = True
         self.rollouts.on_replicas(event.replicas.values(), now_s)
         left = self.pool.apply(event.replicas, event.complete, event.after_outage, now_s)
         self._on_left(left)
+        self.recorded_versions.on_replicas(now_s)
         self.admission.on_room_change()
         for name, replica in event.replicas.items():
             if replica is not None:
@@ -483,6 +508,7 @@
         if now_s - self._expired_at_s >= EXPIRY_PERIOD_S:
             self._expired_at_s = now_s
             self.crash_suspects.on_tick(now_s)
+            self.recorded_versions.on_tick(now_s)
             self.usage.expire(self.clock_estimate.time_of_day_s(now_s))
         self._on_left(self.pool.expire(now_s))
         version = self.deployment.version if self.deployment is not None else 0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
@@ -1,4 +1,4 @@
-"""Messages between entry VMs about which software version began a stream."""
+"""Messages about which software version began a stream, and what the store keeps of it."""
 
 from __future__ import annotations
 
@@ -36,4 +36,27 @@
     version: str | None
 
 
-OriginMessage = StreamOrigin | OriginQuery | OriginReply
+class OriginBatch(Struct, frozen=True):
+    """Asks another VM to write origins to the store together with its own.
+
+    :param address: where to confirm that they are stored.
+    """
+
+    address: str
+    origins: tuple[StreamOrigin, ...]
+
+
+class OriginsStored(Struct, frozen=True):
+    """Tells that the origins of streams of a batch are in the store."""
+
+    stream_ids: tuple[str, ...]
+
+
+class ServiceVersion(Struct, frozen=True):
+    """A software version of a service."""
+
+    service: str
+    version: str
+
+
+OriginMessage = StreamOrigin | OriginQuery | OriginReply | OriginBatch | OriginsStored
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Replica
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
 from coriandershelf_core.internal.gateway.events import ReportedLoad
+from coriandershelf_core.internal.gateway.origin_messages import ServiceVersion
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest, RequestLimit
 
 # Registrations that expired during a store outage return within about two seconds of its end; a
@@ -273,6 +274,11 @@
 
     def only_version(self, service: str, now_s: float) -> str | None:
         """Return the only software version of a service; ``None`` if there are or were others."""
+        versions = self.versions_of(service, now_s)
+        return versions.pop() if len(versions) == 1 else None
+
+    def versions_of(self, service: str, now_s: float) -> set[str]:
+        """Return the software versions whose streams may still be resumed."""
         versions = {
             state.replica.software_version
             for state in self._states.values()
@@ -283,7 +289,16 @@
             for (name, version), left_at_s in self._version_left_at_s.items()
             if name == service and now_s - left_at_s <= VERSION_KEPT_S
         )
-        return versions.pop() if len(versions) == 1 else None
+        return versions
+
+    def on_recorded_versions(self, recorded: Iterable[ServiceVersion], now_s: float) -> None:
+        """Take recorded versions that this VM has never seen as if they had left just now."""
+        for item in recorded:
+            self._version_left_at_s.setdefault((item.service, item.version), now_s)
+
+    def version_left_since_s(self, item: ServiceVersion, now_s: float) -> float:
+        """Return how long ago a version left that has no replica; 0 if it is not known to."""
+        return now_s - self._version_left_at_s.get((item.service, item.version), now_s)
 
     def apply(
         self,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -31,6 +31,7 @@
     AttemptFailed,
     FailureCause,
     MalformedHeader,
+    OriginsRead,
     ResponseHeadRead,
     StreamEnded,
     StreamOpened,
@@ -39,8 +40,14 @@
 )
 from coriandershelf_core.internal.gateway.load_queries import LoadQueries, PendingQuery
 from coriandershelf_core.internal.gateway.load_tracking import AttemptStep, LoadReply, TrackedLoad
-from coriandershelf_core.internal.gateway.origin_messages import OriginMessage
+from coriandershelf_core.internal.gateway.origin_batches import OriginBatches
+from coriandershelf_core.internal.gateway.origin_messages import (
+    OriginBatch,
+    OriginMessage,
+    OriginsStored,
+)
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
+from coriandershelf_core.internal.gateway.recorded_versions import RecordedVersions
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
@@ -75,6 +82,8 @@
     retries: RetryAllowance
     crash_suspects: CrashSuspects
     origins: StreamOrigins
+    origin_batches: OriginBatches
+    recorded_versions: RecordedVersions
     paths: ReplicaPaths
     admission: AdmissionControl
     rollouts: Rollouts
@@ -278,6 +287,7 @@
         self.rollouts.on_stream_ended(attempt, now_s)
         self.attempts.end(attempt, now_s)
         request = attempt.request
+        self.origin_batches.end(request.stream_id)
         self.crash_suspects.on_completed(request, now_s)
         inputs = dict(attempt.inputs)
         self.responder.end_stream(request, now_s, first_ms=first_ms(attempt), **inputs)
@@ -340,6 +350,9 @@
         self.rollouts.on_tick(self.attempts.by_id.values(), now_s)
         for request in self.origins.pop_overdue(now_s):
             self._send_resumed(request, now_s)
+        for request in self.origins.pop_unread(now_s):
+            self._send_at_origin(request, now_s, is_read=False)
+        self.origin_batches.on_tick(now_s)
         for attempt in list(self.attempts.by_id.values()):
             request = attempt.request
             if now_s >= request.deadline_s + TIMEOUT_GRACE_S:
@@ -370,9 +383,23 @@
 
     def on_origin_message(self, message: OriginMessage, now_s: float) -> None:
         """Handle another VM's message on the origin of a stream."""
-        request = self.origins.on_message(message, now_s)
-        if request is not None:
-            self._send_resumed(request, now_s)
+        match message:
+            case OriginBatch():
+                self.origin_batches.on_batch(message)
+            case OriginsStored():
+                self.origin_batches.on_stored(message)
+            case _:
+                request = self.origins.on_message(message, now_s)
+                if request is not None:
+                    self._send_resumed(request, now_s)
+
+    def on_origins_read(self, event: OriginsRead, now_s: float) -> None:
+        """Handle what the store holds, and resume the streams that have waited for it."""
+        if event.versions is not None:
+            self.recorded_versions.on_read(event.versions, event.end, now_s)
+        origins = event.origins if event.versions is not None else None
+        for request in self.origins.on_read(origins, now_s):
+            self._send_at_origin(request, now_s, is_read=True)
 
     def _resume(self, request: ActiveRequest, now_s: float) -> None:
         """Resume a caller's stream once the version that began it is known."""
@@ -382,11 +409,25 @@
             self._send_resumed(request, now_s)
 
     def _send_resumed(self, request: ActiveRequest, now_s: float) -> None:
+        """Send a request at its stream's origin, or read the store if no VM knows it."""
+        if not self.responder.is_active(request):
+            return
+        stream_id = request.arrival.resumes_id
+        if stream_id is not None and self.origins.version_of(stream_id) is not None:
+            self._send_at_origin(request, now_s, is_read=True)
+        else:
+            self.origins.await_read(request, now_s)
+
+    def _send_at_origin(self, request: ActiveRequest, now_s: float, is_read: bool) -> None:
+        """Send a request at the version that began its stream, or refuse it.
+
+        :param is_read: whether the store was read after the request arrived.
+        """
         if not self.responder.is_active(request):
             return
         stream_id = request.arrival.resumes_id
         version = self.origins.version_of(stream_id) if stream_id is not None else None
-        if version is None:
+        if version is None and (is_read or self.origins.was_read):
             # Without the origin, only a service that has had a single version is safe.
             version = self.pool.only_version(request.service, now_s)
         if version is None:
@@ -402,6 +443,8 @@
         usable = self.pool.usable(request.service)
         states = self.rollouts.allowed(request, usable, now_s)
         version = request.software_version
+        if version is None and request.route.resumable:
+            states = self.recorded_versions.usable(request.service, states)
         if version is not None and usable:
             states = [state for state in states if state.replica.software_version == version]
             if not states:
@@ -551,7 +594,8 @@
             self.responder.log("stream resumed", request, now_s, **fields)
         request.software_version = version
         if request.route.resumable:
-            self.origins.begin(resumes_id or request.arrival.request_id, version, now_s)
+            self.origins.begin(request.stream_id, version, now_s)
+            self.origin_batches.begin(request.stream_id, request.service, version, now_s)
 
     def _record_failure(
         self, state: ReplicaState, now_s: float, error_route_kind: RouteKind | None = None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -104,3 +104,8 @@
         """Return whether the caller holds events of the stream that it asks for."""
         arrival = self.arrival
         return self.route.resumable and bool(arrival.resumes_id or arrival.last_event_id)
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that brought, or is to bring, the stream's first event."""
+        return self.arrival.resumes_id or self.arrival.request_id
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
@@ -4,7 +4,8 @@
 one stream. A caller whose connection breaks comes back to any VM and names the request that brought
 the first event. So the VM that forwards a first event tells a few VMs in different zones, chosen by
 rendezvous hashing of the request's id (Thaler and Ravishankar 1998). A VM that does not know a
-stream queries the same ones.
+stream queries the same ones, and then reads the store: after a loss of all VMs only the store knows
+which versions served and which of them began the stream.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from coriandershelf_core.internal.gateway.actions import (
     Action,
     IncrementCounter,
+    ReadOrigins,
     ScheduleTick,
     SendOriginMessage,
 )
@@ -38,6 +40,11 @@
 ORIGINS_MAX_COUNT = 20_000
 # Several round trips between zones; a stream resumes without a reply from VMs that are gone.
 REPLY_TIMEOUT_S = 0.04
+# How long a caller waits for a read of the store, several times what one takes, and the pause
+# between two reads, which serve all callers that have come meanwhile.
+READ_TIMEOUT_S = 1.0
+READ_PAUSE_S = 0.05
+READ_RETRY_S = 0.3
 
 
 class PendingOrigin(Struct):
@@ -48,6 +55,13 @@
     awaited_ids: set[str]
 
 
+class AwaitedRead(Struct):
+    """A request that waits for a read of the store that was sent after the request arrived."""
+
+    request: ActiveRequest
+    due_at_s: float
+
+
 class StreamOrigins(Struct):
     """The origins of streams that this VM forwarded or was told of.
 
@@ -60,6 +74,12 @@
     _versions: OrderedDict[str, tuple[str, float]] = field(default_factory=OrderedDict)
     _pending: dict[int, PendingOrigin] = field(default_factory=dict)
     _next_query_id: int = 1
+    _awaiting: list[AwaitedRead] = field(default_factory=list)
+    _awaiting_current: list[AwaitedRead] = field(default_factory=list)
+    _is_reading: bool = False
+    _read_wanted: bool = False
+    _next_read_at_s: float = 0.0
+    _was_read: bool = False
 
     def begin(self, stream_id: str, version: str, now_s: float) -> None:
         """Record the version of a stream whose first event is about to be forwarded."""
@@ -98,8 +118,65 @@
                 self.emit(SendOriginMessage(address, reply))
             case OriginReply():
                 return self._on_reply(message, now_s)
+            case _:
+                pass
         return None
 
+    @property
+    def was_read(self) -> bool:
+        """Return whether this VM has read the store since it started."""
+        return self._was_read
+
+    def read(self, now_s: float) -> None:
+        """Read the store as soon as possible."""
+        self._read_wanted = True
+        self._start_read(now_s)
+
+    def await_read(self, request: ActiveRequest, now_s: float) -> None:
+        """Let a request wait for a read of the store."""
+        self._awaiting.append(AwaitedRead(request, now_s + READ_TIMEOUT_S))
+        self._start_read(now_s)
+
+    def on_read(self, origins: Iterable[StreamOrigin] | None, now_s: float) -> list[ActiveRequest]:
+        """Take over what was read; return the requests that have waited for it.
+
+        :param origins: ``None`` if the read failed. The requests then wait for the next one.
+        """
+        waited, self._awaiting_current = self._awaiting_current, []
+        self._is_reading = False
+        if origins is None:
+            self._next_read_at_s = now_s + READ_RETRY_S
+        elif waited:
+            self._next_read_at_s = now_s + READ_PAUSE_S
+        if origins is None:
+            self._read_wanted = self._read_wanted or not self._was_read
+            self._awaiting = waited + self._awaiting
+            self.emit(IncrementCounter("stream_origins", "read-failed"))
+            return []
+        self._was_read = True
+        for origin in origins:
+            self._put(origin.stream_id, origin.version, now_s)
+        return [item.request for item in waited]
+
+    def pop_unread(self, now_s: float) -> list[ActiveRequest]:
+        """Remove and return the requests that have waited for the store for too long."""
+        self._start_read(now_s)
+        overdue = []
+        for queue in (self._awaiting_current, self._awaiting):
+            overdue += [item for item in queue if now_s >= item.due_at_s]
+            queue[:] = [item for item in queue if now_s < item.due_at_s]
+        return [item.request for item in overdue]
+
+    def _start_read(self, now_s: float) -> None:
+        if self._is_reading or now_s < self._next_read_at_s:
+            if self._awaiting and not self._is_reading:
+                self.emit(ScheduleTick(self._next_read_at_s - now_s))
+            return
+        if self._awaiting or self._read_wanted:
+            self._is_reading, self._read_wanted = True, False
+            self._awaiting_current, self._awaiting = self._awaiting, []
+            self.emit(ReadOrigins())
+
     def pop_overdue(self, now_s: float) -> list[ActiveRequest]:
         """Remove and return the requests that have waited long enough; drop old origins."""
         while self._versions and now_s - next(iter(self._versions.values()))[1] > KEPT_S:
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
@@ -48,8 +48,8 @@
         "'version' of the line; lines 'replica registered' and 'replica gone from the registry'",
     ),
     "unknown-version": (
-        "no VM that was asked knows which software version began the stream",
-        "lines 'stream resumed' and 'starting' of all VMs; counter stream_origins",
+        "neither a VM nor the store knows which software version began the stream",
+        "lines 'origins read' and 'starting' of all VMs; counter stream_origins",
     ),
     "poison": (
         "every replica that ran this request failed; it is not sent to another one",
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -14,11 +14,15 @@
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
     Action,
+    AppendOrigins,
     CancelAttempt,
     EndStream,
     ForwardEvents,
     ProbeReplica,
+    ReadOrigins,
+    RecordVersions,
     RejectRequest,
+    RetireVersion,
     ScheduleTick,
     SendDigest,
     SendLoadMessage,
@@ -56,6 +60,7 @@
 from coriandershelf_core.internal.gateway.gateway import Gateway
 from coriandershelf_core.internal.gateway.request import Arrival, PromptPart
 from coriandershelf_core.internal.gateway.settings import GatewaySettings
+from coriandershelf_rig.internal.origin_store_model import STORE_ACTIONS, OriginStoreModel
 from coriandershelf_rig.internal.part_rules import CrashingPart, FirstTry
 from coriandershelf_rig.internal.path_rules import CutPeriod
 from coriandershelf_rig.internal.replica_rules import (
@@ -63,11 +68,13 @@
     ExcusedPeriod,
     LimitedPeriod,
     ObservedStream,
+    PowerLoss,
     ResumptionCounts,
     StatedPause,
     leaving_violation,
     limit_violation,
     pause_violation,
+    power_loss_violations,
     version_violations,
 )
 from coriandershelf_rig.internal.virtual_time import VirtualTime
@@ -188,6 +195,8 @@
         self.requests_count = 0
         self.streams: list[ObservedStream] = []
         self.resumptions = ResumptionCounts()
+        self.store = OriginStoreModel()
+        self.power_losses: list[PowerLoss] = []
         self._requests: dict[int, CallerRequest] = {}
         self.crashing_parts: dict[str, CrashingPart] = {}
         self.first_tries: list[FirstTry] = []
@@ -235,6 +244,29 @@
         self._post(vm_id, gateway, EntryVmsRead(addresses))
         self.time.at(self.rng.uniform(0.0, TICK_S), lambda: self._tick(vm_id, gateway))
 
+    def lose_power(self, down_s: float) -> None:
+        """Let all VMs lose power at once and start again ``down_s`` later.
+
+        Their callers come back to the VMs that run then.
+        """
+        now_s = self.time.now_s
+        under_way = [request.stream for request in self._requests.values() if request.served]
+        loss = PowerLoss(now_s, [(item, item.events_count) for item in under_way])
+        self.power_losses.append(loss)
+        vm_ids = sorted(self.gateways)
+        self.gateways.clear()
+        for vm_id in vm_ids:
+            self._break_off(vm_id)
+
+        def start() -> None:
+            for vm_id in vm_ids:
+                self.start_vm(vm_id)
+            loss.served_versions = {
+                item.version for item in self.replicas.values() if not item.registration.leaving
+            }
+
+        self.time.at(down_s, start)
+
     def register_all(self, vm_id: str) -> None:
         """Let a VM read the whole registry."""
         registrations = {name: item.registration for name, item in self.replicas.items()}
@@ -298,7 +330,10 @@
 
     def version_violations(self) -> list[str]:
         """Return streams of two versions, and too few resumed ones."""
-        return version_violations(self.streams, self.resumptions)
+        return [
+            *version_violations(self.streams, self.resumptions),
+            *power_loss_violations(self.power_losses),
+        ]
 
     def violations(self) -> list[str]:
         """Return what reached the replicas against what they stated."""
@@ -322,6 +357,10 @@
         shape: RequestShape | None = None,
     ) -> None:
         """Send a request for a new stream, or one that resumes a stream."""
+        if not self.gateways:
+            again_s = self.rng.uniform(0.5, 1.5) * CALLER_RETRY_S
+            self.time.at(again_s, lambda: self._send_request(stream, tries_count, shape))
+            return
         self.requests_count += 1
         number = self.requests_count
         if stream is None:
@@ -408,7 +447,7 @@
             if request.first_try is not None:
                 request.first_try.begun = True
             version = payload.decode().rpartition("data: ")[2].strip()
-            request.stream.add_event(request.request_id, version)
+            request.stream.add_event(request.request_id, version, self.time.now_s)
 
     def _tick(self, vm_id: str, gateway: Gateway) -> None:
         if self.gateways.get(vm_id) is not gateway:
@@ -434,6 +473,8 @@
                 self._send_message(address, RoomMessageArrived(message))
             case SendOriginMessage(address, message):
                 self._send_message(address, OriginMessageArrived(message))
+            case ReadOrigins() | AppendOrigins() | RecordVersions() | RetireVersion():
+                self._call_store(vm_id, gateway, action)
             case ScheduleTick(after_s):
                 self.time.at(after_s, lambda: self._post(vm_id, gateway, Tick()))
             case StartAttempt():
@@ -454,6 +495,16 @@
             case _:
                 pass
 
+    def _call_store(self, vm_id: str, gateway: Gateway, action: STORE_ACTIONS) -> None:
+        """Let a call take effect halfway, and its outcome be known at its end."""
+
+        def arrive() -> None:
+            event = self.store.perform(action, self.time.now_s)
+            if event is not None:
+                self.time.at(self.store.call_s / 2.0, lambda: self._post(vm_id, gateway, event))
+
+        self.time.at(self.store.call_s / 2.0, arrive)
+
     def _send_message(self, address: str, event: Event) -> None:
         vm_id = address.removesuffix(":7500")
         if vm_id not in self.gateways or self.rng.random() < self._loss_share:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/replica_rules.py
@@ -104,16 +104,19 @@
     :param first_id: id of the request that brought the first event.
     :param versions: software versions of the replicas that made its events, without repeats.
     :param events_count: events received; they are numbered from 1.
+    :param began_at_s: when the first event was received.
     """
 
     first_id: str = ""
     versions: list[str] = field(default_factory=list)
     events_count: int = 0
+    began_at_s: float = 0.0
 
-    def add_event(self, request_id: str, version: str) -> None:
+    def add_event(self, request_id: str, version: str, at_s: float = 0.0) -> None:
         """Add an event."""
         if not self.first_id:
             self.first_id = request_id
+            self.began_at_s = at_s
         if version not in self.versions:
             self.versions.append(version)
         self.events_count += 1
@@ -150,6 +153,44 @@
     return violations
 
 
+STORED_AFTER_S = 0.5
+WENT_ON_SHARE_MIN = 0.9
+
+
+@dataclass(slots=True)
+class PowerLoss:
+    """A loss of power of all entry VMs.
+
+    :param under_way: the streams that it broke off, with their events by then.
+    :param served_versions: versions of the replicas that served when the VMs started again.
+    """
+
+    at_s: float
+    under_way: list[tuple[ObservedStream, int]]
+    served_versions: set[str] = field(default_factory=set)
+
+
+def power_loss_violations(losses: Sequence[PowerLoss]) -> list[str]:
+    """Return a line for each loss after which too few streams went on at a version that serves.
+
+    Streams are judged that had been under way for half a second.
+    """
+    violations = []
+    for loss in losses:
+        judged = [
+            stream.events_count > events_count
+            for stream, events_count in loss.under_way
+            if loss.at_s - stream.began_at_s >= STORED_AFTER_S
+            and stream.versions[0] in loss.served_versions
+        ]
+        if sum(judged) < WENT_ON_SHARE_MIN * len(judged):
+            violations.append(
+                f"{sum(judged)} of {len(judged)} streams went on after the loss of power at "
+                f"{loss.at_s:.2f} s"
+            )
+    return violations
+
+
 PAUSE_NOTICE_S = 0.5
 PAUSED_MAX_COUNT = 2
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
@@ -1,4 +1,4 @@
-"""HTTP stand-in of the users' platform store: keyed topics, and faults that tests can inject."""
+"""HTTP stand-in of the users' platform store: topics, and faults that tests can inject."""
 
 from __future__ import annotations
 
@@ -17,11 +17,12 @@
 REGISTRY_TOPIC = "keyed.servers"
 READ_POLL_S = 0.01
 PAGE_KEYS_COUNT = 3
+KEYED_PREFIX = "keyed."
 
 
 @dataclass
 class Topic:
-    """One keyed topic.
+    """One topic; the records of a topic without keys have an empty key.
 
     :param first_offset: offset of the first retained record; offsets count from 0.
     :param records: retained records as key and value.
@@ -91,6 +92,9 @@
     def _topic(self) -> Topic:
         return self._state.topic(self.get_query_argument("topic"))
 
+    def _is_keyed(self) -> bool:
+        return self.get_query_argument("topic").startswith(KEYED_PREFIX)
+
 
 class _AppendHandler(_StoreHandler):
     def post(self) -> None:
@@ -106,8 +110,10 @@
             (size,) = struct.unpack_from(">I", body, position)
             content = body[position + 4 : position + 4 + size]
             position += 4 + size
-            key = content[1 : 1 + content[0]].decode()
-            topic.append(key, content[1 + content[0] :])
+            if self._is_keyed():
+                topic.append(content[1 : 1 + content[0]].decode(), content[1 + content[0] :])
+            else:
+                topic.append("", content)
         if self._state.lose_answers:
             assert isinstance(self.request.connection, HTTP1Connection)
             self.request.connection.close()
@@ -130,7 +136,9 @@
             return
         body = struct.pack(">QQ", topic.end_offset, topic.first_offset)
         for key, value in topic.records[offset - topic.first_offset :]:
-            content = bytes([len(key.encode())]) + key.encode() + value
+            content = value
+            if self._is_keyed():
+                content = bytes([len(key.encode())]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
         self.finish(body)
 
--- a/tests/cover/test_gateway_lines.py
+++ b/tests/cover/test_gateway_lines.py
@@ -94,6 +94,7 @@
 def unknown_version(driver: GatewayDriver) -> None:
     unlike_versions(driver)
     driver.ask("/plan/1", last_event_id=1, resumes_id="gone")
+    driver.run(0.1)
 
 
 REFUSALS: dict[Refusal, Callable[[GatewayDriver], object]] = {
--- a/tests/cover/test_peer_input.py
+++ b/tests/cover/test_peer_input.py
@@ -132,6 +132,8 @@
     b"O": {"stream_id": "s", "version": "v1"},
     b"W": {"vm_id": "vm-2", "address": "10.0.0.2:7500", "query_id": 1, "stream_id": "s"},
     b"V": {"vm_id": "vm-2", "query_id": 1, "stream_id": "s", "version": "v1"},
+    b"B": {"address": "10.0.0.2:7500", "origins": [{"stream_id": "s", "version": "v1"}]},
+    b"S": {"stream_ids": ["s"]},
     b"Q": {"vm_id": "vm-2", "address": "10.0.0.2:7500", "query_id": 1, "topic": "keyed.op",
         "next_offset": 3},
     b"R": {"vm_id": "vm-2", "query_id": 1, "topic": "keyed.op", "proof_age_s": 0.1,
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -151,21 +151,28 @@
         assert versions[third_replica].software_version == versions[first].software_version
 
 
+def take_up(driver: GatewayDriver, **changes: object) -> int:
+    """Resume a stream, and let the store be read."""
+    handle = driver.ask("/plan/1", last_event_id=1, **changes)
+    driver.run(0.1)
+    return handle
+
+
 def test_a_stream_of_unknown_origin_is_refused_unless_there_was_only_one_version():
     driver = make_driver("v1", "v1")
-    assert driver.attempts(driver.ask("/plan/1", last_event_id=1, resumes_id="gone"))
+    assert driver.attempts(take_up(driver, resumes_id="gone"))
     driver.post(ReplicasRead({"engine-1": None}))
-    assert driver.attempts(driver.ask("/plan/1", last_event_id=1))
+    assert driver.attempts(take_up(driver))
     driver.post(ReplicasRead({"engine-1": make_versions("v1", "v2")["engine-1"]}))
-    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="gone")
+    handle = take_up(driver, resumes_id="gone")
     (refusal,) = driver.refusals(handle)
     assert refusal.refusal is Refusal.UNKNOWN_VERSION
     assert refusal.retry_after_s is not None
     driver.post(ReplicasRead({"engine-1": None}))
     driver.run(VERSION_KEPT_S - 1.0)
-    assert driver.refusals(driver.ask("/plan/1", last_event_id=1, resumes_id="gone"))
+    assert driver.refusals(take_up(driver, resumes_id="gone"))
     driver.run(2.0)
-    assert driver.attempts(driver.ask("/plan/1", last_event_id=1, resumes_id="gone"))
+    assert driver.attempts(take_up(driver, resumes_id="gone"))
 
 
 def test_a_replica_that_starts_again_at_another_version_is_not_the_one_before():
--- a/tests/support/gateway_driver.py
+++ b/tests/support/gateway_driver.py
@@ -34,6 +34,7 @@
 from coriandershelf_core.internal.gateway.gateway import Gateway
 from coriandershelf_core.internal.gateway.request import Arrival, PromptPart
 from coriandershelf_core.internal.gateway.settings import GatewaySettings
+from coriandershelf_rig.internal.origin_store_model import OriginStoreModel, is_store_action
 
 HOST = "site.example"
 KEY = "key-1"
@@ -80,6 +81,7 @@
 
     :param actions: all actions of the gateway so far.
     :param cursor: number of actions that a network model has processed.
+    :param store: answers the gateway's calls at once.
     """
 
     settings: GatewaySettings = field(default_factory=GatewaySettings)
@@ -90,6 +92,7 @@
     actions: list[Action] = field(default_factory=list)
     last_handle: int = 0
     cursor: int = 0
+    store: OriginStoreModel = field(default_factory=OriginStoreModel)
 
     def __post_init__(self) -> None:
         self.gateway = Gateway(
@@ -109,6 +112,10 @@
     def post(self, event: Event) -> list[Action]:
         fresh = self.gateway.step(event, self.now_s, self.now_s + self.clock_offset_s)
         self.actions += fresh
+        for action in fresh:
+            outcome = self.store.perform(action, self.now_s) if is_store_action(action) else None
+            if outcome is not None:
+                fresh = [*fresh, *self.post(outcome)]
         return fresh
 
     def run(self, duration_s: float, confirmed: bool = True) -> list[Action]:
--- a/tests/support/wire_samples.py
+++ b/tests/support/wire_samples.py
@@ -102,6 +102,8 @@
         "stream_id": "id-1",
     },
     "V": {"vm_id": "edge-2@10.0.0.2", "query_id": 5, "stream_id": "id-1", "version": "v2"},
+    "B": {"address": "10.0.0.2:7500", "origins": [{"stream_id": "id-1", "version": "v2"}]},
+    "S": {"stream_ids": ["id-1"]},
     "Q": {
         "vm_id": "edge-2@10.0.0.2", "address": "10.0.0.2:7500", "query_id": 5,
         "topic": "keyed.op", "next_offset": 31,
