Usage caps: resumed streams go before new requests of their customer

Ruled out: the level at which a bucket starts; it is full again 0.75 s after a start, before callers are back.

Change: resumed streams count as the cheapest class, so all others leave a reserve for them.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -353,7 +353,7 @@
             self._refuse(arrival, Refusal.STOPPING, STOPPING_RETRY_AFTER_S, now_s)
             return
         if customer is not None:
-            wait_s = self.caps.wait_s(customer, request.cost, now_s)
+            wait_s = self.caps.wait_s(customer, request.cost, now_s, request.resumes_stream)
             if wait_s > 0.0:
                 self._refuse(arrival, Refusal.CAP, wait_s, now_s)
                 return
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -26,6 +26,9 @@
 RESERVE_MAX_SHARE = 0.5
 # Requests are as cheap as each other within a factor of two.
 COST_CLASSES_COUNT = 24
+# Streams that are resumed count as the cheapest, so that all new requests leave a reserve for them:
+# a caller that is refused one loses the events that it has.
+RESUMED_COST_CLASS = 0
 # Up to this many VMs exchange digests at the full rate; with more, each VM limits its own usage
 # between digests.
 FREQUENT_DIGEST_VMS_COUNT = 12
@@ -91,21 +94,22 @@
             bucket.burst = customer.burst
             bucket.level = min(bucket.level, customer.burst)
 
-    def wait_s(self, customer: Customer, cost: float, now_s: float) -> float:
+    def wait_s(self, customer: Customer, cost: float, now_s: float, resumes: bool = False) -> float:
         """Return 0 if a request is within the cap, else the time until one is.
 
         If any request were allowed while the level is above zero, one long prompt would overdraw
         the bucket, and the customer's short requests and bookings would be refused for it.
         """
         bucket = self._buckets[customer.name]
+        cost_class = RESUMED_COST_CLASS if resumes else _cost_class(cost)
         if customer.rate_per_s <= 0.0:
             # Shares between customers need the demand of those without a cap as well.
-            self._update_demand(bucket, cost, now_s)
+            self._update_demand(bucket, cost, now_s, cost_class)
             return 0.0
         self._refill(bucket, now_s)
-        self._update_demand(bucket, cost, now_s)
+        self._update_demand(bucket, cost, now_s, cost_class)
         needed = min(cost, NEEDED_LEVEL_MAX_SHARE * bucket.burst)
-        needed += self._reserve(customer.name, bucket, cost)
+        needed += self._reserve(customer.name, bucket, cost_class)
         if bucket.level < needed:
             return max(0.05, (needed - bucket.level) / bucket.rate_per_s)
         return self._local_wait_s(customer.name, bucket, now_s)
@@ -191,12 +195,12 @@
             return 0.0
         return max(0.05, -bucket.local_level / rate)
 
-    def _reserve(self, name: str, bucket: _Bucket, cost: float) -> float:
+    def _reserve(self, name: str, bucket: _Bucket, cost_class: int) -> float:
         """Return what a request leaves in the bucket for cheaper ones of its customer.
 
         This VM's arrivals stand for those of all VMs, in proportion to their demand.
         """
-        cheaper_per_s = sum(bucket.cost_demands[: _cost_class(cost)])
+        cheaper_per_s = sum(bucket.cost_demands[:cost_class])
         if cheaper_per_s <= 0.0:
             return 0.0
         total = self._peer_demand_per_s.get(name, 0.0) + bucket.demand_per_s
@@ -232,14 +236,14 @@
         bucket.updated_at_s = now_s
 
     @staticmethod
-    def _update_demand(bucket: _Bucket, cost: float, now_s: float) -> None:
+    def _update_demand(bucket: _Bucket, cost: float, now_s: float, cost_class: int = 0) -> None:
         elapsed_s = now_s - bucket.demand_at_s
         kept_share = max(0.0, 1.0 - elapsed_s / DEMAND_DECAY_S)
         bucket.demand_per_s *= kept_share
         bucket.demand_per_s += cost / DEMAND_DECAY_S
         bucket.demand_at_s = now_s
         bucket.cost_demands = [item * kept_share for item in bucket.cost_demands]
-        bucket.cost_demands[_cost_class(cost)] += cost / DEMAND_DECAY_S
+        bucket.cost_demands[cost_class] += cost / DEMAND_DECAY_S
 
 
 def _cost_class(cost: float) -> int:
--- a/tests/cover/test_gateway_caps.py
+++ b/tests/cover/test_gateway_caps.py
@@ -224,3 +224,20 @@
 def test_within_the_cap_the_reserve_refuses_nothing():
     counts = admitted_counts(8, {2.0: 20.0, 10.0: 20.0, 100.0: 6.0}, 20.0)
     assert all(admitted == asked for admitted, asked in counts.values())
+
+
+# Guards against callers that lose the events they hold, because after a loss of all VMs the new
+# requests of their customer use up its cap (LOST, day rejoined).
+def test_while_the_cap_binds_resumed_streams_go_before_new_requests():
+    caps = UsageCaps()
+    caps.adopt((CUSTOMER,), 0.0)
+    admitted = {True: 0, False: 0}
+    for step in range(400):
+        now_s = step * STEP_S
+        # Four new requests of 20 for each resumed stream of 40, twice what the cap allows.
+        for resumes, cost in [(False, 20.0)] * 4 + [(True, 40.0)] * (step % 2):
+            if caps.wait_s(CUSTOMER, cost, now_s, resumes) == 0.0:
+                caps.spend(CUSTOMER, cost)
+                admitted[resumes] += now_s >= 4.0
+    assert admitted[True] >= 0.9 * 160
+    assert 40.0 * admitted[True] + 20.0 * admitted[False] >= 0.8 * RATE * 16.0
