Selection: long prompts go where few streams run

Cause: the score of a replica knew what a prompt does to requests that wait for their first event, and nothing of streams that have had theirs. On the shifted deployment a long prompt went where its first parts were cached and paused half a dozen season plans there beyond 500 ms: a quarter of the plans was late.

Change: the VM that tracks a replica's load also tells how many of its requests have had their first event; each of them costs a weight times the pause that the prompt, and those before it, cause beyond a share of the route's objective for pauses. Level of the messages: a field with a default.

The test fails with the weight at 0.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_tracking.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/load_tracking.py
@@ -68,6 +68,7 @@
     :param pace_age_s: time since that report.
     :param slowness: recent mean over all VMs of measured ÷ expected latency, where the expectation
         is for a replica of nominal speed; ``None`` with too few samples.
+    :param streams_count: those of the requests that have had their first event.
     """
 
     replica_id: str
@@ -78,6 +79,7 @@
     pace: float = 1.0
     pace_age_s: float = math.inf
     slowness: float | None = None
+    streams_count: int = 0
 
 
 class LoadReply(Struct, frozen=True):
@@ -239,6 +241,7 @@
             replica_id, running_count, waiting_tokens, cached_tokens, shut_out,
             tracked.slowdown, now_s - tracked.slowdown_at_s,
             tracked.latency_ratio if tracked.samples_count >= SAMPLES_MIN_COUNT else None,
+            sum(1 for attempt in tracked.attempts.values() if not attempt.tokens_count),
         )  # fmt: skip
 
     def on_tick(self, replicas: set[str], processes: set[tuple[str, int]], now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/selection.py
@@ -39,6 +39,10 @@
 PREFILL_WEIGHT = 1.5
 LATE_PENALTY_WEIGHT = 4.0
 LATE_PENALTY_START_SHARE = 0.35
+# Prefill pauses the streams that run on a replica. Each of them costs this weight times the pause
+# beyond a share of the route's objective for pauses, so long prompts go where few streams run.
+PAUSE_PENALTY_WEIGHT = 15.0
+PAUSE_PENALTY_START_SHARE = 0.2
 # Each running stream delays a first event by its share of a decode step.
 STREAM_DELAY_S = 0.002
 CROSS_ZONE_DELAY_S = 0.004
@@ -332,6 +336,11 @@
             + self._zone_delay_s(state)
         )
         cost_s += LATE_PENALTY_WEIGHT * max(0.0, expected_s - late_penalty_start_s)
+        if tracked is not None and request.route.gap_objective_s > 0.0:
+            pause_s = prefill_s * latency_ratio * slowdown
+            pause_start_s = PAUSE_PENALTY_START_SHARE * request.route.gap_objective_s
+            penalty_s = PAUSE_PENALTY_WEIGHT * max(0.0, pause_s - pause_start_s)
+            cost_s += tracked.streams_count * penalty_s
         if utilization >= 1.0:
             cost_s += SATURATED_PENALTY_S * utilization
         if name not in candidate_set.group:
--- a/tests/cover/test_gateway_choice.py
+++ b/tests/cover/test_gateway_choice.py
@@ -214,3 +214,20 @@
     }
     selected = select_for(make_selector(), make_request("s"), states, tracked_loads)
     assert selected is not None and selected.state.replica.replica_id == names[2]
+
+
+# Guards against season plans that are late because one long prompt pauses all streams beside it for
+# more than their objective, on replicas that have its first parts in their cache.
+def test_a_long_prompt_goes_where_few_streams_run_and_a_short_one_stays_at_its_home():
+    states = make_states()
+    home = affinity_ids_of("s", states)[0]
+    tracked_loads = {
+        state.replica.replica_id: TrackedLoad(state.replica.replica_id, 1, 0, 500, streams_count=1)
+        for state in states
+    }
+    tracked_loads[home] = TrackedLoad(home, 6, 0, 4500, streams_count=6)
+    for prompt_tokens, stays in ((6_000, True), (40_000, False)):
+        request = make_request("s", prompt_tokens)
+        selected = select_for(make_selector(), request, states, tracked_loads)
+        assert selected is not None
+        assert (selected.state.replica.replica_id == home) is stays
--- a/tests/cover/test_peer_input.py
+++ b/tests/cover/test_peer_input.py
@@ -123,7 +123,8 @@
         "parts": [{"part_id": "p", "tokens_count": 5}],
     },
     b"T": {"vm_id": "vm-2", "ask_id": 1, "rooms": [{"replica_id": "engine-0", "running_count": 1,
-        "waiting_tokens": 2, "cached_tokens": 3, "pace": 1.5, "pace_age_s": 0.5, "slowness": 1.0}]},
+        "waiting_tokens": 2, "cached_tokens": 3, "pace": 1.5, "pace_age_s": 0.5, "slowness": 1.0,
+        "streams_count": 1}]},
     b"N": {
         "vm_id": "vm-2", "incarnation": 1, "replica_id": "engine-0", "attempt_id": 5,
         "step": "started", "tokens_count": 10, "keep_s": 5.0,
--- a/tests/support/wire_samples.py
+++ b/tests/support/wire_samples.py
@@ -87,7 +87,7 @@
             {
                 "replica_id": "i-1", "running_count": 3, "waiting_tokens": 900,
                 "cached_tokens": 300, "shut_out": True, "pace": 1.25, "pace_age_s": 0.5,
-                "slowness": 1.5,
+                "slowness": 1.5, "streams_count": 2,
             }
         ],
     },
