Fault soak: replicas are rolled and all VMs killed meanwhile

Cause: kill-all and replica-upgrade were drawn apart, so streams broke off at a loss of all VMs rarely had another version to be joined with.

Change: the fault roll-and-kill-all upgrades two of three replicas and kills all VMs while the old ones drain.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -49,6 +49,8 @@
             await self._inject_vm_fault(fault)
         elif fault.kind == "kill-all":
             await self._kill_all(fault.duration_s)
+        elif fault.kind == "roll-and-kill-all":
+            await self._roll_and_kill_all(fault.duration_s)
         elif component == "store" and mode in ("cut", "silent", "slow", "one-way"):
             await _inject_relay_fault(self._site.store_relays[fault.target], mode, fault.duration_s)
         elif component == "replica" and mode in ("cut", "silent", "slow"):
@@ -149,6 +151,19 @@
             self.disturbances.append(Disturbance(number, from_s, time.monotonic() + STARTUP_S))
         self._busy_vms.clear()
 
+    async def _roll_and_kill_all(self, duration_s: float) -> None:
+        """Upgrade two of three replicas, and kill all VMs while the old ones drain.
+
+        Short drains end while no VM runs. Callers then take their streams up at VMs that have
+        seen neither version.
+        """
+        rolled = [item for index, item in enumerate(self._site.replicas) if index % 3]
+        upgrades = [self._restart_replica(item, "upgrade", duration_s) for item in rolled]
+        upgraded = asyncio.gather(*upgrades)
+        await asyncio.sleep(duration_s / 2.0)
+        await self._kill_all(duration_s)
+        await upgraded
+
     async def _inject_replica_fault(
         self, replica: SoakReplica, mode: str, duration_s: float
     ) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/plan.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/plan.py
@@ -34,6 +34,7 @@
     "new-version": "site",
     "key-taken-away": "site",
     "kill-all": "site",
+    "roll-and-kill-all": "site",
 }
 INTERVAL_MIN_S, INTERVAL_MAX_S = 0.2, 1.4
 DURATION_MIN_S, DURATION_MAX_S = 0.3, 4.0
