Stream origins: a failed read does not stop the removal of old versions

Cause: by reading; a removal waits for a read of the store, and a failed one was not repeated, so a record stayed until something else read.

Ruled out: repeating each failed read, which costs a call each 0.3 s and VM through an outage.

Measured: test_a_version_is_removed_although_the_store_was_away_when_it_was_due passes.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/recorded_versions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/recorded_versions.py
@@ -57,6 +57,7 @@
     _end: int = 0
     # When the read was that a removal relies on: infinite while it is awaited, else ``None``.
     _removal_read_at_s: float | None = None
+    _removal_begun_at_s: float = 0.0
 
     def on_services(self, services: Iterable[str], now_s: float) -> None:
         """Take over which services have resumable streams."""
@@ -144,7 +145,7 @@
         if not old or self.entry_vms.own_id not in self.entry_vms.ids[:REMOVERS_COUNT]:
             self._removal_read_at_s = None
         elif self._removal_read_at_s is None:
-            self._removal_read_at_s = math.inf
+            self._removal_read_at_s, self._removal_begun_at_s = math.inf, now_s
             self.read(now_s)
         elif now_s - self._removal_read_at_s >= REMOVAL_DELAY_S:
             # The next read shows whether it succeeded.
@@ -152,6 +153,9 @@
             fields = (("service", old[0].service), ("version", old[0].version))
             self.emit(LogLine("version retired", fields))
             self.emit(RetireVersion(old[0], self._end))
+        elif now_s - self._removal_begun_at_s > 2.0 * REMOVAL_DELAY_S:
+            # The read failed.
+            self._removal_read_at_s = None
 
 
 def _sort_key(item: ServiceVersion) -> tuple[str, str]:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
@@ -41,7 +41,7 @@
 # Several round trips between zones; a stream resumes without a reply from VMs that are gone.
 REPLY_TIMEOUT_S = 0.04
 # How long a caller waits for a read of the store, several times what one takes, and the pause
-# between two reads, which serve all callers that have come meanwhile.
+# between two reads, which serve all callers that have come meanwhile; longer after a failed one.
 READ_TIMEOUT_S = 1.0
 READ_PAUSE_S = 0.05
 READ_RETRY_S = 0.3
@@ -135,6 +135,8 @@
     def await_read(self, request: ActiveRequest, now_s: float) -> None:
         """Let a request wait for a read of the store."""
         self._awaiting.append(AwaitedRead(request, now_s + READ_TIMEOUT_S))
+        if not self._is_reading and now_s < self._next_read_at_s:
+            self.emit(ScheduleTick(self._next_read_at_s - now_s))
         self._start_read(now_s)
 
     def on_read(self, origins: Iterable[StreamOrigin] | None, now_s: float) -> list[ActiveRequest]:
@@ -146,13 +148,12 @@
         self._is_reading = False
         if origins is None:
             self._next_read_at_s = now_s + READ_RETRY_S
-        elif waited:
-            self._next_read_at_s = now_s + READ_PAUSE_S
-        if origins is None:
             self._read_wanted = self._read_wanted or not self._was_read
             self._awaiting = waited + self._awaiting
             self.emit(IncrementCounter("stream_origins", "read-failed"))
             return []
+        if waited:
+            self._next_read_at_s = now_s + READ_PAUSE_S
         self._was_read = True
         for origin in origins:
             self._put(origin.stream_id, origin.version, now_s)
@@ -169,8 +170,6 @@
 
     def _start_read(self, now_s: float) -> None:
         if self._is_reading or now_s < self._next_read_at_s:
-            if self._awaiting and not self._is_reading:
-                self.emit(ScheduleTick(self._next_read_at_s - now_s))
             return
         if self._awaiting or self._read_wanted:
             self._is_reading, self._read_wanted = True, False
--- a/tests/cover/test_power_loss.py
+++ b/tests/cover/test_power_loss.py
@@ -250,6 +250,17 @@
     assert driver.store.versions == {V1, V2}
 
 
+def test_a_version_is_removed_although_the_store_was_away_when_it_was_due():
+    driver = make_driver("v1", "v2")
+    driver.post(ReplicasRead({"engine-0": None}))
+    driver.run(VERSION_KEPT_S - 1.0)
+    driver.store.is_down = True
+    driver.run(5.0)
+    driver.store.is_down = False
+    driver.run(4.0 * REMOVAL_DELAY_S)
+    assert driver.store.versions == {V2}
+
+
 # Another VM may have seen the version return before this one does.
 def test_no_record_is_removed_if_another_one_was_written_meanwhile():
     driver = make_driver("v1", "v2")
