Process: a VM that has never read a configuration lives on

Cause: the status line, every 10 s, rounds the age of the configuration, which is infinite until it is first read; the OverflowError ended the process with code 70.

Ruled out: the store's client; its failures are logged (registration failed) and retried.

--- a/tests/cover/test_border_start.py
+++ b/tests/cover/test_border_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -12,8 +13,11 @@
 from pathlib import Path
 
 import pytest
+from platform_site import Site
 
 from coriandershelf_entry.internal.border import has_other_arguments
+from coriandershelf_platform import application
+from coriandershelf_rig.internal.standin_store import StoreState
 from coriandershelf_rig.internal.start_cost import compare_starts
 
 PROGRAM = """
@@ -170,3 +174,18 @@
     # Guards the tool behind the figures in docs/measurements/platform.md.
     lines = compare_starts([os.pathsep.join(filter(None, sys.path))], 2)
     assert len(lines) == 1 and "2 starts, median" in lines[0]
+
+
+# Guards against a process that ends by itself while the store is away from its start on: its
+# status line rounded the age of a configuration that was never read, which is infinite.
+def test_a_vm_without_a_configuration_logs_its_status_and_lives_on(monkeypatch):
+    monkeypatch.setattr(application, "STATUS_PERIOD_S", 0.05)
+
+    async def run() -> None:
+        async with Site(store=StoreState(refuse=True)) as site:
+            await asyncio.sleep(0.3)
+            assert not site.application._ended.is_set()
+            lines = [line for line in site.logs() if line["event"] == "status"]
+            assert lines and lines[0]["configuration_age_ms"] is None
+
+    asyncio.run(run())
