--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -238,7 +238,8 @@
         self.helpers: list[subprocess.Popen[bytes]] = []
         self.version = 0
         self.body_max_bytes = 4 << 20
-        self.keys = [KEY]
+        self.target_latency_ms = 125
+        self.customers: dict[str, list[str]] = {TENANT: [KEY]}
 
     def name(self, number: int) -> str:
         """Return the name of an entry VM."""
@@ -282,7 +283,7 @@
         """Write a version of the configuration, as the operator does."""
         self.version += 3
         route = {
-            "host": HOST, "timeout_ms": 3000, "target_latency_ms": 125, "priority": 1,
+            "host": HOST, "timeout_ms": 3000, "target_latency_ms": self.target_latency_ms, "priority": 1,
             "service": "despacho", "public": False,
         }  # fmt: skip
         configuration = {
@@ -300,14 +301,15 @@
                 "idle_timeout_ms": 15000,
             },
             "tenants": [
-                {"name": TENANT, "api_keys": list(self.keys), "unit": "token_count", "plain_tokens": 200,
+                {"name": name, "api_keys": keys, "unit": "token_count", "plain_tokens": 200,
                  "rate_per_s": 0, "burst": 0}
+                for name, keys in self.customers.items()
             ],
         }  # fmt: skip
         self.store.put("keyed.op", "config", configuration)
         self.record.write(
             "operator",
-            f"config version={self.version} keys={len(self.keys)} body_max={self.body_max_bytes}",
+            f"config version={self.version} body_max={self.body_max_bytes}",
         )
 
     async def _beat(self) -> None:
