Store reads: each failed call is logged with what arrived of its answer

New line 'store call failed' with failure and received bytes, a reason in 'reader did not help', counters store_failures and reader_failures. No decision changes.

--- a/tests/cover/test_topic_readers.py
+++ b/tests/cover/test_topic_readers.py
@@ -25,6 +25,7 @@
     def __init__(self, records: list[KeyedRecord]) -> None:
         self.records = records
         self.calls_count = 0
+        self.received_bytes = 0
 
     async def newest(self, topic: str) -> NewestRecords:
         self.calls_count += 1
@@ -64,7 +65,7 @@
         self.readers = TopicReaders(gateway, "zone", vm_id, send, time.monotonic)
         self.consumer = TopicConsumer(
             TOPIC, 1.0, 1.0, self.store, self._on_records, self._on_watermark,
-            lambda: 0.0, self.readers, structlog.get_logger(),
+            lambda: 0.0, self.readers, structlog.get_logger(), lambda kind, reason: None,
         )  # fmt: skip
 
     def _on_records(self, records, complete, after_outage) -> None:
