--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
@@ -4,18 +4,21 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import struct
 from dataclasses import dataclass, field
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 OPERATOR_TOPIC = "keyed.op"
 REGISTRY_TOPIC = "keyed.servers"
 READ_POLL_S = 0.01
+PIECES_PER_S = 50
 PAGE_KEYS_COUNT = 3
 KEYED_PREFIX = "keyed."
 
@@ -60,12 +63,15 @@
 
     :param refuse: answer every call with 503.
     :param lose_answers: perform writes, but close the connection without an answer.
+    :param bytes_per_s: rate at which the link to the caller carries an answer; ``None`` for no
+        limit.
     :param calls: method and path of each call, in order.
     """
 
     topics: dict[str, Topic] = field(default_factory=dict)
     refuse: bool = False
     lose_answers: bool = False
+    bytes_per_s: float | None = None
     calls: list[tuple[str, str]] = field(default_factory=list)
 
     def topic(self, name: str) -> Topic:
@@ -95,6 +101,22 @@
     def _is_keyed(self) -> bool:
         return self.get_query_argument("topic").startswith(KEYED_PREFIX)
 
+    async def _respond(self, body: bytes) -> None:
+        """Send an answer at the rate of the link."""
+        rate = self._state.bytes_per_s
+        if rate is None:
+            self.finish(body)
+            return
+        self.set_header("Content-Length", len(body))
+        size = max(1, int(rate / PIECES_PER_S))
+        # The caller may give up before the end.
+        with contextlib.suppress(StreamClosedError):
+            for start in range(0, len(body), size):
+                self.write(body[start : start + size])
+                await self.flush()
+                await asyncio.sleep(1.0 / PIECES_PER_S)
+            self.finish()
+
 
 class _AppendHandler(_StoreHandler):
     def post(self) -> None:
@@ -130,6 +152,9 @@
         while topic.end_offset <= offset and wait_s > 0.0 and not self._state.refuse:
             await asyncio.sleep(READ_POLL_S)
             wait_s -= READ_POLL_S
+        if self._state.refuse:
+            self.set_status(503)
+            return
         if offset < topic.first_offset:
             self.set_status(410)
             self.finish({"first": topic.first_offset})
@@ -140,11 +165,11 @@
             if self._is_keyed():
                 content = bytes([len(key.encode())]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
-        self.finish(body)
+        await self._respond(body)
 
 
 class _NewestHandler(_StoreHandler):
-    def get(self) -> None:
+    async def get(self) -> None:
         """Return the newest record of each key, in pages of ``PAGE_KEYS_COUNT`` keys."""
         topic = self._topic()
         after = self.get_query_argument("after", "")
@@ -158,7 +183,8 @@
             }
             for key in page
         ]
-        self.finish({"items": items, "more": len(keys) > len(page), "end": topic.end_offset})
+        answer = {"items": items, "more": len(keys) > len(page), "end": topic.end_offset}
+        await self._respond(json.dumps(answer).encode())
 
 
 async def start_store(state: StoreState, host: str = "127.0.0.1") -> tuple[HTTPServer, str]:
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -54,9 +54,13 @@
 
 @dataclass
 class Site:
-    """A running site, to be used as a context manager: ``async with Site() as site``."""
+    """A running site, to be used as a context manager: ``async with Site() as site``.
+
+    A second site with the topics of the first one's store is another entry VM of that site.
+    """
 
     store: StoreState = field(default_factory=StoreState)
+    vm_name: str = "vm-1"
     replicas: list[Replica] = field(default_factory=list)
 
     async def __aenter__(self) -> Site:
@@ -65,7 +69,7 @@
         first_port = consecutive_ports(4)
         self.settings = msgspec.convert(
             {
-                "node_name": "vm-1", "ip": "127.0.0.1", "zone": "zone-1",
+                "node_name": self.vm_name, "ip": "127.0.0.1", "zone": "zone-1",
                 "listen": {
                     "front": f"127.0.0.1:{first_port + 2}",
                     "ready": f"127.0.0.1:{first_port + 3}",
