Time-outs: a cancelled task never goes on with the answer of its call

Callers saw nothing yet; a process could stay until it was killed, since PlatformApplication.stop waited for a task that went on. Cause: asyncio.wait_for of Python 3.11 returns a result that is done and swallows a cancellation that comes in the same turn of the loop.

--- a/tests/cover/test_platform_parts.py
+++ b/tests/cover/test_platform_parts.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import time
 
 import msgspec
 import pytest
@@ -20,6 +21,7 @@
 from coriandershelf_entry.internal.border import selected_border
 from coriandershelf_platform.client_connection import connect
 from coriandershelf_platform.configuration import decode_configuration
+from coriandershelf_platform.http_client import CallResponse, HttpClient
 from coriandershelf_platform.logs import KIND_MAX_COUNT, QUEUE_MAX_COUNT, LogWriter
 from coriandershelf_platform.registry import decode_replica
 from coriandershelf_platform.settings_file import (
@@ -278,3 +280,28 @@
         assert await connect(_ClosingPeerClient(), "127.0.0.1:1", 1.0) is None
 
     asyncio.run(scenario())
+
+
+# Guards against a process that never stops: a call to the store took the cancellation of its task
+# for its answer's, if both came in one turn of the loop, and the task's loop went on.
+@pytest.mark.parametrize("turns_count", range(8))
+def test_a_call_that_is_answered_as_its_task_is_cancelled_is_cancelled(turns_count: int):
+    async def scenario() -> None:
+        client = HttpClient(lambda: "", time.monotonic)
+        answer: asyncio.Future[CallResponse] = asyncio.get_running_loop().create_future()
+
+        async def call(*_: object) -> CallResponse:
+            return await answer
+
+        client._call = call
+        task = asyncio.create_task(client.call("GET", "/"))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        answer.set_result(CallResponse(200, b"", 0.0, 0.0))
+        for _ in range(turns_count):
+            await asyncio.sleep(0)
+        if task.cancel():
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+    asyncio.run(scenario())
