Store reads: an answer has time while its bytes arrive

Cause: the time-out of a read covered the transfer of its answer. A VM behind a slow link that had missed three configurations of 200 kB needs 1 s for them and had 0.8 s; each retry began anew, and each further version made the answer larger, so that only a new start ended it. Why it works: the time that an answer may take is now in proportion to its size.

--- a/tests/cover/test_slow_links.py
+++ b/tests/cover/test_slow_links.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from types import SimpleNamespace
 
 import structlog
 
 from coriandershelf_core.internal.gateway.events import DeploymentRead, Event
+from coriandershelf_platform.http_client import CallFailure, CallResponse, HttpClient
 from coriandershelf_platform.store import StoreClient
 from coriandershelf_platform.topic_consumers import make_configuration_consumer
 from coriandershelf_platform.topic_readers import TopicReaders
@@ -82,3 +84,36 @@
             await server.close_all_connections()
 
     asyncio.run(scenario())
+
+
+async def call_at_rate(
+    bytes_per_s: float, size_bytes: int, timeout_s: float, min_bytes_per_s: float
+):
+    """Call a server that sends an answer of this size at this rate."""
+    state = StoreState()
+    state.put(OPERATOR_TOPIC, "config", "x" * size_bytes)
+    state.bytes_per_s = bytes_per_s
+    server, address = await start_store(state)
+    client = HttpClient(lambda: address, time.monotonic)
+    try:
+        return await client.call(
+            "GET", f"/log-newest?topic={OPERATOR_TOPIC}", timeout_s=timeout_s,
+            body_min_bytes_per_s=min_bytes_per_s,
+        )  # fmt: skip
+    finally:
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+
+
+# Guards against an answer that never ends, or whose link stands still: time is given for bytes that
+# arrive at the rate, and none beyond.
+def test_an_answer_has_time_only_while_its_bytes_arrive_at_the_rate():
+    size_bytes = 300_000
+
+    def call(bytes_per_s: float, min_bytes_per_s: float) -> CallResponse | CallFailure:
+        return asyncio.run(call_at_rate(bytes_per_s, size_bytes, 0.3, min_bytes_per_s))
+
+    assert isinstance(call(800_000, 100_000), CallResponse)
+    assert call(800_000, math.inf) is CallFailure.TIMEOUT
+    assert call(50_000, 400_000) is CallFailure.TIMEOUT
