Gateway: the versions of the configuration stand in a module of their own

No behaviour changes. gateway.py held what a VM knows of the configuration's version, its proofs and the word of peers among its other matters.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -21,6 +21,7 @@
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
 from coriandershelf_core.internal.gateway.attempts import Attempts
 from coriandershelf_core.internal.gateway.clock_estimate import ClockEstimate
+from coriandershelf_core.internal.gateway.configuration_versions import ConfigurationVersions
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Customer, Deployment, Route
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo
@@ -90,10 +91,6 @@
 STOP_MARGIN_S = 0.5
 # Old evidence and usage counts are removed at this period; nothing depends on the moment.
 EXPIRY_PERIOD_S = 1.0
-# How long after its first read a VM takes word of a newer version as proof that it read an older
-# copy of the configuration: the longest period of the digests, 2.4 s at 195 VMs, and their way.
-SETTLING_S = 3.0
-HEARD_VERSIONS_MAX_COUNT = 16
 # New requests are refused from this long after a stop request: their streams would be cut off.
 STOP_ADMISSION_AFTER_S = 3.0
 
@@ -135,10 +132,6 @@
         self.stopping = False
         self._outbox: list[Action] = []
         self._routes = RouteTable(())
-        self._confirmed_at_s = float("-inf")
-        self._heard_at_s: dict[int, float] = {}
-        self._contradicted = False
-        self._first_deployment_at_s = float("inf")
         self._registry_read = False
         self._registered_vms_count = 1
         self._stop_at_s = 0.0
@@ -147,6 +140,7 @@
         entry_vms = EntryVms(vm_id, (vm_id,))
         self.load_queries = LoadQueries(vm_id, address, incarnation, self.pool, self._outbox.append)
         emit = self._outbox.append
+        self._versions = ConfigurationVersions(self.peers, emit)
         poison_parts = PoisonParts(entry_vms)
         responder = Responder(self.caps, emit, self._count_started, self.arrival_rates.add_late)
         paths = ReplicaPaths(self.pool, entry_vms, rng, emit)
@@ -208,7 +202,7 @@
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
-        is_proved = self._confirmed_at_s > float("-inf")
+        is_proved = self._versions.confirmed_at_s > float("-inf")
         return is_proved and self._registry_read and not self.stopping
 
     def step(self, event: Event, now_s: float, clock_s: float) -> list[Action]:
@@ -231,7 +225,7 @@
 
     def configuration_age_s(self, now_s: float) -> float:
         """Return the time since the configuration was last known to be current."""
-        return now_s - self._confirmed_at_s
+        return now_s - self._versions.confirmed_at_s
 
     def service_load(self, service: str, now_s: float) -> ServiceLoad:
         """Return the recent load of a service over all entry VMs."""
@@ -290,7 +284,7 @@
             case DeploymentRead(deployment):
                 self._on_deployment(deployment, now_s)
             case ConfigurationProved(at_s):
-                self._on_configuration_proved(at_s, now_s)
+                self._versions.on_proved(at_s, now_s)
                 self.rollouts.on_orders_proved(at_s, now_s)
             case ReplicasRead():
                 self._on_replicas(event, now_s)
@@ -325,7 +319,7 @@
             detail = _too_large("body", arrival.body_bytes, deployment.body_max_bytes)
             self._refuse(arrival, Refusal.BODY_TOO_LARGE, None, now_s, detail)
             return
-        age_s = now_s - self._confirmed_at_s
+        age_s = now_s - self._versions.confirmed_at_s
         route = self._routes.find(arrival.host, arrival.path)
         if route is None:
             self._deny(arrival, Refusal.NO_ROUTE, age_s, now_s)
@@ -386,14 +380,17 @@
             ("request_id", arrival.request_id),
             ("reason", refusal.value),
             ("version", self.deployment.version if self.deployment is not None else None),
-            ("configuration_age_ms", round(min(1e6, (now_s - self._confirmed_at_s)) * 1e3)),
+            (
+                "configuration_age_ms",
+                round(min(1e6, (now_s - self._versions.confirmed_at_s)) * 1e3),
+            ),
         )
         self._outbox.append(LogLine("refused", fields))
 
     def _on_deployment(self, deployment: Deployment, now_s: float) -> None:
         if self.deployment is not None and deployment.version <= self.deployment.version:
             return
-        self._first_deployment_at_s = min(self._first_deployment_at_s, now_s)
+        self._versions.on_version(deployment.version, now_s)
         self.deployment = deployment
         self.relay.deployment = deployment
         self._routes = RouteTable(deployment.routes)
@@ -408,40 +405,6 @@
         fields = (("version", deployment.version), ("routes", len(deployment.routes)))
         self._outbox.append(LogLine("configuration in force", fields))
 
-    def _on_configuration_proved(self, at_s: float, now_s: float) -> None:
-        """Accept a read as proof unless another VM shows that it was one of an older copy."""
-        version = self.deployment.version if self.deployment is not None else 0
-        newest = max(
-            (digest.configuration_version for digest in self.peers.live_digests(now_s)), default=0
-        )
-        if newest <= version:
-            self._contradicted = False
-        elif not self._is_settled(now_s) or at_s > self._heard_at_s.get(newest, now_s):
-            if not self._contradicted:
-                fields = (("version", version), ("version_of_peers", newest))
-                self._outbox.append(LogLine("configuration older than that of peers", fields))
-                self._emit_count("old_configuration_reads")
-            self._contradicted = True
-            return
-        self._confirmed_at_s = max(self._confirmed_at_s, at_s)
-
-    def _is_settled(self, now_s: float) -> bool:
-        """Return whether this VM had time to hear from the others since it first read."""
-        return now_s - self._first_deployment_at_s >= SETTLING_S
-
-    def _hear_version(self, version: int, now_s: float) -> None:
-        """Note when a version newer than this VM's was first heard of."""
-        own_version = self.deployment.version if self.deployment is not None else 0
-        if version <= own_version:
-            return
-        if version not in self._heard_at_s:
-            newer = {item: at_s for item, at_s in self._heard_at_s.items() if item > own_version}
-            self._heard_at_s = dict(list(newer.items())[-HEARD_VERSIONS_MAX_COUNT:])
-            self._heard_at_s[version] = now_s
-        if not self._is_settled(now_s):
-            # What this VM read as it started was an older copy: its keys may be withdrawn.
-            self._confirmed_at_s = float("-inf")
-
     def _on_replicas(self, event: ReplicasRead, now_s: float) -> None:
         if not self._registry_read:
             self.relay.origins.read(now_s)
@@ -472,7 +435,7 @@
     def _on_digest(self, digest: Digest, now_s: float) -> None:
         if not self.peers.on_digest(digest, now_s):
             return
-        self._hear_version(digest.configuration_version, now_s)
+        self._versions.on_heard(digest.configuration_version, now_s)
         if digest.complete:
             self.caps.on_digest(digest, now_s)
             self.arrival_rates.on_digest(digest)
@@ -511,10 +474,9 @@
             self.recorded_versions.on_tick(now_s)
             self.usage.expire(self.clock_estimate.time_of_day_s(now_s))
         self._on_left(self.pool.expire(now_s))
-        version = self.deployment.version if self.deployment is not None else 0
         vm_status = VmStatus(
             self.stopping,
-            version,
+            self._versions.version,
             self.own_lease,
             self.last_holder,
             self.lease_end,
--- a/tests/cover/test_fresh_vm.py
+++ b/tests/cover/test_fresh_vm.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import Refusal
+from coriandershelf_core.internal.gateway.configuration_versions import SETTLING_S
 from coriandershelf_core.internal.gateway.deployment import Customer
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.events import (
@@ -15,7 +16,6 @@
     DigestArrived,
     ReplicasRead,
 )
-from coriandershelf_core.internal.gateway.gateway import SETTLING_S
 from coriandershelf_core.internal.gateway.pool import LEFT_SHARED_S
 
 OLD = make_deployment(1)
