Configuration: a VM that cannot read a version in time gets it from a VM that names it

Cause: word of a newer version was counted, and took proofs away, but nothing fetched it; readers cannot pass on what exceeds a datagram. Change: 0.5 s after a digest names a newer version a VM asks one of those that name the newest, over TCP on the port of the tunnels, and follows the topic from the offset that it is given. Why it works: a version reaches a VM by any live VM that has it, not only by the store and two readers.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -200,6 +200,13 @@
     end: int
 
 
+class FetchConfiguration(Struct, frozen=True):
+    """Fetch the configuration from another entry VM, and post ``ConfigurationFetched``."""
+
+    vm_id: str
+    address: str
+
+
 class ScheduleTick(Struct, frozen=True):
     """Post an extra tick after this time, before the next regular one."""
 
@@ -255,6 +262,7 @@
     | AppendOrigins
     | RecordVersions
     | RetireVersion
+    | FetchConfiguration
     | ScheduleTick
     | CloseIdleConnections
     | IncrementCounter
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/configuration_versions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/configuration_versions.py
@@ -63,6 +63,11 @@
             # What this VM read as it started was an older copy: its keys may be withdrawn.
             self.confirmed_at_s = float("-inf")
 
+    def outdated_since_s(self) -> float | None:
+        """Return when this VM first heard of a version newer than its own, if it has."""
+        newer = (at_s for version, at_s in self._heard_at_s.items() if version > self.version)
+        return min(newer, default=None)
+
     def newest_of_peers(self, now_s: float) -> int:
         """Return the newest version that a live peer names; 0 if there is none."""
         return max(
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -163,6 +163,13 @@
     at_s: float
 
 
+class ConfigurationFetched(Struct, frozen=True):
+    """A fetch of the configuration from another entry VM ended."""
+
+    vm_id: str
+    succeeded: bool
+
+
 class ReplicasRead(Struct, frozen=True):
     """Registry changes; ``None`` for an entry that was removed or is not a valid replica.
 
@@ -257,6 +264,7 @@
     | AttemptFailed
     | ReplicaProbed
     | DeploymentRead
+    | ConfigurationFetched
     | ConfigurationProved
     | ReplicasRead
     | DigestArrived
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -21,6 +21,7 @@
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
 from coriandershelf_core.internal.gateway.attempts import Attempts
 from coriandershelf_core.internal.gateway.clock_estimate import ClockEstimate
+from coriandershelf_core.internal.gateway.configuration_fetches import ConfigurationFetches
 from coriandershelf_core.internal.gateway.configuration_versions import ConfigurationVersions
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Customer, Deployment, Route
@@ -31,6 +32,7 @@
     AnswerRead,
     AttemptFailed,
     CallerLeft,
+    ConfigurationFetched,
     ConfigurationProved,
     DeploymentRead,
     DigestArrived,
@@ -141,6 +143,7 @@
         self.load_queries = LoadQueries(vm_id, address, incarnation, self.pool, self._outbox.append)
         emit = self._outbox.append
         self._versions = ConfigurationVersions(self.peers, emit)
+        self._fetches = ConfigurationFetches(zone, self.peers, self._versions, rng, emit)
         poison_parts = PoisonParts(entry_vms)
         responder = Responder(self.caps, emit, self._count_started, self.arrival_rates.add_late)
         paths = ReplicaPaths(self.pool, entry_vms, rng, emit)
@@ -286,6 +289,8 @@
             case ConfigurationProved(at_s):
                 self._versions.on_proved(at_s, now_s)
                 self.rollouts.on_orders_proved(at_s, now_s)
+            case ConfigurationFetched(vm_id, succeeded):
+                self._fetches.on_fetched(vm_id, succeeded, now_s)
             case ReplicasRead():
                 self._on_replicas(event, now_s)
             case OriginsRead():
@@ -467,6 +472,7 @@
         self.relay.on_tick(now_s)
         self.relay.paths.on_tick(now_s)
         self.caps.on_tick(now_s)
+        self._fetches.on_tick(now_s)
         self.clock_estimate.update(clock_s, now_s)
         if now_s - self._expired_at_s >= EXPIRY_PERIOD_S:
             self._expired_at_s = now_s
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/topic_sharing.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/topic_sharing.py
@@ -67,6 +67,20 @@
 TopicMessage = TopicQuery | TopicReply
 
 
+class TopicSnapshot(Struct, frozen=True):
+    """The newest record of each key that a VM knows.
+
+    :param next_offset: offset of the next record; those before it are reflected.
+    :param proof_age_s: time since the VM's knowledge was last proved to be current.
+    :param offsets: the offsets of the records.
+    """
+
+    next_offset: int
+    proof_age_s: float
+    records: tuple[KeyedRecord, ...]
+    offsets: tuple[int, ...]
+
+
 def reader_ids(topic: str, vm_ids: Iterable[str]) -> list[str]:
     """Return the VMs of a zone to query about a topic, the one that reads it first.
 
@@ -93,12 +107,15 @@
     :param max_age_s: oldest proof that is accepted in a reply.
     :param next_offset: offset of the next record to read; ``None`` before the first read.
     :param proved_at_s: time up to which all records are known.
+    :param keeps_newest: whether to keep the newest record of each key, for snapshots.
     """
 
     topic: str
     max_age_s: float
     next_offset: int | None = None
     proved_at_s: float = -math.inf
+    keeps_newest: bool = False
+    _newest: dict[str, _KeptRecord] = field(default_factory=dict)
     _kept: deque[_KeptRecord] = field(default_factory=lambda: deque(maxlen=RECORDS_MAX_COUNT))
     _backoff_until_s: dict[str, float] = field(default_factory=dict)
 
@@ -130,9 +147,18 @@
         }
         self._backoff_until_s[reader_id] = now_s + READER_BACKOFF_S
 
-    def on_loaded(self, next_offset: int, proved_at_s: float) -> None:
+    def on_loaded(
+        self,
+        next_offset: int,
+        proved_at_s: float,
+        records: tuple[KeyedRecord, ...] = (),
+        offsets: tuple[int, ...] = (),
+    ) -> None:
         """Record a read of the newest value of each key, which leaves no records to pass on."""
         self._kept.clear()
+        self._newest.clear()
+        for record, offset in zip(records, offsets, strict=True):
+            self._keep_newest(_KeptRecord(offset, record, False))
         self.next_offset = next_offset
         self.proved_at_s = max(self.proved_at_s, proved_at_s)
 
@@ -142,10 +168,34 @@
         """Record a read or a reply with the records that follow those known so far."""
         assert self.next_offset is not None, f"{self.topic}: records before the first read"
         for record in records:
-            self._kept.append(_KeptRecord(self.next_offset, record, after_outage))
+            kept = _KeptRecord(self.next_offset, record, after_outage)
+            self._kept.append(kept)
+            self._keep_newest(kept)
             self.next_offset += 1
         self.proved_at_s = max(self.proved_at_s, proved_at_s)
 
+    def snapshot(self, now_s: float) -> TopicSnapshot | None:
+        """Return what another VM needs to follow the topic from here; ``None`` if unknown."""
+        if self.next_offset is None or not self.keeps_newest:
+            return None
+        age_s = max(0.0, now_s - self.proved_at_s)
+        records = tuple(kept.record for kept in self._newest.values())
+        offsets = tuple(kept.offset for kept in self._newest.values())
+        return TopicSnapshot(self.next_offset, age_s, records, offsets)
+
+    def on_snapshot(self, snapshot: TopicSnapshot, proved_at_s: float) -> None:
+        """Follow the topic from a snapshot, unless more is known already."""
+        if self.next_offset is None or snapshot.next_offset > self.next_offset:
+            self.on_loaded(snapshot.next_offset, proved_at_s, snapshot.records, snapshot.offsets)
+
+    def _keep_newest(self, kept: _KeptRecord) -> None:
+        if not self.keeps_newest:
+            return
+        if kept.record.value is None:
+            self._newest.pop(kept.record.key, None)
+        else:
+            self._newest[kept.record.key] = kept
+
     def reply_to(self, query: TopicQuery, own_id: str, now_s: float) -> TopicReply | None:
         """Return the reply to another VM's query; ``None`` before the first read."""
         if self.next_offset is None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
@@ -62,6 +62,7 @@
     """Contents and injected faults of the store.
 
     :param refuse: answer every call with 503.
+    :param refuse_topics: answer calls on these topics with 503.
     :param lose_answers: perform writes, but close the connection without an answer.
     :param bytes_per_s: rate at which the link to the caller carries an answer; ``None`` for no
         limit.
@@ -70,6 +71,7 @@
 
     topics: dict[str, Topic] = field(default_factory=dict)
     refuse: bool = False
+    refuse_topics: frozenset[str] = frozenset()
     lose_answers: bool = False
     bytes_per_s: float | None = None
     calls: list[tuple[str, str]] = field(default_factory=list)
@@ -91,7 +93,7 @@
     def prepare(self) -> None:
         """Record the call; refuse it if the store refuses calls."""
         self._state.calls.append((self.request.method or "", self.request.path))
-        if self._state.refuse:
+        if self._state.refuse or self.get_query_argument("topic") in self._state.refuse_topics:
             self.set_status(503)
             self.finish()
 
--- a/tests/cover/test_topic_readers.py
+++ b/tests/cover/test_topic_readers.py
@@ -30,7 +30,8 @@
     async def newest(self, topic: str) -> NewestRecords:
         self.calls_count += 1
         now_s = time.monotonic()
-        return NewestRecords(tuple(self.records), len(self.records), now_s, now_s)
+        end = len(self.records)
+        return NewestRecords(tuple(self.records), end, now_s, now_s, tuple(range(end)))
 
     async def read(self, topic: str, offset: int, wait_s: float) -> ReadRecords:
         self.calls_count += 1
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -65,7 +65,8 @@
 
     async def __aenter__(self) -> Site:
         self._store_server, address = await start_store(self.store)
-        self.store.put(OPERATOR_TOPIC, "config", make_configuration())
+        if not self.store.topic(OPERATOR_TOPIC).records:
+            self.store.put(OPERATOR_TOPIC, "config", make_configuration())
         first_port = consecutive_ports(4)
         self.settings = msgspec.convert(
             {
