Log reads: one that timed out is retried with half the records

Evidence: the new test, a link that carries 40 records in time, read nothing in 20 calls on the code before, and reads all 300 now. Why it works: the request shrinks to what the link carries.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/log_client.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import HTTPTimeoutError
 
 from coriandershelf_core.internal.vocabulary.actions import Append
 from coriandershelf_core.internal.vocabulary.events import AppendAnswered, AppendFailed, LogRead
@@ -68,14 +69,22 @@
         post(AppendAnswered(action.append_id, offset))
 
     async def read_forever(self, stream: str, post: Post) -> None:
-        """Read a stream from its oldest record on; failed reads are retried."""
+        """Read a stream from its oldest record on; failed reads are retried.
+
+        A read that took too long is retried with half the records, until one reaches the end of the
+        stream: a slow link may not carry more in time.
+        """
         offset = 0
+        max_count = READ_MAX_COUNT
         while True:
-            url = f"{self._url}/{stream}?from={offset}&wait_s={READ_WAIT_S}&max={READ_MAX_COUNT}"
+            url = f"{self._url}/{stream}?from={offset}&wait_s={READ_WAIT_S}&max={max_count}"
             try:
                 response = await self._client.fetch(url, request_timeout=READ_WAIT_S * 2)
-                read = self._parse_read(stream, response.body)
-            except (HTTPClientError, OSError):
+                read = self._parse_read(stream, response.body, max_count)
+            except (HTTPClientError, OSError) as error:
+                if isinstance(error, HTTPTimeoutError):
+                    max_count = max(1, max_count // 2)
+                    self._log.warning("log read timed out", stream=stream, next_max=max_count)
                 await asyncio.sleep(READ_RETRY_S)
                 continue
             except MALFORMED_ERRORS as error:
@@ -83,12 +92,14 @@
                 await asyncio.sleep(READ_RETRY_S)
                 continue
             offset = read.next_offset
+            if read.at_end:
+                max_count = READ_MAX_COUNT
             post(read)
 
-    def _parse_read(self, stream: str, body: bytes) -> LogRead:
+    def _parse_read(self, stream: str, body: bytes, max_count: int) -> LogRead:
         document = json.loads(body)
         items = document["records"]
-        at_end = len(items) < READ_MAX_COUNT
+        at_end = len(items) < max_count
         first_offset, next_offset = int(document["first_offset"]), int(document["next_offset"])
         return LogRead(stream, self._decode(items), first_offset, next_offset, at_end)
 
--- a/tests/cover/test_malformed_platform.py
+++ b/tests/cover/test_malformed_platform.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import base64
+import json
 from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.simple_httpclient import HTTPTimeoutError
 
 from coriandershelf_core.internal.vocabulary.actions import Append, StartAttempt
-from coriandershelf_core.internal.vocabulary.events import AppendFailed, FailureCause, PlainAnswered
+from coriandershelf_core.internal.vocabulary.events import (
+    AppendFailed,
+    FailureCause,
+    LogRead,
+    PlainAnswered,
+)
 from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
 from coriandershelf_entry.internal import platform_client
 from coriandershelf_entry.internal.log_client import LogClient
 from coriandershelf_entry.internal.platform_client import NoticeReader, poll_vm_list
 from coriandershelf_entry.internal.upstream import PLAIN_BODY_LIMIT_BYTES, _ResponseReader
+from coriandershelf_wire import encode_record
 
 OTHER_SHAPES = (b"[]", b"7", b"null", b'{"vms": 3}', b'{"notices": [4], "next": "x"}', b"{")
 
@@ -80,6 +90,45 @@
     assert len(events) == 1
 
 
+class SlowLinkClient:
+    """A log whose reads time out if they return more records than the link carries in time."""
+
+    def __init__(self, records_count: int, carried_count: int, requests_count: int) -> None:
+        self._records_count = records_count
+        self._carried_count = carried_count
+        self._left_count = requests_count
+
+    async def fetch(self, url: str, **_: object) -> Answer:
+        self._left_count -= 1
+        if self._left_count < 0:
+            raise asyncio.CancelledError
+        query = parse_qs(urlsplit(url).query)
+        start = int(query["from"][0])
+        count = min(int(query["max"][0]), self._records_count - start)
+        if count > self._carried_count:
+            raise HTTPTimeoutError("Timeout during request")
+        data = base64.b64encode(encode_record("entry-2", 1, 1, ())).decode()
+        items = [{"data": data, "offset": start + index, "time_s": 0.0} for index in range(count)]
+        body = {"records": items, "first_offset": 0, "next_offset": start + count}
+        return Answer(json.dumps(body).encode(), HTTPHeaders())
+
+
+# Guards against a VM that never reads the log: there are more records than its link carries in the
+# time-out of a read, and each retry asks for as many.
+def test_a_log_that_a_slow_link_cannot_carry_in_one_read_is_read_in_parts(monkeypatch):
+    monkeypatch.setattr("coriandershelf_entry.internal.log_client.READ_RETRY_S", 0.0)
+    events: list[LogRead] = []
+    client = LogClient(SlowLinkClient(300, 40, 20), "log:1", "entry-1", 1, Log())
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(client.read_forever("ledger", events.append))
+    offsets = [record.offset for read in events for record in read.records]
+    assert offsets == list(range(300))
+    ends = [read.at_end for read in events]
+    assert ends.index(True) == next(
+        index for index, read in enumerate(events) if read.next_offset == 300
+    )
+
+
 def test_every_error_of_another_shape_is_expected():
     assert {ValueError, KeyError, TypeError} <= set(platform_client.MALFORMED_ERRORS)
 
