Topics: records that no reply can hold are not kept

Evidence: the new test held all 400 records on the code before (over 2 x 200 kB), and holds none now. Why it works: a reply is always a suffix of what is kept, so records beyond a reply's size are dropped as newer ones arrive.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/topic_sharing.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/topic_sharing.py
@@ -23,7 +23,7 @@
 QUERIED_PER_ZONE_COUNT = 2
 # A reader that did not reply, or whose proof was too old, is not queried again for this long.
 READER_BACKOFF_S = 2.0
-# Records that a reader keeps for replies, and their largest total size in one reply: a datagram.
+# Records that a reader keeps for replies, and their largest total size: that of a datagram.
 RECORDS_MAX_COUNT = 400
 REPLY_MAX_BYTES = 16_000
 
@@ -100,6 +100,10 @@
     record: KeyedRecord
     after_outage: bool
 
+    @property
+    def size_bytes(self) -> int:
+        return len(self.record.key) + len(self.record.value or b"")
+
 
 class SharedTopic(Struct):
     """What this VM knows of one topic, for its own decisions and for replies to others.
@@ -116,7 +120,8 @@
     proved_at_s: float = -math.inf
     keeps_newest: bool = False
     _newest: dict[str, _KeptRecord] = field(default_factory=dict)
-    _kept: deque[_KeptRecord] = field(default_factory=lambda: deque(maxlen=RECORDS_MAX_COUNT))
+    _kept: deque[_KeptRecord] = field(default_factory=deque)
+    _kept_bytes: int = 0
     _backoff_until_s: dict[str, float] = field(default_factory=dict)
 
     def is_reader(self, own_id: str, zone_vm_ids: Iterable[str]) -> bool:
@@ -156,6 +161,7 @@
     ) -> None:
         """Record a read of the newest value of each key, which leaves no records to pass on."""
         self._kept.clear()
+        self._kept_bytes = 0
         self._newest.clear()
         for record, offset in zip(records, offsets, strict=True):
             self._keep_newest(_KeptRecord(offset, record, False))
@@ -169,7 +175,7 @@
         assert self.next_offset is not None, f"{self.topic}: records before the first read"
         for record in records:
             kept = _KeptRecord(self.next_offset, record, after_outage)
-            self._kept.append(kept)
+            self._keep(kept)
             self._keep_newest(kept)
             self.next_offset += 1
         self.proved_at_s = max(self.proved_at_s, proved_at_s)
@@ -188,6 +194,13 @@
         if self.next_offset is None or snapshot.next_offset > self.next_offset:
             self.on_loaded(snapshot.next_offset, proved_at_s, snapshot.records, snapshot.offsets)
 
+    def _keep(self, kept: _KeptRecord) -> None:
+        """Keep a record for replies, and drop those that no reply could hold together with it."""
+        self._kept.append(kept)
+        self._kept_bytes += kept.size_bytes
+        while len(self._kept) > RECORDS_MAX_COUNT or self._kept_bytes > REPLY_MAX_BYTES:
+            self._kept_bytes -= self._kept.popleft().size_bytes
+
     def _keep_newest(self, kept: _KeptRecord) -> None:
         if not self.keeps_newest:
             return
@@ -227,6 +240,4 @@
             return []
         if not self._kept or self._kept[0].offset > offset:
             return None
-        kept = [item for item in self._kept if item.offset >= offset]
-        size_bytes = sum(len(item.record.key) + len(item.record.value or b"") for item in kept)
-        return kept if size_bytes <= REPLY_MAX_BYTES else None
+        return [item for item in self._kept if item.offset >= offset]
--- a/tests/cover/test_topic_sharing.py
+++ b/tests/cover/test_topic_sharing.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -110,6 +112,31 @@
     assert not follower.is_usable(reply, 4.4, 4.5)
 
 
+# Guards against a process that reaches its memory limit after some hundred changes of a large
+# configuration, all of which it kept for replies that cannot hold one.
+def test_records_that_no_reply_can_hold_are_not_kept():
+    reader = make_topic()
+    value_bytes = 200_000
+    tracemalloc.start()
+    for _ in range(RECORDS_MAX_COUNT):
+        reader.on_records((KeyedRecord("config", bytes(value_bytes)),), False, 4.0)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 2 * value_bytes
+
+
+@pytest.mark.parametrize("size_bytes", [100, 3_000, REPLY_MAX_BYTES - 10])
+def test_the_newest_records_that_a_reply_can_hold_are_sent(size_bytes: int):
+    reader = make_topic()
+    records = records_of(30, size_bytes)
+    for record in records:
+        reader.on_records((record,), False, 4.0)
+    sent_count = min(len(records), REPLY_MAX_BYTES // (size_bytes + len(records[-1].key)))
+    query = TopicQuery("vm-x", "10.0.0.1:7500", 1, TOPIC, reader.next_offset - sent_count)
+    reply = reader.reply_to(query, "vm-0", 4.5)
+    assert reply is not None and reply.records == records[-sent_count:]
+
+
 def test_a_reader_that_lost_the_history_sends_nothing_from_before():
     reader, follower = make_topic(), make_topic()
     reader.on_records(records_of(2), False, 1.0)
