Refusals: a VM that knows of a newer configuration denies nothing for good

Callers with a new route or key could get 404 or 401, which no caller retries, from a VM whose peers had the version that adds it. Cause: a denial looked at the age of the last proof only. Evidence: the new test got 404 and 401 on the code before. Such a request now gets 503, which is true: it has not run.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -364,7 +364,8 @@
 
         If the configuration may be out of date, the request is rejected as not run.
         """
-        if age_s > self.settings.denial_age_max_s:
+        is_outdated = self._versions.newest_of_peers(now_s) > self._versions.version
+        if is_outdated or age_s > self.settings.denial_age_max_s:
             self._refuse(arrival, Refusal.NO_CONFIGURATION, REFUSED_RETRY_AFTER_S, now_s)
         else:
             self._refuse(arrival, refusal, None, now_s)
--- a/tests/cover/test_fresh_vm.py
+++ b/tests/cover/test_fresh_vm.py
@@ -110,6 +110,20 @@
     assert refusal(driver) is None
 
 
+# Guards against a final refusal of a route or key that was added in a version which this VM knows
+# of and does not have yet.
+@pytest.mark.parametrize("changes", [{"host": "new.example"}, {"key": "another"}])
+def test_a_vm_that_knows_of_a_newer_version_denies_nothing_for_good(changes):
+    driver = GatewayDriver()
+    load(driver)
+    driver.run(SETTLING_S + 1.0)
+    denied = driver.refusals(driver.ask("/read/1", **changes))[0].refusal
+    assert denied in (Refusal.NO_ROUTE, Refusal.UNKNOWN_KEY)
+    Peer(driver).tell(configuration_version=2)
+    denied = driver.refusals(driver.ask("/read/1", **changes))[0].refusal
+    assert denied is Refusal.NO_CONFIGURATION
+
+
 # Guards against a peer's word that outlives it: a version that no live peer has stops nothing.
 def test_a_version_that_no_live_peer_has_does_not_count():
     driver = GatewayDriver()
