--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -15,6 +16,10 @@
 from coriandershelf_rig.internal.relay import Relay
 
 SLOW_RELAY_DELAY_S = 0.15
+# The smallest links of entry VMs carry 5 Mbit/s.
+THIN_RELAY_BYTES_PER_S = 625_000.0
+# What some hundred routes take.
+LARGE_VERSION_BYTES = 200_000
 # A stated request limit binds only some seconds after it was first stated.
 LIMIT_PER_S = 12.0
 LIMIT_EXTRA_S = 6.0
@@ -51,7 +56,7 @@
             await self._kill_all(fault.duration_s)
         elif fault.kind == "roll-and-kill-all":
             await self._roll_and_kill_all(fault.duration_s)
-        elif component == "store" and mode in ("cut", "silent", "slow", "one-way"):
+        elif component == "store" and mode in ("cut", "silent", "slow", "one-way", "thin"):
             await _inject_relay_fault(self._site.store_relays[fault.target], mode, fault.duration_s)
         elif component == "replica" and mode in ("cut", "silent", "slow"):
             relay = self._site.replicas[fault.target].relay
@@ -215,7 +220,7 @@
             self._site.publish()
             self.revoked_at_s[revoked_key] = time.monotonic()
             return
-        self._site.publish()
+        self._site.publish(LARGE_VERSION_BYTES if kind == "large-version" else 0)
 
 
 async def _inject_relay_fault(relay: Relay, mode: str, duration_s: float) -> None:
@@ -225,10 +230,13 @@
         relay.stall_connections()
     elif mode == "slow":
         relay.delay_s = SLOW_RELAY_DELAY_S
+    elif mode == "thin":
+        relay.bytes_per_s = THIN_RELAY_BYTES_PER_S
     else:
         relay.drop_responses = True
     with contextlib.suppress(asyncio.CancelledError):
         await asyncio.sleep(duration_s)
     relay.accept_connections()
     relay.delay_s = 0.0
+    relay.bytes_per_s = math.inf
     relay.drop_responses = False
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/run.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from coriandershelf_platform.http_client import CallFailure, HttpClient
 from coriandershelf_rig.internal.fault_soak.callers import REQUEST_KINDS, RequestRecord, SoakCaller
 from coriandershelf_rig.internal.fault_soak.faults import FaultInjector
 from coriandershelf_rig.internal.fault_soak.judge import Verdict, judge, judge_limits
@@ -25,6 +26,7 @@
 UNTIMED_FACTOR = 10.0
 SETTLE_S = 1.0
 RETRY_PERIOD_S = 0.3
+VERSION_PATTERN = re.compile(r'name="configuration_version"\} ([0-9]+)')
 FAILURE_PATTERN = re.compile(r'"event":"(invariant broken|task failed)"|Traceback')
 
 
@@ -83,6 +85,7 @@
     await _inject_faults(plan, injector, echo)
     await asyncio.gather(*load_tasks)
     unserved = await _await_service(site, callers, RECOVERY_LIMIT_S * limit_factor)
+    outdated = await _await_version(site, RECOVERY_LIMIT_S * limit_factor)
     await asyncio.sleep(SETTLE_S)
     verdict = judge(
         records,
@@ -99,6 +102,11 @@
         verdict.violations.append(
             f"not served {RECOVERY_LIMIT_S} s after the last fault: {unserved}"
         )
+    if outdated:
+        verdict.violations.append(
+            f"version {site.version} is not in force {RECOVERY_LIMIT_S} s after the last fault: "
+            f"{outdated}"
+        )
     verdict.violations += _logged_failures(site)
     for kind, count in injector.counts.items():
         verdict.counts[f"fault {kind}"] = count
@@ -140,6 +148,32 @@
     }
 
 
+async def _await_version(site: SoakSite, limit_s: float) -> dict[str, str]:
+    """Wait until the newest configuration is in force at every VM.
+
+    :return: the version of each VM where it is not by the time limit.
+    """
+    until_s = time.monotonic() + limit_s
+    while True:
+        versions = {
+            f"VM {number}": await _version_at(port)
+            for number, port in enumerate(site.metrics_ports)
+        }
+        outdated = {vm: text for vm, text in versions.items() if text != str(site.version)}
+        if not outdated or time.monotonic() >= until_s:
+            return outdated
+        await asyncio.sleep(RETRY_PERIOD_S)
+
+
+async def _version_at(metrics_port: int) -> str:
+    client = HttpClient(lambda: f"127.0.0.1:{metrics_port}", time.monotonic, False)
+    response = await client.call("GET", "/metrics")
+    if isinstance(response, CallFailure):
+        return response.value
+    found = VERSION_PATTERN.search(response.body.decode())
+    return "unknown" if found is None else found[1]
+
+
 def _logged_failures(site: SoakSite) -> list[str]:
     failures = []
     for number in range(site.vm_count):
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/site.py
@@ -50,6 +50,7 @@
     replicas: list[SoakReplica] = field(default_factory=list)
     store_relays: list[Relay] = field(default_factory=list)
     front_ports: list[int] = field(default_factory=list)
+    metrics_ports: list[int] = field(default_factory=list)
     api_keys: list[str] = field(default_factory=lambda: ["key-0", "key-1"])
     version: int = 0
     started_at_s: dict[int, float] = field(default_factory=dict)
@@ -75,6 +76,7 @@
             await relay.start(f"127.0.0.1:{store_port}")
             self.store_relays.append(relay)
             self.front_ports.append(front_port)
+            self.metrics_ports.append(peer_port + 1)
             self._write_settings(number, store_port, front_port, ready_port, peer_port)
             self.start_vm(number)
 
@@ -95,8 +97,8 @@
         arguments = ("--border", "platform", "--settings-file", file)
         self.processes.start(f"vm-{number}", ENTRY_MODULE, *arguments)
 
-    def publish(self) -> None:
-        """Write a new version of the configuration."""
+    def publish(self, extra_bytes: int = 0) -> None:
+        """Write a new version of the configuration, larger by ``extra_bytes``."""
         self.version += 1
         configuration = {
             "version": self.version,
@@ -111,6 +113,7 @@
                 {"name": "plain", "health_path": "/h", "max_conns": 90},
             ],
             "tenants": [{"name": "customer-1", "api_keys": list(self.api_keys)}],
+            "comment": "x" * extra_bytes,
         }
         self.store.put(OPERATOR_TOPIC, "config", configuration)
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/relay.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 
 CHUNK_BYTES = 65536
 
@@ -13,8 +14,9 @@
 
     A stalled connection stays open at both ends, but no data passes any more; new connections
     work, as behind a NAT device that has lost track of the old ones. Each chunk is delayed by
-    ``delay_s``. If data from the target arrives while ``drop_responses`` is set, it is dropped and
-    nothing from the target is forwarded on that connection any more.
+    ``delay_s``, and one from the target also by its size at ``bytes_per_s``. If data from the
+    target arrives while ``drop_responses`` is set, it is dropped and nothing from the target is
+    forwarded on that connection any more.
     """
 
     def __init__(self, target: str) -> None:
@@ -25,6 +27,7 @@
         self._stalled: set[asyncio.Task[None]] = set()
         self._cut = False
         self.delay_s = 0.0
+        self.bytes_per_s = math.inf
         self.drop_responses = False
 
     async def start(self, address: str) -> None:
@@ -98,6 +101,8 @@
             chunk = await reader.read(CHUNK_BYTES)
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
+            if from_target and self.bytes_per_s < math.inf:
+                await asyncio.sleep(len(chunk) / self.bytes_per_s)
             if task in self._stalled or (from_target and self.drop_responses):
                 # Nothing is forwarded, not even the end of the stream: the other end sees no close.
                 await asyncio.Event().wait()
