Configuration: a VM serves only as many others as its link bears

A VM now sends at most half of what the smallest links carry and refuses others at once, and these ask another VM that names the version.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/configuration_fetches.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/configuration_fetches.py
@@ -2,7 +2,9 @@
 
 Each digest names its sender's version. The store may turn this VM away, give it an older copy, or
 send more than its link carries in time, while other VMs have the new version. A VM that has heard
-of one and has not read it a moment later asks one of the VMs that name the newest.
+of one and has not read it a moment later asks one of the VMs that name the newest. At first these
+are the few that read for their zones, so each VM serves only as many as its link bears, and those
+that it refuses ask one of the VMs that have got it meanwhile.
 """
 
 from __future__ import annotations
@@ -25,6 +27,10 @@
 # The VM's own read usually brings a version as soon as a digest names it.
 FETCH_AFTER_S = 0.5
 FETCH_RETRY_S = 0.3
+# Half of what the smallest links carry, 5 Mbit/s: the rest is left to callers. What a VM may still
+# have to send when it accepts another request takes this long at that rate.
+SERVED_BYTES_PER_S = 312_500.0
+SERVED_BACKLOG_MAX_S = 0.3
 
 
 class ConfigurationFetches(Struct):
@@ -61,7 +67,7 @@
     def on_fetched(self, vm_id: str, succeeded: bool, now_s: float) -> None:
         """Record the end of a fetch; after a failure another VM is asked."""
         self._is_fetching = False
-        self._retry_at_s = now_s + FETCH_RETRY_S
+        self._retry_at_s = now_s + FETCH_RETRY_S * self.rng.uniform(0.5, 1.5)
         self._failed_ids = frozenset() if succeeded else self._failed_ids | {vm_id}
         outcome = "fetched" if succeeded else "failed"
         fields = (("peer", vm_id), ("outcome", outcome), ("version", self.versions.version))
@@ -81,3 +87,17 @@
             untried = named
         same_zone = [digest for digest in untried if digest.zone == self.zone]
         return self.rng.choice(same_zone or untried)
+
+
+class ServedBytes(Struct):
+    """Limits the bytes that this VM sends to others that fetch the configuration."""
+
+    _sent_until_s: float = float("-inf")
+
+    def accept(self, size_bytes: int, now_s: float) -> bool:
+        """Return whether to send a configuration of this size now, and count it if so."""
+        starts_at_s = max(now_s, self._sent_until_s)
+        if starts_at_s - now_s > SERVED_BACKLOG_MAX_S:
+            return False
+        self._sent_until_s = starts_at_s + size_bytes / SERVED_BYTES_PER_S
+        return True
