Outcomes: a replica's 503 is a promise only if the replica states that the request did not run

Cause: any status of a replica other than one with its own statement went on unchanged, also 408, 429 and 503. Change: these statuses without the statement are an unknown outcome: what may run again is tried elsewhere, the rest gets 502, also at the product's own border, where a plain service's status passed for 'done'. NOT_RUN_STATUSES stands in one place for both borders. Looked for elsewhere: a 421 is a statement by itself on the users' pages; other statuses promise nothing about a run and pass on as before, a 3xx or 4xx without a receipt too. Why it works: no status that denies a run leaves this system without a replica's statement or the knowledge that nothing was sent.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -55,6 +55,7 @@
 from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.selection import CandidateSet, ReplicaSelector
 from coriandershelf_core.internal.gateway.stream_origins import StreamOrigins
+from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 
 # No requests are sent to a replica for this long after it refused one.
 REJECTED_BACKOFF_S = 0.15
@@ -186,7 +187,9 @@
         request, state = attempt.request, attempt.state
         state.on_load(event.load, now_s)
         self.attempts.end(attempt, now_s, accepted=not (event.misdirected or event.not_run))
-        failed = event.misdirected or event.not_run or event.status >= SERVER_ERROR
+        is_refusal = event.status in NOT_RUN_STATUSES
+        is_error = is_refusal or event.status >= SERVER_ERROR
+        failed = event.misdirected or event.not_run or is_error
         request.last_failure = f"status {event.status}" if failed else None
         if event.misdirected:
             self.pool.mark_leaving(state.replica.replica_id)
@@ -200,23 +203,30 @@
             return
         self.responder.mark_started(request, attempt.started_at_s)
         request.may_have_run = True
-        self.rollouts.on_answer(attempt, event.status >= SERVER_ERROR, now_s)
+        self.rollouts.on_answer(attempt, is_error, now_s)
         taken_s = now_s - attempt.started_at_s
-        if event.status < SERVER_ERROR and event.has_receipt:
+        if not is_error and event.has_receipt:
             state.on_success(now_s)
             baseline_s = attempt.baseline_s * state.current_slowdown(now_s)
             state.on_latency(taken_s, baseline_s, now_s, attempt.low_load)
             self.crash_suspects.on_completed(request, now_s)
-        elif event.status >= SERVER_ERROR:
+        elif is_error:
             self._record_failure(state, now_s, request.route.kind)
             if request.route.repeatable and self._take_retry(request, now_s):
-                request.error_response = ReplicaResponse(event.status, event.headers, event.body)
+                if not is_refusal:
+                    request.error_response = ReplicaResponse(
+                        event.status, event.headers, event.body
+                    )
                 self._retry(request, RetryReason.SERVER_ERROR, now_s, budgeted=True)
                 return
         if request.headers_sent:
             # The resumption of the stream was rejected, so the caller's stream stays incomplete.
             self.responder.abort_stream(request, now_s)
             return
+        if is_refusal:
+            # The replica did not state that the request did not run, as its status would.
+            self.responder.refuse(request, Refusal.UNKNOWN_OUTCOME, now_s, status=event.status)
+            return
         response = ReplicaResponse(event.status, event.headers, event.body)
         self.responder.deliver(request, response, now_s, **dict(attempt.inputs))
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/dispatcher.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/routing/dispatcher.py
@@ -36,7 +36,12 @@
 )
 from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
 from coriandershelf_core.internal.vocabulary.messages import InFlightDigest, Message, ReplicaVerdict
-from coriandershelf_core.internal.vocabulary.outcome import Done, NotRun, Outcome
+from coriandershelf_core.internal.vocabulary.outcome import (
+    NOT_RUN_STATUSES,
+    Done,
+    NotRun,
+    Outcome,
+)
 from coriandershelf_core.internal.vocabulary.reasons import Counter, RefusalReason
 from coriandershelf_core.internal.vocabulary.work import (
     Attempt,
@@ -209,8 +214,13 @@
     def on_plain_answered(self, event: PlainAnswered, now_s: float) -> None:
         """Finish a call with the plain service's response."""
         attempt = self.attempts.live.get(event.attempt_id)
-        if attempt is not None:
-            self._complete(attempt, Done(event.status, event.body), now_s)
+        if attempt is None:
+            return
+        if event.status in NOT_RUN_STATUSES:
+            # The service did not state that the call did not run, as its status would.
+            self._fail(attempt, FailureCause.REFUSED, True, now_s)
+            return
+        self._complete(attempt, Done(event.status, event.body), now_s)
 
     def on_failed(self, event: AttemptFailed, now_s: float) -> None:
         """Recover from a failed attempt."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/outcome.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/vocabulary/outcome.py
@@ -6,6 +6,10 @@
 
 from coriandershelf_core.internal.vocabulary.reasons import RefusalReason
 
+# HTTP statuses by which callers know that a request did not run and never will. A response with
+# such a status is passed on only if its replica stated as much.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @dataclass(frozen=True, slots=True)
 class Done:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_state.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_state.py
@@ -52,6 +52,7 @@
 class BenchUpstream:
     """One upstream: a model engine, or a plain service that counts executions.
 
+    :param plain_status: status of the plain service's responses.
     :param muted_attempts: attempts whose tokens are dropped.
     :param attempts: the entry VM of each attempt in flight.
     :param executions: how often each plain call was executed, by call identity.
@@ -61,6 +62,7 @@
     engine: EngineModel | None
     alive: bool = True
     step_scheduled: bool = False
+    plain_status: int = 200
     muted_attempts: set[str] = field(default_factory=set)
     attempts: dict[str, str] = field(default_factory=dict)
     executions: dict[str, int] = field(default_factory=dict)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_upstreams.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/bench_upstreams.py
@@ -119,7 +119,7 @@
 
         def answer() -> None:
             if upstream.attempts.pop(action.attempt_id, None) is not None:
-                event = PlainAnswered(action.attempt_id, 200, b'{"ok":true}')
+                event = PlainAnswered(action.attempt_id, upstream.plain_status, b'{"ok":true}')
                 self._send_to_entry(vm_id, action.replica_id, event)
 
         self.at(PLAIN_DURATION_S, answer)
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -25,9 +25,7 @@
     StopAsked,
 )
 from coriandershelf_core.internal.gateway.relay import CONNECT_RETRIES_MAX_COUNT
-
-# Statuses that state that the request did not run.
-NOT_RUN_STATUSES = {408, 421, 429, 503}
+from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 
 
 def test_an_answer_is_passed_on_as_the_replica_made_it():
@@ -50,6 +48,24 @@
     assert refusal.retry_after_s is None
 
 
+# Guards against a booking that ran, whose replica answers 503 without stating that it did not: the
+# caller takes the status for a promise and books again.
+@pytest.mark.parametrize("status", sorted(NOT_RUN_STATUSES - {421}))
+@pytest.mark.parametrize("path", ["/book/1", "/ask/1", "/read/1"])
+def test_a_request_that_may_have_run_is_never_answered_with_a_status_that_denies_it(status, path):
+    driver = GatewayDriver().begin()
+    handle = driver.ask(path)
+    answered: set[int] = set()
+    while len(driver.attempts(handle)) > len(answered):
+        attempt = driver.attempts(handle)[-1]
+        answered.add(attempt.attempt_id)
+        driver.answer(attempt.attempt_id, status)
+    assert not [action for action in driver.actions if isinstance(action, SendResponse)]
+    (refusal,) = driver.refusals(handle)
+    assert STATUS_OF[refusal.refusal] not in NOT_RUN_STATUSES
+    assert len(answered) == (2 if path == "/read/1" else 1)
+
+
 def test_a_booking_that_could_not_be_sent_goes_to_another_replica():
     driver = GatewayDriver().begin()
     handle = driver.ask("/book/1")
--- a/tests/cover/test_whole_path.py
+++ b/tests/cover/test_whole_path.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from coriandershelf_core import Done, NotRun, RefusalReason, RequestKind, Unknown
+from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 from coriandershelf_rig.internal.bench import Bench, executions_by_body, is_whole
 from coriandershelf_rig.internal.deployments import consorcio, kingston
 
@@ -37,6 +40,19 @@
     assert list(executions_by_body(bench).values()) == [1]
 
 
+# Guards against a caller who takes the service's own status for a promise that a booking did not
+# run, and books again under another key.
+@pytest.mark.parametrize("status", sorted(NOT_RUN_STATUSES))
+def test_a_booking_that_ran_is_never_refused_with_the_services_status(status: int):
+    bench = make_bench(kingston)
+    for upstream in bench.upstreams.values():
+        upstream.plain_status = status
+    call = bench.send("entry-1", bench.plain_call("depot", "orders/new", b"pole 7", "k1"))
+    bench.run(10.0)
+    assert isinstance(call.outcome, Unknown)
+    assert list(executions_by_body(bench).values()) == [1]
+
+
 def test_a_key_reused_for_another_body_is_refused():
     bench = make_bench()
     bench.send("entry-1", bench.plain_call("limpiatechos", "visits/new", b"roof 1", "k1"))
