Bodies: the operator's limit is the only one, and a request without its whole body is never sent

Cause: the buffer dropped bodies over a constant of 8 MiB, on the assumption that the operator's limit is lower, and what was left was forwarded. Looked for elsewhere: the own border refuses at its own setting and holds every body whole; tornado's 256 MB closes the connection without a request. Why it works: there is no forwarded request without its whole body.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -25,6 +25,7 @@
     UNKNOWN_KEY = "unknown-key"
     BODY_TOO_LARGE = "body-too-large"
     HEADER_TOO_LARGE = "header-too-large"
+    NO_MEMORY = "no-memory"
     CAP = "cap"
     NO_REPLICA = "no-replica"
     NO_ROOM = "no-room"
@@ -44,6 +45,7 @@
     Refusal.UNKNOWN_KEY: 401,
     Refusal.BODY_TOO_LARGE: 413,
     Refusal.HEADER_TOO_LARGE: 431,
+    Refusal.NO_MEMORY: 503,
     Refusal.CAP: 429,
     Refusal.NO_REPLICA: 503,
     Refusal.NO_ROOM: 503,
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -221,6 +221,11 @@
         self._outbox.clear()
         return actions
 
+    @property
+    def body_max_bytes(self) -> int:
+        """Return the operator's limit on a body; 0 before the first configuration."""
+        return 0 if self.deployment is None else self.deployment.body_max_bytes
+
     @property
     def knows_replicas(self) -> bool:
         """Return whether the registry of replicas was read."""
@@ -324,6 +329,10 @@
             detail = _too_large("body", arrival.body_bytes, deployment.body_max_bytes)
             self._refuse(arrival, Refusal.BODY_TOO_LARGE, None, now_s, detail)
             return
+        if not arrival.body_kept:
+            detail = "the body could not be held: come back"
+            self._refuse(arrival, Refusal.NO_MEMORY, REFUSED_RETRY_AFTER_S, now_s, detail)
+            return
         age_s = now_s - self._versions.confirmed_at_s
         route = self._routes.find(arrival.host, arrival.path)
         if route is None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -21,6 +21,7 @@
     :param handle: unique number within this process, since callers' request ids may repeat.
     :param time_left_s: how long the caller waits, or ``None`` if it does not say.
     :param fingerprint: hash of caller, path and body, the same when a caller resends the request.
+    :param body_kept: whether the whole body is held, so that the request can be sent.
     :param last_event_id: the event after which the caller resumes a stream.
     :param resumes_id: id of the request that brought that stream's first event.
     """
@@ -40,6 +41,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
     resumes_id: str | None = None
+    body_kept: bool = True
 
 
 class ReplicaResponse(Struct, frozen=True):
