--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import traceback
 from statistics import median
 
 from coriandershelf_core.internal.gateway.actions import (
@@ -28,6 +29,7 @@
 from coriandershelf_core.internal.gateway.digest import Digest, HolderInfo
 from coriandershelf_core.internal.gateway.digest_exchange import DigestExchange, Identity, VmStatus
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
+from coriandershelf_core.internal.gateway.error_recovery import ErrorRecovery
 from coriandershelf_core.internal.gateway.events import (
     AnswerRead,
     AttemptFailed,
@@ -87,6 +89,7 @@
 # Time-out if the caller states none; the route's time-out applies as well.
 DEADLINE_DEFAULT_S = 60.0
 REFUSED_RETRY_AFTER_S = 0.3
+ERROR_MAX_CHARACTERS = 300
 # After a stop request the load balancer may keep sending requests here for this long.
 LOAD_BALANCER_LAG_S = 3.2
 # Requests still in flight are aborted this long before the platform kills the process.
@@ -201,6 +204,9 @@
             self.rollouts,
             emit,
         )
+        self._error_recovery = ErrorRecovery(
+            attempts, responder, self.admission, self.relay.recover, emit
+        )
 
     @property
     def ready(self) -> bool:
@@ -214,13 +220,30 @@
         :param now_s: time of a monotonic clock that counts suspension.
         :param clock_s: wall-clock time, which may jump.
         """
-        self._handle(event, now_s, clock_s)
-        if self.admission.may_send:
-            self.relay.send_waiting(now_s)
+        try:
+            self._handle(event, now_s, clock_s)
+            if self.admission.may_send:
+                self.relay.send_waiting(now_s)
+        except AssertionError:
+            raise
+        except Exception as error:
+            self._on_error(event, error, now_s)
         actions = list(self._outbox)
         self._outbox.clear()
         return actions
 
+    def _on_error(self, event: Event, error: Exception, now_s: float) -> None:
+        """Log an error in the handling of an event, which costs its request at most an attempt."""
+        frames = traceback.extract_tb(error.__traceback__)
+        fields = (
+            ("event_kind", type(event).__name__),
+            ("error", repr(error)[:ERROR_MAX_CHARACTERS]),
+            ("at", f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""),
+        )
+        self._outbox.append(LogLine("event not handled", fields))
+        self._emit_count("errors", "event")
+        self._error_recovery.on_error(event, now_s)
+
     @property
     def body_max_bytes(self) -> int:
         """Return the operator's limit on a body; 0 before the first configuration."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -63,6 +63,8 @@
 PAUSE_MAX_S = 300.0
 # A request with less time left is not retried.
 RETRY_TIME_LEFT_MIN_S = 0.05
+# After the time limit, what waits for an attempt is refused by its queue; this is for the rest.
+OVERDUE_GRACE_S = 0.25
 # Replicas tried after the first one that could not be connected.
 CONNECT_RETRIES_MAX_COUNT = 4
 SERVER_ERROR = 500
@@ -325,7 +327,7 @@
         request.may_have_run = True
         if state.leaving:
             # A leaving replica aborts unfinished requests; this does not count as a failure.
-            self._recover(request, RetryReason.LEFT, now_s)
+            self.recover(request, RetryReason.LEFT, now_s)
             return
         if attempt.relay_address is not None:
             # It may have been the other VM that ended.
@@ -336,7 +338,7 @@
             self._record_failure(state, now_s)
             if event.cause is FailureCause.CLOSED:
                 self.crash_suspects.on_crash(attempt, now_s)
-        self._recover(request, RetryReason.FAILED, now_s)
+        self.recover(request, RetryReason.FAILED, now_s)
 
     def _on_unsent(self, attempt: AttemptState, cause: FailureCause, now_s: float) -> None:
         """Record why an attempt could not be sent."""
@@ -382,6 +384,15 @@
         self.admission.on_tick(now_s)
         self.send_waiting(now_s)
         self.admission.refuse_unlikely(now_s)
+        self._end_overdue(now_s)
+
+    def _end_overdue(self, now_s: float) -> None:
+        """End the requests that are past their time limit and have no attempt that could end."""
+        for request in list(self.responder.active_requests.values()):
+            is_overdue = now_s >= request.deadline_s + OVERDUE_GRACE_S
+            if is_overdue and self.attempts.for_request(request) is None:
+                request.may_have_run |= request.sent_count > 0
+                self.responder.refuse(request, Refusal.TIMEOUT, now_s, overdue=1)
 
     def send_waiting(self, now_s: float) -> None:
         """Send the waiting requests for which there is capacity now."""
@@ -553,7 +564,7 @@
         self.responder.log("sent again", request, now_s, reason=reason.value)
         self._send(request, now_s)
 
-    def _recover(self, request: ActiveRequest, reason: RetryReason, now_s: float) -> None:
+    def recover(self, request: ActiveRequest, reason: RetryReason, now_s: float) -> None:
         """Retry or resume a request whose attempt may have run, or report an unknown outcome."""
         if request.route.repeatable and _may_continue(request) and self._take_retry(request, now_s):
             reason = RetryReason.RESUMED if request.headers_sent else reason
