--- a/tests/cover/test_bounded_input.py
+++ b/tests/cover/test_bounded_input.py
@@ -8,6 +8,7 @@
 
 import pytest
 from platform_site import Site
+from tiny_chunks import TinyChunks
 
 from coriandershelf_core.internal.gateway.actions import StartAttempt
 from coriandershelf_core.internal.gateway.events import AnswerRead, AttemptFailed, FailureCause
@@ -85,6 +86,30 @@
         await connection.send(b"X-More: " + b"y" * 1000 + b"\r\n")
 
 
+# Guards against a process that serves nobody while a replica sends tiny chunks without end: each
+# read was done at once, so neither other callers nor timers got a turn.
+@pytest.mark.parametrize("path", ["/book/1", "/ask/1"])
+def test_a_body_of_tiny_chunks_without_end_stops_no_other_caller(path):
+    async def scenario() -> None:
+        async with Site() as site:
+            service = "engine" if path == "/ask/1" else "plain"
+            sick = TinyChunks(b":" if service == "engine" else b"x")
+            site.register("sick", service, sick.address)
+            while site.application._gateway.pool.get("sick") is None:
+                await asyncio.sleep(0.01)
+            caller = await site.connect()
+            caller.send(path, request_id="sick")
+            while not sick.sent_bytes:
+                await asyncio.sleep(0)
+            response = await caller.read()
+            assert response.status == 502 or not response.complete
+            bounds = [line["bound"] for line in site.logs() if "bound" in line]
+            assert bounds == ["chunks"]
+            await asyncio.to_thread(sick.stop)
+
+    run(scenario)
+
+
 # Guards against a replica whose response has no end: it filled the memory, or kept the attempt for
 # as long as it sent.
 @pytest.mark.parametrize(
--- a/tests/cover/test_upstream_faults.py
+++ b/tests/cover/test_upstream_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from tiny_chunks import TinyChunks
 
 from coriandershelf_core.internal.vocabulary.actions import StartAttempt
 from coriandershelf_core.internal.vocabulary.events import (
@@ -55,6 +56,24 @@
     run(scenario)
 
 
+# Guards against a process that serves nobody while an upstream sends tiny chunks without end: no
+# read of one waited, so no other task got a turn.
+@pytest.mark.parametrize("kind", [ServiceKind.PLAIN, ServiceKind.MODEL])
+def test_a_body_of_tiny_chunks_without_end_fails_and_leaves_others_their_turn(kind):
+    async def scenario() -> None:
+        upstream = TinyChunks(b":")
+        attempt = asyncio.create_task(ask(ConnectionPool(), upstream.address, kind))
+        turns_count = 0
+        while not attempt.done():
+            await asyncio.sleep(0)
+            turns_count += bool(upstream.sent_bytes)
+        assert isinstance(attempt.result()[-1], AttemptFailed)
+        assert turns_count > 10
+        await asyncio.to_thread(upstream.stop)
+
+    run(scenario)
+
+
 # Guards against a connection that is used again though an answer to an earlier request is still to
 # come on it, or has come since: every later request on it would get the answer before its own.
 @pytest.mark.parametrize("late", [False, True])
