Duties: a fencing token or a reported window that any VM knows of is not used again

Cause: the next token was one above what this process had read itself, and fixed reports were known from the lease's record only; the store came back without the record of the holder between. Change: digests name the highest token and the newest window with a final report that their sender knows of, so both outlive their holder and the store's copy.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -74,6 +74,8 @@
     :param versions: the sender's counts of answers by version, by service.
     :param lease_end: end offset of the lease's partition, as known to the holder; 0 from others.
     :param released: the highest fencing token that the sender gave up: it never acts with it again.
+    :param token: no fencing token that the sender knows of is higher.
+    :param reported: the newest usage window whose report the sender knows to be final.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     :param digest_port: the port of the sender's host for digests; 0 if they go to ``address``.
     """
@@ -104,3 +106,5 @@
     versions: dict[str, VersionCounts] = field(default_factory=dict)
     lease_end: int = 0
     released: int = 0
+    token: int = 0
+    reported: int = 0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -53,6 +53,8 @@
     :param last_holder: the lease holder named in the most recent digest that named one.
     :param lease_end: end offset of the lease's partition while this VM holds it, else 0.
     :param released_number: the highest fencing token that this VM gave up.
+    :param highest_number: no fencing token that this VM knows of is higher.
+    :param reported_window: the newest usage window whose report this VM knows to be final.
     """
 
     stopping: bool
@@ -61,6 +63,8 @@
     last_holder: HolderInfo | None
     lease_end: int = 0
     released_number: int = 0
+    highest_number: int = 0
+    reported_window: int = 0
 
 
 class DigestExchange(Struct):
@@ -203,4 +207,6 @@
             versions=self.rollouts.counts(),
             lease_end=vm_status.lease_end,
             released=vm_status.released_number,
+            token=vm_status.highest_number,
+            reported=vm_status.reported_window,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/duty_lease.py
@@ -193,6 +193,13 @@
             if len(self._holder_ends) > HOLDER_ENDS_MAX_COUNT:
                 del self._holder_ends[next(iter(self._holder_ends))]
 
+    def on_known_number(self, number: int) -> None:
+        """Record a fencing token that another VM knows of.
+
+        The store may come back from an older copy, which lacks the record that took it.
+        """
+        self.highest_number = max(self.highest_number, number)
+
     def on_released(self, vm_id: str, number: int, now_s: float) -> None:
         """Record that another VM gave up a fencing token and will not act with it again."""
         if vm_id == self.vm_id or number <= self._released_by.get(vm_id, 0):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -133,6 +133,8 @@
         self.last_holder: HolderInfo | None = None
         self.lease_end = 0
         self.released_number = 0
+        self.highest_number = 0
+        self.reported_window = 0
         self.arrival_rates = ArrivalRates()
         self.stopping = False
         self._outbox: list[Action] = []
@@ -520,6 +522,8 @@
             self.last_holder,
             self.lease_end,
             self.released_number,
+            self.highest_number,
+            self.reported_window,
         )
         self._digest_exchange.send(vm_status, now_s, clock_s)
         self._update_entry_vms_count()
--- a/tests/cover/test_duty_lease.py
+++ b/tests/cover/test_duty_lease.py
@@ -98,6 +98,18 @@
     assert lease.next_record(()).fencing_number == 5
 
 
+# Guards against a token that two holders act under: the store came back from an older copy, which
+# lacks the record of the second one, and the first one takes the lease again.
+def test_a_token_that_another_vm_knows_of_is_never_taken():
+    lease = make_lease("vm-1")
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 10.0, 10.0)
+    lease.on_known_number(7)
+    lease.on_known_number(6)
+    lease.on_read(LeaseRecord("vm-1", 1, 4), 9, 11.0, 11.0)
+    lease.incarnation = 2
+    assert lease.next_record(()).fencing_number == 8
+
+
 # Guards against two changes of holder within a lease that lead back to the first one.
 def test_a_vm_does_not_take_a_given_up_term_soon_after_its_own():
     lease = make_lease("vm-1")
--- a/tests/cover/test_peer_input.py
+++ b/tests/cover/test_peer_input.py
@@ -203,6 +203,8 @@
         ({"clock_s": math.nan}, "clock_s, sequence or holder"),
         ({"sequence": -1}, "clock_s, sequence or holder"),
         ({"holder": HolderInfo("vm-2", -1)}, "clock_s, sequence or holder"),
+        ({"token": -1}, "token or reported"),
+        ({"reported": 2**60}, "token or reported"),
         ({"spent": {"c": math.inf}}, "spent"),
         ({"demand": {"c": math.nan}}, "demand"),
         ({"begun": {3: {"c": -1}}}, "begun"),
