Decayed sums: nothing is divided by what has decayed to zero

Cause: the part of a customer's demand at a VM decays to 0, and capacity is divided by it; the same in RoomRate.per_s after half an hour without a request, found by reading. Evidence: two tests fail on the code before (4 of 7 cases) and pass. Looked for elsewhere: no other division by a decayed sum without a floor in gateway/ (latency ratios, drain rate and flow have one).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/room_rate.py
@@ -87,7 +87,9 @@
             return per_s
         by_rank = {key: item.value(now_s) for key, item in self._sent_by_rank.items()}
         better = sum(count for key, count in by_rank.items() if key < rank)
-        return per_s * (1.0 - better / (sum(by_rank.values()) + PRIOR_WEIGHT_S * prior))
+        total = sum(by_rank.values()) + PRIOR_WEIGHT_S * prior
+        # After half an hour without a request all of these have decayed to zero.
+        return per_s * (1.0 - better / total) if total > 0.0 else per_s
 
 
 class Blocked(Struct, frozen=True):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -19,6 +19,8 @@
 # could hardly pass otherwise. A new bucket has as much, so that it admits any one request.
 NEEDED_LEVEL_MAX_SHARE = INITIAL_LEVEL_SHARE
 DEMAND_DECAY_S = 2.0
+# Lowest part of a customer's demand at this VM: capacity is divided by it.
+LOCAL_SHARE_MIN = 1e-6
 # A request leaves in the bucket what the customer's cheaper requests ask for in this time, up to a
 # share of the bucket's size. One long prompt costs as much as dozens of bookings, so while the cap
 # binds the long ones are refused first, and most callers are served.
@@ -168,13 +170,19 @@
         return demand
 
     def local_share(self, name: str, now_s: float) -> float:
-        """Return the part of a customer's demand that arrives at this VM; 1 if there is none."""
+        """Return the part of a customer's demand that arrives at this VM; 1 if there is none.
+
+        It is above zero also for a customer that has long asked at other VMs only: its requests
+        here are weighed by it.
+        """
         bucket = self._buckets.get(name)
         if bucket is None:
             return 1.0
         self._update_demand(bucket, 0.0, now_s)
         total = self._peer_demand_per_s.get(name, 0.0) + bucket.demand_per_s
-        return bucket.demand_per_s / total if total > 0.0 and bucket.demand_per_s > 0.0 else 1.0
+        if total <= 0.0 or bucket.demand_per_s <= 0.0:
+            return 1.0
+        return max(LOCAL_SHARE_MIN, bucket.demand_per_s / total)
 
     def _local_wait_s(self, name: str, bucket: _Bucket, now_s: float) -> float:
         """Limit this VM's usage between digests to its share of the demand.
--- a/tests/cover/test_gateway_caps.py
+++ b/tests/cover/test_gateway_caps.py
@@ -241,3 +241,21 @@
                 admitted[resumes] += now_s >= 4.0
     assert admitted[True] >= 0.9 * 160
     assert 40.0 * admitted[True] + 20.0 * admitted[False] >= 0.8 * RATE * 16.0
+
+
+# Guards against a process that cannot handle any request once another one waits: a customer that
+# asked here and then, for 25 minutes, at other VMs had a part of 0, by which capacity is divided.
+@pytest.mark.parametrize("tick_s", [0.05, 0.5, 1.9])
+def test_a_customer_that_long_asked_elsewhere_has_a_part_above_zero(tick_s: float):
+    caps, peer = UsageCaps(), UsageCaps()
+    for item in (caps, peer):
+        item.adopt((CUSTOMER,), 0.0)
+    caps.wait_s(CUSTOMER, 10.0, 0.0)
+    caps.spend(CUSTOMER, 10.0)
+    now_s, sequence = 0.0, 0
+    while now_s < 3_000.0:
+        now_s += tick_s
+        caps.local_share(CUSTOMER.name, now_s)
+    peer.wait_s(CUSTOMER, 500.0, now_s)
+    caps.on_digest(digest_of("vm-2", sequence + 1, peer, now_s), now_s)
+    assert 0.0 < caps.local_share(CUSTOMER.name, now_s) <= 1.0
--- a/tests/cover/test_waiting_requests.py
+++ b/tests/cover/test_waiting_requests.py
@@ -401,6 +401,15 @@
     assert rate.per_s(2, 20.0) == pytest.approx(5.0, rel=0.2)
 
 
+# Guards against an error at the first request after half an hour of silence: by then all that the
+# rate is divided by has decayed to zero.
+@pytest.mark.parametrize("silent_s", [0.0, 60.0, 3_600.0, 1e6])
+def test_the_rate_of_a_service_is_known_after_any_silence(silent_s: float):
+    rate = RoomRate()
+    rate.on_sent((0, 0, 1), 0.0)
+    assert rate.per_s(0, silent_s, (0, 0, 1)) >= 0.0
+
+
 def test_the_expected_wait_counts_pauses_that_end_at_a_known_time():
     assert expected_wait_s(3, 0.0, None, 0.0) == float("inf")
     assert expected_wait_s(3, 10.0, None, 0.0) == pytest.approx(0.3)
