--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
@@ -23,6 +23,10 @@
         "the body is larger than the configuration in force allows",
         "the limit in the configuration; send less or ask the operators to raise it",
     ),
+    "no-memory": (
+        "bodies that the VM holds took the memory that they may take together",
+        "the size of bodies and how many arrive at once; larger VMs, or a lower limit",
+    ),
     "header-too-large": (
         "the header fields are larger than the configuration in force allows",
         "the limit in the configuration; send fewer or shorter fields",
--- a/tests/cover/test_gateway_lines.py
+++ b/tests/cover/test_gateway_lines.py
@@ -104,6 +104,7 @@
     Refusal.UNKNOWN_KEY: lambda driver: driver.begin().ask("/read/1", key="other"),
     Refusal.BODY_TOO_LARGE: lambda driver: driver.begin().ask("/read/1", body_bytes=1 << 30),
     Refusal.HEADER_TOO_LARGE: lambda driver: driver.begin().ask("/read/1", header_bytes=1 << 20),
+    Refusal.NO_MEMORY: lambda driver: driver.begin().ask("/read/1", body_kept=False),
     Refusal.CAP: cap,
     Refusal.NO_REPLICA: lambda driver: driver.begin(plains=0).ask("/read/1"),
     Refusal.NO_ROOM: no_room,
