Streams: what is known of a replica's version ends with the start that it holds for

Cause: the version of a stream's origin, and of the replica where it goes on, was taken from the newest registration, however old, whatever process answers on the connection. Change: any sign that a process may have ended (a connection reset, refused, or found ended while idle, here or at another VM) puts the registered start in doubt. Under doubt a connection counts only if it was accepted while that start was known to run, by its answers, by the registry, or within the least time of a restart; resumed streams go to a replica without doubt, and wait for at most 3.5 s; a stream that begins under doubt keeps its origin open until the proof comes, and is refused as of unknown version elsewhere. Why it works: no connection outlives the process that accepted it.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -70,6 +70,7 @@
     SILENT = "silent"
     RESUMED = "resumed"
     LEFT = "left"
+    UNVERIFIED = "unverified"
 
 
 class StartAttempt(Struct, frozen=True):
@@ -82,6 +83,8 @@
         may be used.
     :param last_event_id: the event after which the replica resumes the stream.
     :param relay_address: the entry VM through which the replica is reached; ``None`` if directly.
+    :param connected_by_s: use only a connection that the replica had accepted by then, since a
+        later one may lead to another start of it; ``None`` if any start will do.
     """
 
     attempt_id: int
@@ -95,10 +98,11 @@
     needs_recent_connection: bool
     last_event_id: int | None = None
     relay_address: str | None = None
+    connected_by_s: float | None = None
 
 
 class ProbeReplica(Struct, frozen=True):
-    """Find out whether a replica accepts a direct connection, and close it again."""
+    """Find out whether a replica accepts a direct connection."""
 
     replica_id: str
     address: str
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -47,6 +47,7 @@
     :param slowdown: the replica's slowdown, reported in the response headers.
     :param relay_address: the entry VM through which the replica is reached, if any.
     :param paused: whether nothing is read from the replica because the caller is slow.
+    :param was_paused: whether it ever was, so that what is read may be old.
     :param events_count: events read from its stream.
     :param longest_gap_s: longest pause between two of them.
     :param judged: how it was counted in a roll-out of its service.
@@ -66,6 +67,7 @@
     first_event_at_s: float | None = None
     last_event_at_s: float = 0.0
     paused: bool = False
+    was_paused: bool = False
     slowdown: float | None = None
     relay_address: str | None = None
     events_count: int = 0
@@ -152,6 +154,7 @@
                 not request.route.repeatable,
                 resume_id if resume_id is not None else request.arrival.last_event_id,
                 attempt.relay_address,
+                None if request.software_version is None else state.evidence.connected_by_s,
             )
         )
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest.py
@@ -38,6 +38,16 @@
     pace_age_ms: int = 0
 
 
+class DoubtedStart(Struct, frozen=True):
+    """A start of a replica that may have ended, as the sender saw at its connections.
+
+    :param age_ms: time since it saw this.
+    """
+
+    started_at_ms: int
+    age_ms: int
+
+
 class ServiceRates(Struct, frozen=True):
     """Arrival rates and load of one service at one entry VM.
 
@@ -76,6 +86,7 @@
     :param released: the highest fencing token that the sender gave up: it never acts with it again.
     :param token: no fencing token that the sender knows of is higher.
     :param reported: the newest usage window whose report the sender knows to be final.
+    :param doubted: starts of replicas that may have ended, by replica id.
     :param complete: whether ``spent``, ``demand`` and ``work`` are set.
     :param digest_port: the port of the sender's host for digests; 0 if they go to ``address``.
     """
@@ -108,3 +119,4 @@
     released: int = 0
     token: int = 0
     reported: int = 0
+    doubted: dict[str, DoubtedStart] = field(default_factory=dict)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -28,6 +28,8 @@
     CLOSED = "closed"
     MALFORMED = "malformed"
     MISMATCHED = "mismatched"
+    # No connection is known to lead to the registered start of the replica.
+    UNVERIFIED = "unverified"
 
 
 class ReportedLoad(Struct, frozen=True):
@@ -91,6 +93,12 @@
     connected: bool
 
 
+class IdleConnectionsLost(Struct, frozen=True):
+    """The replica at an address ended connections that carried no request."""
+
+    address: str
+
+
 class AnswerRead(Struct, frozen=True):
     """A replica's response was read completely.
 
@@ -184,6 +192,16 @@
     after_outage: bool = False
 
 
+class RegistryProved(Struct, frozen=True):
+    """All registrations that were written before ``at_s`` have been read.
+
+    :param after_failure: whether the read before this one failed.
+    """
+
+    at_s: float
+    after_failure: bool = False
+
+
 class DigestArrived(Struct, frozen=True):
     """A digest from another entry VM was received."""
 
@@ -265,10 +283,12 @@
     | StreamEnded
     | AttemptFailed
     | ReplicaProbed
+    | IdleConnectionsLost
     | DeploymentRead
     | ConfigurationFetched
     | ConfigurationProved
     | ReplicasRead
+    | RegistryProved
     | DigestArrived
     | RoomMessageArrived
     | OriginMessageArrived
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -21,6 +21,7 @@
 )
 from coriandershelf_core.internal.gateway.arrival_rates import ArrivalRates
 from coriandershelf_core.internal.gateway.attempts import Attempts
+from coriandershelf_core.internal.gateway.awaited_starts import AwaitedStarts
 from coriandershelf_core.internal.gateway.clock_estimate import ClockEstimate
 from coriandershelf_core.internal.gateway.configuration_fetches import ConfigurationFetches
 from coriandershelf_core.internal.gateway.configuration_versions import ConfigurationVersions
@@ -40,9 +41,11 @@
     DigestArrived,
     EntryVmsRead,
     Event,
+    IdleConnectionsLost,
     OriginMessageArrived,
     OriginsAppended,
     OriginsRead,
+    RegistryProved,
     ReplicaProbed,
     ReplicasRead,
     RequestArrived,
@@ -204,6 +207,7 @@
             paths,
             self.admission,
             self.rollouts,
+            AwaitedStarts(self.pool),
             emit,
         )
         self._error_recovery = ErrorRecovery(
@@ -301,9 +305,10 @@
                 self.relay.on_ended(event, now_s)
             case AttemptFailed():
                 self.relay.on_failed(event, now_s)
-            case ReplicaProbed(replica_id, connected):
-                if connected:
-                    self.relay.paths.on_connected(replica_id, now_s)
+            case ReplicaProbed():
+                self.relay.on_probed(event, now_s)
+            case IdleConnectionsLost(address):
+                self.pool.on_idle_connections_lost(address, now_s)
             case CallerLeft(handle):
                 self.relay.on_caller_left(handle, now_s)
             case DigestArrived(digest):
@@ -323,6 +328,9 @@
                 self._fetches.on_fetched(vm_id, succeeded, now_s)
             case ReplicasRead():
                 self._on_replicas(event, now_s)
+            case RegistryProved(at_s, after_failure):
+                heartbeat_s = self.settings.replica_heartbeat_s
+                self.pool.on_registry_proved(at_s, after_failure, heartbeat_s)
             case OriginsRead():
                 self.relay.on_origins_read(event, now_s)
             case OriginsAppended(stored):
@@ -489,6 +497,7 @@
         for state in self.pool.on_left(digest.left):
             fields = (("replica", state.replica.replica_id), ("told_by", digest.vm_id))
             self._outbox.append(LogLine("replica leaves, as another VM read", fields))
+        self.pool.on_doubts(digest.doubted, now_s)
         for state in self.pool.on_limits(digest.limits, now_s):
             self.relay.log_limit(state, digest.vm_id)
         self.clock_estimate.on_clock(digest.vm_id, digest.clock_s, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
@@ -4,11 +4,16 @@
 
 from msgspec import Struct
 
+# The version of a stream while it is not known which start of its replica began it. No replica
+# registers it, so a VM that does not know its meaning resumes the stream nowhere.
+UNKNOWN_VERSION = "\0"
+
 
 class StreamOrigin(Struct, frozen=True):
     """Tells that the first event of a stream comes from a replica of a software version.
 
     :param stream_id: id of the caller's request that brings the first event.
+    :param version: ``UNKNOWN_VERSION`` if it is not known yet.
     """
 
     stream_id: str
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -8,9 +8,14 @@
 from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Replica
-from coriandershelf_core.internal.gateway.digest import ReplicaDigest
+from coriandershelf_core.internal.gateway.digest import DoubtedStart, ReplicaDigest
 from coriandershelf_core.internal.gateway.events import ReportedLoad
 from coriandershelf_core.internal.gateway.origin_messages import ServiceVersion
+from coriandershelf_core.internal.gateway.replica_start import (
+    EXPIRY_HEARTBEATS_COUNT,
+    REGISTRATION_SLACK_S,
+    StartEvidence,
+)
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest, RequestLimit
 
 # Registrations that expired during a store outage return within about two seconds of its end; a
@@ -68,6 +73,8 @@
     :param backoff_until_s: no requests are sent until then because the replica refused one.
     :param missing_since_s: when its registration vanished during a store outage.
     :param registered_at_s: when this VM learnt of the start that is registered.
+    :param evidence: what is known of whether the replica is still at that start.
+    :param successor: the next start under its id.
     """
 
     replica: Replica
@@ -95,6 +102,8 @@
     failures_at_s: float = 0.0
     missing_since_s: float | None = None
     registered_at_s: float | None = None
+    evidence: StartEvidence = field(default_factory=StartEvidence)
+    successor: ReplicaState | None = None
 
     @property
     def running_count(self) -> int:
@@ -116,6 +125,13 @@
             self.own_latency_ratio - self.peer_latency_ratio
         )
 
+    def at_start_of(self, connected_at_s: float | None) -> ReplicaState | None:
+        """Return the start to which a connection leads that works; ``None`` if it is not known."""
+        state: ReplicaState | None = self
+        while state is not None and not state.evidence.covers(connected_at_s):
+            state = state.successor
+        return state
+
     def on_peer_digests(self, digests: Sequence[ReplicaDigest], now_s: float) -> None:
         """Update from the other entry VMs' digests of this replica."""
         if not digests:
@@ -242,6 +258,8 @@
         # Starts of replicas that are known to leave, which is final for a start.
         self._leaving_starts: dict[str, int] = {}
         self._is_read = False
+        # Since when the registry has been read without a failure, up to the last read.
+        self._in_order_since_s = -math.inf
 
     def __iter__(self) -> Iterator[ReplicaState]:
         return iter(self._states.values())
@@ -316,23 +334,66 @@
             gone += [name for name in self._states if name not in replicas]
         for name, replica in replicas.items():
             if replica is not None:
-                self._put(name, replica, now_s)
+                state = self._put(name, replica, now_s)
+                if state.registered_at_s == now_s and not complete:
+                    state.evidence.on_alive(now_s)
                 if replica.leaving:
                     self._note_leaving(name, replica.started_at_ms)
                     self._left_at.setdefault(name, (replica.started_at_ms, now_s))
         left = []
         for name in gone:
-            state = self._states.get(name)
-            if state is None:
+            former = self._states.get(name)
+            if former is None:
                 continue
-            if after_outage and not state.leaving:
-                if state.missing_since_s is None:
-                    state.missing_since_s = now_s
+            if after_outage and not former.leaving:
+                if former.missing_since_s is None:
+                    former.missing_since_s = now_s
                 continue
-            self._left_at.setdefault(name, (state.replica.started_at_ms, now_s))
+            self._left_at.setdefault(name, (former.replica.started_at_ms, now_s))
             left.append(self._remove(name, now_s))
         return left
 
+    def on_registry_proved(self, at_s: float, after_failure: bool, heartbeat_s: float) -> None:
+        """Note that all registrations that were written before a time are known.
+
+        :param heartbeat_s: period at which replicas renew their registrations.
+        """
+        if after_failure:
+            self._in_order_since_s = at_s
+        in_order_s = at_s - self._in_order_since_s
+        if in_order_s <= max(heartbeat_s, REREGISTRATION_GRACE_S) + REGISTRATION_SLACK_S:
+            return
+        for state in self._states.values():
+            if state.missing_since_s is None:
+                state.evidence.on_no_other_registered(at_s - heartbeat_s - REGISTRATION_SLACK_S)
+                expiry_s = EXPIRY_HEARTBEATS_COUNT * heartbeat_s + REGISTRATION_SLACK_S
+                if in_order_s > expiry_s:
+                    # A start that had ended before would have expired.
+                    state.evidence.on_alive(at_s - expiry_s)
+
+    def on_idle_connections_lost(self, address: str, now_s: float) -> None:
+        """Note that a replica ended connections, as it does after an idle time or at its end."""
+        for state in self._states.values():
+            if state.replica.address == address:
+                state.evidence.on_doubt(now_s)
+
+    def doubts(self, now_s: float) -> dict[str, DoubtedStart]:
+        """Return the starts that may have ended, as this VM saw, for its digests."""
+        doubts: dict[str, DoubtedStart] = {}
+        for name, state in self._states.items():
+            at_s = state.evidence.shared_doubt_at_s(now_s)
+            if at_s is not None:
+                age_ms = max(0, round((now_s - at_s) * 1e3))
+                doubts[name] = DoubtedStart(state.replica.started_at_ms, age_ms)
+        return doubts
+
+    def on_doubts(self, doubts: dict[str, DoubtedStart], now_s: float) -> None:
+        """Note the starts that may have ended, as another VM saw."""
+        for name, doubt in doubts.items():
+            state = self._states.get(name)
+            if state is not None and state.replica.started_at_ms == doubt.started_at_ms:
+                state.evidence.on_doubt(now_s - doubt.age_ms / 1e3)
+
     def expire(self, now_s: float) -> list[ReplicaState]:
         """Remove replicas that did not register again after a store outage."""
         due = [
@@ -421,23 +482,31 @@
         if state is not None:
             state.leaving = True
 
-    def _put(self, name: str, replica: Replica, now_s: float) -> None:
-        state = self._states.get(name)
+    def _put(self, name: str, replica: Replica, now_s: float) -> ReplicaState:
+        former = self._states.get(name)
+        state = former
         if state is None or _start_of(state.replica) != _start_of(replica):
-            if state is not None:
-                self._note_version_left(state, now_s)
-                # Requests for which it was selected must not go to its successor unchecked.
-                state.leaving = True
-                if state.in_flight:
-                    self._departed[f"{name}@{state.replica.started_at_ms}"] = state
             state = ReplicaState(replica, RequestLimit(replica.replica_id), registered_at_s=now_s)
             self._states[name] = state
+            if former is not None:
+                self._replace(name, former, state, now_s)
         state.replica = replica
         # A replica never comes back from leaving; a delayed registration may still say that it is
         # ready.
         is_late = self._leaving_starts.get(name) == replica.started_at_ms
         state.leaving = state.leaving or replica.leaving or is_late
         state.missing_since_s = None
+        return state
+
+    def _replace(self, name: str, former: ReplicaState, state: ReplicaState, now_s: float) -> None:
+        """Take over that a replica has started again."""
+        self._note_version_left(former, now_s)
+        # Requests for which it was selected must not go to its successor unchecked.
+        former.leaving = True
+        former.successor = state
+        former.evidence.on_doubt(now_s)
+        if former.in_flight:
+            self._departed[f"{name}@{former.replica.started_at_ms}"] = former
 
     def _note_version_left(self, state: ReplicaState, now_s: float) -> None:
         replica = state.replica
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 from msgspec import Struct
@@ -12,6 +13,7 @@
     ForwardEvents,
     IncrementCounter,
     LogLine,
+    ProbeReplica,
     Refusal,
     RetryReason,
     StartStream,
@@ -24,6 +26,7 @@
     first_ms,
     gap_timeout_s,
 )
+from coriandershelf_core.internal.gateway.awaited_starts import AwaitedStarts
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
 from coriandershelf_core.internal.gateway.events import (
@@ -32,6 +35,7 @@
     FailureCause,
     MalformedHeader,
     OriginsRead,
+    ReplicaProbed,
     ResponseHeadRead,
     StreamEnded,
     StreamOpened,
@@ -42,6 +46,7 @@
 from coriandershelf_core.internal.gateway.load_tracking import AttemptStep, LoadReply, TrackedLoad
 from coriandershelf_core.internal.gateway.origin_batches import OriginBatches
 from coriandershelf_core.internal.gateway.origin_messages import (
+    UNKNOWN_VERSION,
     OriginBatch,
     OriginMessage,
     OriginsStored,
@@ -49,6 +54,7 @@
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.recorded_versions import RecordedVersions
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
+from coriandershelf_core.internal.gateway.replica_start import READ_LAG_S
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
@@ -90,9 +96,11 @@
     paths: ReplicaPaths
     admission: AdmissionControl
     rollouts: Rollouts
+    awaited_starts: AwaitedStarts
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
+    _ticked_at_s: float | None = None
 
     @property
     def active_requests(self) -> dict[int, ActiveRequest]:
@@ -133,6 +141,7 @@
             return
         state, stated = attempt.state, event.requests_max_per_s
         attempt.connected_at_s = event.connected_at_s
+        self._note_alive(attempt, now_s)
         if event.new_connection and attempt.relay_address is None:
             self.paths.on_connected(state.replica.replica_id, now_s)
         if event.leaving and self.pool.on_stated_leaving(state, now_s):
@@ -256,6 +265,10 @@
         if not event.events_count:
             self.emit(ForwardEvents(request.arrival.handle, event.payload))
             return
+        if attempt.first_event_at_s is None and not self._is_at_version(attempt):
+            self._leave_unverified(attempt, now_s)
+            return
+        self._note_alive(attempt, now_s)
         self._check_lateness(attempt, now_s)
         if attempt.first_event_at_s is not None:
             gap_s = now_s - attempt.last_event_at_s
@@ -277,6 +290,8 @@
                 slowdown=attempt.slowdown, latency_ratio=latency_ratio,
             )  # fmt: skip
             state.on_latency(taken_s, baseline_s, now_s, attempt.low_load)
+        elif request.is_origin_open:
+            self._note_origin(attempt, now_s)
         if attempt.silence_deadline_s is not None:
             attempt.silence_deadline_s = now_s + gap_timeout_s(request)
         if event.last_event_id is not None:
@@ -290,6 +305,7 @@
         if attempt is None:
             return
         attempt.paused = event.paused
+        attempt.was_paused = True
         attempt.last_event_at_s = now_s
         if attempt.silence_deadline_s is not None:
             attempt.silence_deadline_s = now_s + gap_timeout_s(attempt.request)
@@ -319,6 +335,10 @@
         request, state = attempt.request, attempt.state
         self.attempts.end(attempt, now_s, accepted=event.sent)
         request.last_failure = event.cause.value
+        if event.cause is FailureCause.UNVERIFIED:
+            self._on_unverified(attempt, now_s)
+            return
+        self._note_doubt(attempt, event.cause, now_s)
         if not event.sent:
             state.limit.on_unsent()
             request.sent_count -= 1
@@ -362,8 +382,75 @@
             if state.eject(now_s):
                 self._log_replica("replica unreachable", state)
 
+    def _note_alive(self, attempt: AttemptState, now_s: float) -> None:
+        """Note what a read on an attempt's connection tells of its replica's start."""
+        state = attempt.state.at_start_of(attempt.connected_at_s)
+        if state is None:
+            return
+        state.evidence.on_alive(attempt.started_at_s)
+        lag_s = math.inf if self._ticked_at_s is None else now_s - self._ticked_at_s
+        if lag_s < READ_LAG_S and not attempt.was_paused:
+            state.evidence.on_alive(now_s - READ_LAG_S)
+
+    def _note_doubt(self, attempt: AttemptState, cause: FailureCause, now_s: float) -> None:
+        """Note that the start of a replica may have ended when an attempt fails."""
+        evidence, replica = attempt.state.evidence, attempt.state.replica
+        is_direct = attempt.relay_address is None
+        if cause is FailureCause.CLOSED:
+            evidence.on_doubt(now_s, is_own=is_direct)
+            if is_direct and now_s <= evidence.confirmable_by_s:
+                self.emit(ProbeReplica(replica.replica_id, replica.address))
+        elif cause is FailureCause.CONNECT:
+            is_lost = self.paths.is_lost(replica.replica_id)
+            evidence.on_doubt(now_s, is_own=is_direct and not is_lost)
+
+    def on_probed(self, event: ReplicaProbed, now_s: float) -> None:
+        """Note whether a replica accepted a connection."""
+        if not event.connected:
+            return
+        self.paths.on_connected(event.replica_id, now_s)
+        state = self.pool.get(event.replica_id)
+        if state is not None:
+            state.evidence.on_connected(now_s)
+
+    def _on_unverified(self, attempt: AttemptState, now_s: float) -> None:
+        """Look for another replica for a request that was not sent, or let it wait."""
+        request, state = attempt.request, attempt.state
+        state.limit.on_unsent()
+        request.sent_count -= 1
+        request.tried_ids.discard(state.replica.replica_id)
+        request.unverified_ids.add(state.replica.replica_id)
+        reason = RetryReason.UNVERIFIED.value
+        self.emit(IncrementCounter("retries", reason))
+        self.responder.log("sent again", request, now_s, reason=reason)
+        self._send(request, now_s)
+
+    def _is_at_version(self, attempt: AttemptState) -> bool:
+        """Return whether an attempt that resumes a stream reached the version that began it."""
+        request = attempt.request
+        if request.software_version is None or not request.route.resumable:
+            return True
+        state = attempt.state.at_start_of(attempt.connected_at_s)
+        return state is not None and state.replica.software_version == request.software_version
+
+    def _leave_unverified(self, attempt: AttemptState, now_s: float) -> None:
+        """Resume a stream elsewhere, as the replica's start came into doubt meanwhile."""
+        request = attempt.request
+        self.attempts.cancel(attempt, now_s)
+        request.last_failure = FailureCause.UNVERIFIED.value
+        request.may_have_run = True
+        self.recover(request, RetryReason.UNVERIFIED, now_s)
+
     def on_tick(self, now_s: float) -> None:
         """Handle query time-outs, silent replicas and expired deadlines."""
+        self._ticked_at_s = now_s
+        for request in self.awaited_starts.pop_ready(now_s):
+            if self.responder.is_active(request):
+                self._send(request, now_s)
+        for request in self.awaited_starts.pop_overdue(now_s):
+            if self.responder.is_active(request):
+                version = request.software_version
+                self.responder.refuse(request, Refusal.NO_VERSION, now_s, version=version)
         for pending in self.load_queries.pop_overdue(now_s):
             self._resume_pending(pending, now_s)
         self.rollouts.on_tick(self.attempts.by_id.values(), now_s)
@@ -455,6 +542,9 @@
             return
         stream_id = request.arrival.resumes_id
         version = self.origins.version_of(stream_id) if stream_id is not None else None
+        if version == UNKNOWN_VERSION:
+            self.responder.refuse(request, Refusal.UNKNOWN_VERSION, now_s, resumes=stream_id)
+            return
         if version is None and (is_read or self.origins.was_read):
             # Without the origin, only a service that has had a single version is safe.
             version = self.pool.only_version(request.service, now_s)
@@ -478,6 +568,11 @@
             if not states:
                 self.responder.refuse(request, Refusal.NO_VERSION, now_s, version=version)
                 return
+            states = self.awaited_starts.usable(request, states, now_s)
+            if not states:
+                self.responder.log("start awaited", request, now_s, version=version)
+                self.awaited_starts.add(request, now_s)
+                return
         if not states:
             fields = _capacity_fields(states, now_s)
             self.responder.refuse(request, Refusal.NO_REPLICA, now_s, **fields)
@@ -616,21 +711,33 @@
     def _note_version(self, attempt: AttemptState, now_s: float) -> None:
         """Note the software version of a stream's replica when its first event arrives."""
         request, state = attempt.request, attempt.state
-        version = state.replica.software_version
         fields: dict[str, LogValue] = {
-            "version": version,
+            "version": state.replica.software_version,
             "connected_ms": _age_ms(attempt.connected_at_s, now_s),
             "registered_ms": _age_ms(state.registered_at_s, now_s),
+            "doubted": int(state.evidence.is_doubted),
         }
         if request.software_version is not None:
             resumes_id = request.arrival.resumes_id
             self.responder.log("stream resumed", request, now_s, resumes=resumes_id, **fields)
         elif request.route.resumable:
             self.responder.log("stream began", request, now_s, **fields)
-        request.software_version = version
         if request.route.resumable:
-            self.origins.begin(request.stream_id, version, now_s)
-            self.origin_batches.begin(request.stream_id, request.service, version, now_s)
+            request.is_origin_open = True
+            self._note_origin(attempt, now_s)
+            if request.is_origin_open:
+                self.origins.begin(request.stream_id, UNKNOWN_VERSION, now_s)
+                self.emit(IncrementCounter("stream_origins", "open"))
+
+    def _note_origin(self, attempt: AttemptState, now_s: float) -> None:
+        """Note the version that began a stream, if the start of its replica is known."""
+        state = attempt.state.at_start_of(attempt.connected_at_s)
+        if state is None:
+            return
+        request, version = attempt.request, state.replica.software_version
+        request.software_version, request.is_origin_open = version, False
+        self.origins.begin(request.stream_id, version, now_s)
+        self.origin_batches.begin(request.stream_id, request.service, version, now_s)
 
     def _record_failure(
         self, state: ReplicaState, now_s: float, error_route_kind: RouteKind | None = None
@@ -656,7 +763,9 @@
 
 def _may_continue(request: ActiveRequest) -> bool:
     """Return whether another attempt may go on with the response: no event comes twice."""
-    return request.bytes_sent == 0 or request.last_event_id is not None
+    if request.bytes_sent == 0:
+        return True
+    return request.last_event_id is not None and not request.is_origin_open
 
 
 def _is_stalled(attempt: AttemptState, now_s: float) -> bool:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -64,7 +64,9 @@
     :param tried_ids: ids of the replicas it was sent to.
     :param replica_id: the replica it was last sent to.
     :param software_version: version of the replica that made the caller's first event; ``None``
-        before that.
+        before that, or if it is not known.
+    :param is_origin_open: whether that version is not known yet.
+    :param unverified_ids: replicas to which no connection is known to lead to the registered start.
     :param rollout_counted: whether it was counted as sent during a roll-out of its service.
     :param last_failure: what went wrong there, for the log.
     :param error_response: a replica's error response, forwarded if no retry succeeds.
@@ -93,6 +95,8 @@
     connect_failures_count: int = 0
     replica_id: str | None = None
     software_version: str | None = None
+    is_origin_open: bool = False
+    unverified_ids: set[str] = field(default_factory=set)
     rollout_counted: bool = False
     last_failure: str | None = None
     error_response: ReplicaResponse | None = None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/settings.py
@@ -19,6 +19,7 @@
     :param canary_slack_count: requests that it may get in addition, over all entry VMs.
     :param rollback_s: time after a version's 50th bad answer within which it must get no more.
     :param expects_rollouts: whether the deployment bounds what a version without a verdict may get.
+    :param replica_heartbeat_s: period at which replicas renew their registrations.
     :param grace_s: time between the stop request and the end of the process.
     """
 
@@ -29,6 +30,7 @@
     denial_age_max_s: float = 1.6
     usage_window_s: float = 5.0
     grace_s: float = 8.0
+    replica_heartbeat_s: float = 1.2
     expose_share: float = 0.1
     canary_slack_count: float = 50.0
     rollback_s: float = 5.0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
@@ -26,6 +26,7 @@
 )
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.origin_messages import (
+    UNKNOWN_VERSION,
     OriginMessage,
     OriginQuery,
     OriginReply,
@@ -89,7 +90,10 @@
             self._send(vm_id, message)
 
     def version_of(self, stream_id: str) -> str | None:
-        """Return the version that began a stream, or ``None`` if this VM does not know."""
+        """Return the version that began a stream, or ``None`` if this VM does not know the stream.
+
+        It is ``UNKNOWN_VERSION`` if no VM knew it when the stream began.
+        """
         known = self._versions.get(stream_id)
         return known[0] if known is not None else None
 
@@ -197,8 +201,11 @@
         return self._pending.pop(reply.query_id).request
 
     def _put(self, stream_id: str, version: str, now_s: float) -> None:
-        """Store an origin; the first one known of a stream holds."""
-        self._versions.setdefault(stream_id, (version, now_s))
+        """Store an origin; the first known version of a stream holds."""
+        known = self._versions.get(stream_id)
+        if known is not None and known[0] != UNKNOWN_VERSION:
+            return
+        self._versions[stream_id] = (version, now_s)
         if len(self._versions) > ORIGINS_MAX_COUNT:
             self._versions.popitem(last=False)
 
--- a/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
+++ b/packages/coriandershelf-operator/src/coriandershelf_operator/internal/causes.py
@@ -81,4 +81,5 @@
         "the replica broke off its response; the stream resumed after its last complete event"
     ),
     "left": "the replica was removed before it had finished",
+    "unverified": "the replica may have started again, at another software version than before",
 }
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -46,7 +46,9 @@
     EntryVmsRead,
     Event,
     FailureCause,
+    IdleConnectionsLost,
     OriginMessageArrived,
+    RegistryProved,
     ReplicaProbed,
     ReplicasRead,
     RequestArrived,
@@ -108,6 +110,8 @@
 CRASH_S = 0.04
 RESTART_S = 3.0
 CONNECT_TIMEOUT_S = 0.3
+# VMs keep a connection that carries no request for this long.
+IDLE_CONNECTIONS_KEPT_S = 4.0
 
 
 @dataclass
@@ -119,6 +123,8 @@
     :param states_leaving: whether its responses state that it leaves.
     :param informed_at_s: when each VM first received such a response.
     :param pause_s: length of the pause that it asks for; it refuses all requests then.
+    :param is_down: whether it accepts no connections.
+    :param started_version: the version at which it started again under its id, if it did.
     """
 
     registration: Replica
@@ -129,11 +135,13 @@
     informed_at_s: dict[str, float] = field(default_factory=dict)
     pause_s: float | None = None
     pauses: list[StatedPause] = field(default_factory=list)
+    is_down: bool = False
+    started_version: str | None = None
 
     @property
     def version(self) -> str:
-        """Return its software version."""
-        return self.registration.software_version
+        """Return its software version, which a registration may state only later."""
+        return self.started_version or self.registration.software_version
 
     @property
     def limit(self) -> LimitedPeriod | None:
@@ -176,6 +184,7 @@
     :ivar crashing_parts: prompt parts under which replicas crash, by id.
     :ivar cuts: periods in which VMs had no path to replicas.
     :ivar first_tries: first tries of all requests without such a part.
+    :ivar store_away: whether no VM can read the registry.
     """
 
     def __init__(
@@ -202,6 +211,7 @@
         self.first_tries: list[FirstTry] = []
         self.cuts: list[CutPeriod] = []
         self._cut_vms: dict[str, str] = {}
+        self.store_away = False
         self._draw_shape = draw_shape
         self._loss_share = loss_share
         self._vms_count = vms_count
@@ -453,6 +463,8 @@
         if self.gateways.get(vm_id) is not gateway:
             return
         self._post(vm_id, gateway, ConfigurationProved(self.time.now_s))
+        if not self.store_away:
+            self._post(vm_id, gateway, RegistryProved(self.time.now_s))
         self._post(vm_id, gateway, Tick())
         self.time.at(TICK_S, lambda: self._tick(vm_id, gateway))
 
@@ -514,7 +526,8 @@
         self.time.at(delay_s, lambda: self._post(vm_id, gateway, event))
 
     def _probe(self, vm_id: str, gateway: Gateway, replica_id: str) -> None:
-        connected = replica_id in self.replicas and vm_id not in self._cut_vms
+        replica = self.replicas.get(replica_id)
+        connected = replica is not None and not replica.is_down and vm_id not in self._cut_vms
         event = ReplicaProbed(replica_id, connected)
         self.time.at(LINK_DELAY_S, lambda: self._post(vm_id, gateway, event))
 
@@ -527,10 +540,14 @@
             failed = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
             self.time.at(delay_s, lambda: self._post(vm_id, gateway, failed))
             return
-        if replica is None:
+        if replica is None or replica.is_down:
             event = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
             self._post(vm_id, gateway, event)
             return
+        if action.connected_by_s is not None and self.time.now_s > action.connected_by_s:
+            unverified = AttemptFailed(action.attempt_id, FailureCause.UNVERIFIED, sent=False)
+            self._post(vm_id, gateway, unverified)
+            return
         arrived = ArrivedRequest(self.time.now_s, relay_id or vm_id)
         replica.arrivals.append(arrived)
         crashing = self._crashing_part_of(action)
@@ -554,6 +571,8 @@
         after_s: float,
         response: Callable[[ModelReplica, str, Gateway, StartAttempt], None],
     ) -> None:
+        connected_at_s = self.time.now_s
+
         def send_head() -> None:
             limit = replica.limit
             per_s = None if limit is None else limit.per_s
@@ -561,7 +580,7 @@
             pause_s = replica.pause_s if refused else None
             head = ResponseHeadRead(
                 action.attempt_id, not refused, per_s, replica.states_leaving, pause_s,
-                new_connection=True,
+                new_connection=True, connected_at_s=connected_at_s,
             )  # fmt: skip
             self._post(vm_id, gateway, head)
             if replica.states_leaving:
@@ -639,6 +658,35 @@
 
         self.time.at(RESTART_S, restart)
 
+    def restart_in_place(
+        self, replica_id: str, version: str, down_s: float, registered_after_s: float
+    ) -> None:
+        """Crash a replica, which starts again under its id and address at another version.
+
+        :param registered_after_s: when its new registration is read, counted from its start.
+        """
+        replica = self.replicas[replica_id]
+        recent_s = self.time.now_s - IDLE_CONNECTIONS_KEPT_S
+        self.crash(replica_id)
+        replica.is_down = True
+        for vm_id in sorted({item.vm for item in replica.arrivals if item.at_s >= recent_s}):
+            if vm_id in self.gateways:
+                event = IdleConnectionsLost(replica.registration.address)
+                self._post(vm_id, self.gateways[vm_id], event)
+
+        def start() -> None:
+            replica.is_down, replica.started_version = False, version
+
+        def register() -> None:
+            started_at_ms = replica.registration.started_at_ms + 1
+            replica.registration = replace(
+                replica.registration, software_version=version, started_at_ms=started_at_ms
+            )
+            self._register({replica_id: replica.registration})
+
+        self.time.at(down_s, start)
+        self.time.at(down_s + registered_after_s, register)
+
     def crash(self, replica_id: str) -> None:
         """Break off everything that runs at a replica."""
         replica = self.replicas[replica_id]
--- a/tests/cover/test_gateway_lines.py
+++ b/tests/cover/test_gateway_lines.py
@@ -18,7 +18,13 @@
 )
 from coriandershelf_core.internal.gateway.deployment import Customer, Replica
 from coriandershelf_core.internal.gateway.digest import Digest
-from coriandershelf_core.internal.gateway.events import DigestArrived, ReplicasRead, StopAsked
+from coriandershelf_core.internal.gateway.events import (
+    AttemptFailed,
+    DigestArrived,
+    FailureCause,
+    ReplicasRead,
+    StopAsked,
+)
 
 
 def start(driver: GatewayDriver, path: str, **changes: object) -> int:
@@ -146,6 +152,11 @@
     driver.fail(attempt.attempt_id)
 
 
+def unverified(driver: GatewayDriver) -> None:
+    attempt = start(driver, "/plan/1", time_left_s=15.0)
+    driver.post(AttemptFailed(attempt, FailureCause.UNVERIFIED, sent=False))
+
+
 def silent(driver: GatewayDriver) -> None:
     start(driver, "/read/1")
     driver.run(0.9)
@@ -160,6 +171,7 @@
     RetryReason.SILENT: silent,
     RetryReason.RESUMED: resumed,
     RetryReason.LEFT: left,
+    RetryReason.UNVERIFIED: unverified,
 }
 
 
--- a/tests/support/rollout_site.py
+++ b/tests/support/rollout_site.py
@@ -18,6 +18,7 @@
     EndStream,
     ForwardEvents,
     LogLine,
+    ProbeReplica,
     RejectRequest,
     ScheduleTick,
     SendDigest,
@@ -46,8 +47,11 @@
     Event,
     FailureCause,
     OriginMessageArrived,
+    RegistryProved,
+    ReplicaProbed,
     ReplicasRead,
     RequestArrived,
+    ResponseHeadRead,
     RolloutOrdered,
     RolloutStateRead,
     RoomMessageArrived,
@@ -292,6 +296,7 @@
         if vm_id not in self.frozen:
             if not self.store.away:
                 self.post(vm_id, ConfigurationProved(self.time.now_s))
+                self.post(vm_id, RegistryProved(self.time.now_s))
             self.post(vm_id, Tick())
         self.time.at(TICK_S, lambda: self._tick(vm_id, gateway))
 
@@ -368,6 +373,10 @@
 
     def _perform(self, vm_id: str, gateway: Gateway, action: Action) -> None:
         match action:
+            case ProbeReplica(replica_id):
+                connected = self.replicas[replica_id].alive
+                event = ReplicaProbed(replica_id, connected)
+                self.time.at(LINK_S, lambda: self.post(vm_id, event))
             case StartAttempt():
                 self.time.at(LINK_S, lambda: self._run(vm_id, gateway, action))
             case CancelAttempt(attempt_id):
@@ -420,6 +429,11 @@
             failed = AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False)
             self.post(vm_id, failed)
             return
+        connected_at_s = self.time.now_s
+        if action.connected_by_s is not None and connected_at_s > action.connected_by_s:
+            unverified = AttemptFailed(action.attempt_id, FailureCause.UNVERIFIED, sent=False)
+            self.post(vm_id, unverified)
+            return
         request = self.requests[action.handle]
         version = replica.registration.software_version
         self.sent.append(Sent(self.time.now_s, request.sent_s, vm_id, version))
@@ -441,6 +455,8 @@
             status = 500 if fails else 200
             post(taken_s, AnswerRead(attempt_id, status, (), b"x", False, True), last=True)
             return
+        head = ResponseHeadRead(attempt_id, True, connected_at_s=connected_at_s)
+        post(taken_s, head)
         post(taken_s, StreamOpened(attempt_id, 200, ()))
         first = (action.last_event_id or 0) + 1
         at_s = taken_s
--- a/tests/support/wire_samples.py
+++ b/tests/support/wire_samples.py
@@ -53,6 +53,7 @@
         "parts": {"9223372036854775809": [[[4294967295, 400, 20]], 1500, True, [7, 8]]},
         "no_path": True, "holder": {"vm_id": "edge-2@10.0.0.2", "number": 41},
         "complete": True, "lease_end": 60, "released": 40, "token": 42, "reported": 353445120,
+        "doubted": {"i-3": {"started_at_ms": 1764850000222, "age_ms": 250}},
         "build": "0.1.0+1", "digest_port": 7501,
         "rollouts": {
             "engine": {
