Streams: an event whose id is not larger than the one before is not forwarded, and the stream goes on after the last sound one

Change: of a stream that may be resumed, events are forwarded up to the first one whose id is not larger than the last, or is missing or unreadable after one that was read; there the attempt ends as failed (cause event-ids), and another replica goes on after the last event that was forwarded. Why it works: the id that decides where to go on is that of the last event which its caller holds. A stream that may not be resumed passes unchanged, as its replica made it.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -85,6 +85,7 @@
     :param relay_address: the entry VM through which the replica is reached; ``None`` if directly.
     :param connected_by_s: use only a connection that the replica had accepted by then, since a
         later one may lead to another start of it; ``None`` if any start will do.
+    :param resumable: whether the stream may be resumed after an event, by the event's id.
     """
 
     attempt_id: int
@@ -99,6 +100,7 @@
     last_event_id: int | None = None
     relay_address: str | None = None
     connected_by_s: float | None = None
+    resumable: bool = False
 
 
 class ProbeReplica(Struct, frozen=True):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -155,6 +155,7 @@
                 resume_id if resume_id is not None else request.arrival.last_event_id,
                 attempt.relay_address,
                 None if request.software_version is None else state.evidence.connected_by_s,
+                request.route.resumable,
             )
         )
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -28,6 +28,8 @@
     CLOSED = "closed"
     MALFORMED = "malformed"
     MISMATCHED = "mismatched"
+    # The ids of a resumable stream's events do not increase.
+    EVENT_IDS = "event-ids"
     # No connection is known to lead to the registered start of the replica.
     UNVERIFIED = "unverified"
 
