--- a/tests/cover/test_bounded_input.py
+++ b/tests/cover/test_bounded_input.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 import tracemalloc
 
 import pytest
@@ -110,6 +111,32 @@
     run(scenario)
 
 
+# Guards against a process that serves nobody while it reads the events of one replica: a turn of
+# the loop was bounded in pieces, and a piece may hold thousands of events.
+def test_pieces_of_many_events_leave_other_tasks_their_turn():
+    async def scenario() -> None:
+        flood = TinyChunks(b"data:\n\n" * 8192)
+        pool = ConnectionPool(steady_s, lambda: None)
+        action = StartAttempt(
+            1, 1, "r-1", flood.address, 5.0, None, None, True, False, resumable=True
+        )
+        headers = (("Host", "x"), ("X-Request-Id", "id-1"))
+        request = ForwardedRequest("POST", "/x", headers, b"", "id-1")
+        reading = asyncio.create_task(
+            run_attempt(action, request, pool, lambda event: None, lambda handle: None)
+        )
+        longest_s, turn_at_s = 0.0, time.monotonic()
+        while not reading.done():
+            await asyncio.sleep(0.001)
+            now_s = time.monotonic()
+            longest_s, turn_at_s = max(longest_s, now_s - turn_at_s), now_s
+        assert flood.sent_bytes >= TinyChunks.MAX_BYTES
+        assert longest_s < 0.15
+        await asyncio.to_thread(flood.stop)
+
+    run(scenario)
+
+
 # Guards against a replica whose response has no end: it filled the memory, or kept the attempt for
 # as long as it sent.
 @pytest.mark.parametrize(
