Doubts of replicas' starts: the 32 newest in a digest, and no probe of a replica that leaves

A loss of all connections at the largest site (600 replicas) would have added 27 KB to each digest, more than its share of control traffic; a replica that leaves resets what is unfinished, which needs no new connection. Evidence: 46 bytes a start (encoded). Test: test_a_digest_tells_of_the_newest_doubts_only.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterable, Iterator, Sequence
+from heapq import nsmallest
 
 from msgspec import Struct, field
 
@@ -42,6 +43,9 @@
 LEAVING_STARTS_MAX_COUNT = 4096
 # Streams that began at a software version may be resumed for this long after its last replica left.
 VERSION_KEPT_S = 60.0
+# Starts in doubt of which a digest tells, the newest ones, so that a loss of all connections at the
+# largest site does not exceed a datagram.
+DOUBTS_MAX_COUNT = 32
 # A slowdown reported by a replica is sent to the peers for this long.
 SLOWDOWN_SHARED_S = 0.6
 
@@ -385,7 +389,10 @@
             if at_s is not None:
                 age_ms = max(0, round((now_s - at_s) * 1e3))
                 doubts[name] = DoubtedStart(state.replica.started_at_ms, age_ms)
-        return doubts
+        if len(doubts) <= DOUBTS_MAX_COUNT:
+            return doubts
+        newest = nsmallest(DOUBTS_MAX_COUNT, doubts, key=lambda name: doubts[name].age_ms)
+        return {name: doubts[name] for name in newest}
 
     def on_doubts(self, doubts: dict[str, DoubtedStart], now_s: float) -> None:
         """Note the starts that may have ended, as another VM saw."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -398,7 +398,7 @@
         is_direct = attempt.relay_address is None
         if cause is FailureCause.CLOSED:
             evidence.on_doubt(now_s, is_own=is_direct)
-            if is_direct and now_s <= evidence.confirmable_by_s:
+            if is_direct and not attempt.state.leaving and now_s <= evidence.confirmable_by_s:
                 self.emit(ProbeReplica(replica.replica_id, replica.address))
         elif cause is FailureCause.CONNECT:
             is_lost = self.paths.is_lost(replica.replica_id)
