--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -85,6 +85,7 @@
 from coriandershelf_core.internal.gateway.scaling import ServiceLoad
 from coriandershelf_core.internal.gateway.selection import ReplicaSelector
 from coriandershelf_core.internal.gateway.settings import RETRY_BUDGET_SHARE, GatewaySettings
+from coriandershelf_core.internal.gateway.start_tracking import StartTracking
 from coriandershelf_core.internal.gateway.stream_origins import StreamOrigins
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
 from coriandershelf_core.internal.gateway.usage_counts import UsageCounts
@@ -207,6 +208,7 @@
             paths,
             self.admission,
             self.rollouts,
+            StartTracking(self.pool, paths, emit),
             AwaitedStarts(self.pool),
             emit,
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Mapping, Sequence
 
 from msgspec import Struct
@@ -13,7 +12,6 @@
     ForwardEvents,
     IncrementCounter,
     LogLine,
-    ProbeReplica,
     Refusal,
     RetryReason,
     StartStream,
@@ -54,12 +52,12 @@
 from coriandershelf_core.internal.gateway.pool import Pool, ReplicaState
 from coriandershelf_core.internal.gateway.recorded_versions import RecordedVersions
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
-from coriandershelf_core.internal.gateway.replica_start import READ_LAG_S
 from coriandershelf_core.internal.gateway.request import ActiveRequest, ReplicaResponse
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
 from coriandershelf_core.internal.gateway.rollout_traffic import Rollouts
 from coriandershelf_core.internal.gateway.selection import CandidateSet, ReplicaSelector
+from coriandershelf_core.internal.gateway.start_tracking import StartTracking
 from coriandershelf_core.internal.gateway.stream_origins import StreamOrigins
 from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 
@@ -96,11 +94,11 @@
     paths: ReplicaPaths
     admission: AdmissionControl
     rollouts: Rollouts
+    starts: StartTracking
     awaited_starts: AwaitedStarts
     emit: Callable[[Action], None]
     entry_vms_count: int = 1
     deployment: Deployment | None = None
-    _ticked_at_s: float | None = None
 
     @property
     def active_requests(self) -> dict[int, ActiveRequest]:
@@ -141,7 +139,7 @@
             return
         state, stated = attempt.state, event.requests_max_per_s
         attempt.connected_at_s = event.connected_at_s
-        self._note_alive(attempt, now_s)
+        self.starts.on_read(attempt, now_s)
         if event.new_connection and attempt.relay_address is None:
             self.paths.on_connected(state.replica.replica_id, now_s)
         if event.leaving and self.pool.on_stated_leaving(state, now_s):
@@ -268,7 +266,7 @@
         if attempt.first_event_at_s is None and not self._is_at_version(attempt):
             self._leave_unverified(attempt, now_s)
             return
-        self._note_alive(attempt, now_s)
+        self.starts.on_read(attempt, now_s)
         self._check_lateness(attempt, now_s)
         if attempt.first_event_at_s is not None:
             gap_s = now_s - attempt.last_event_at_s
@@ -338,7 +336,7 @@
         if event.cause is FailureCause.UNVERIFIED:
             self._on_unverified(attempt, now_s)
             return
-        self._note_doubt(attempt, event.cause, now_s)
+        self.starts.on_failed(attempt, event.cause, now_s)
         if not event.sent:
             state.limit.on_unsent()
             request.sent_count -= 1
@@ -382,36 +380,12 @@
             if state.eject(now_s):
                 self._log_replica("replica unreachable", state)
 
-    def _note_alive(self, attempt: AttemptState, now_s: float) -> None:
-        """Note what a read on an attempt's connection tells of its replica's start."""
-        state = attempt.state.at_start_of(attempt.connected_at_s)
-        if state is None:
-            return
-        state.evidence.on_alive(attempt.started_at_s)
-        lag_s = math.inf if self._ticked_at_s is None else now_s - self._ticked_at_s
-        if lag_s < READ_LAG_S and not attempt.was_paused:
-            state.evidence.on_alive(now_s - READ_LAG_S)
-
-    def _note_doubt(self, attempt: AttemptState, cause: FailureCause, now_s: float) -> None:
-        """Note that the start of a replica may have ended when an attempt fails."""
-        evidence, replica = attempt.state.evidence, attempt.state.replica
-        is_direct = attempt.relay_address is None
-        if cause is FailureCause.CLOSED:
-            evidence.on_doubt(now_s, is_own=is_direct)
-            if is_direct and not attempt.state.leaving and now_s <= evidence.confirmable_by_s:
-                self.emit(ProbeReplica(replica.replica_id, replica.address))
-        elif cause is FailureCause.CONNECT:
-            is_lost = self.paths.is_lost(replica.replica_id)
-            evidence.on_doubt(now_s, is_own=is_direct and not is_lost)
-
     def on_probed(self, event: ReplicaProbed, now_s: float) -> None:
         """Note whether a replica accepted a connection."""
         if not event.connected:
             return
         self.paths.on_connected(event.replica_id, now_s)
-        state = self.pool.get(event.replica_id)
-        if state is not None:
-            state.evidence.on_connected(now_s)
+        self.starts.on_connected(event.replica_id, now_s)
 
     def _on_unverified(self, attempt: AttemptState, now_s: float) -> None:
         """Look for another replica for a request that was not sent, or let it wait."""
@@ -427,11 +401,8 @@
 
     def _is_at_version(self, attempt: AttemptState) -> bool:
         """Return whether an attempt that resumes a stream reached the version that began it."""
-        request = attempt.request
-        if request.software_version is None or not request.route.resumable:
-            return True
-        state = attempt.state.at_start_of(attempt.connected_at_s)
-        return state is not None and state.replica.software_version == request.software_version
+        version = attempt.request.software_version
+        return version is None or version == self.starts.version_of(attempt)
 
     def _leave_unverified(self, attempt: AttemptState, now_s: float) -> None:
         """Resume a stream elsewhere, as the replica's start came into doubt meanwhile."""
@@ -443,8 +414,8 @@
 
     def on_tick(self, now_s: float) -> None:
         """Handle query time-outs, silent replicas and expired deadlines."""
-        self._ticked_at_s = now_s
-        for request in self.awaited_starts.pop_ready(now_s):
+        self.starts.on_tick(now_s)
+        for request in self.awaited_starts.pop_ready():
             if self.responder.is_active(request):
                 self._send(request, now_s)
         for request in self.awaited_starts.pop_overdue(now_s):
@@ -731,10 +702,9 @@
 
     def _note_origin(self, attempt: AttemptState, now_s: float) -> None:
         """Note the version that began a stream, if the start of its replica is known."""
-        state = attempt.state.at_start_of(attempt.connected_at_s)
-        if state is None:
+        request, version = attempt.request, self.starts.version_of(attempt)
+        if version is None:
             return
-        request, version = attempt.request, state.replica.software_version
         request.software_version, request.is_origin_open = version, False
         self.origins.begin(request.stream_id, version, now_s)
         self.origin_batches.begin(request.stream_id, request.service, version, now_s)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/replica_start.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/replica_start.py
@@ -50,11 +50,8 @@
     @property
     def connected_by_s(self) -> float:
         """Return until when accepted connections that still work lead to this start."""
-        return self.proved_by_s if self.is_doubted else math.inf
-
-    @property
-    def proved_by_s(self) -> float:
-        """Return the same as far as it is proved, where nothing is presumed without doubt."""
+        if not self.is_doubted:
+            return math.inf
         return max(self.registered_by_s, self.confirmable_by_s)
 
     @property
