--- a/tests/cover/test_replica_start.py
+++ b/tests/cover/test_replica_start.py
@@ -62,33 +62,40 @@
     return sum(1 for stream in bench.streams if len(stream.versions) > 1)
 
 
-# Guards against streams that go on at a replica whose new version is not registered yet, and
-# against origins that are noted at the version before.
-@pytest.mark.parametrize("vms_count, seed", [(3, 0), (3, 1), (8, 2), (8, 3), (40, 4)])
-@pytest.mark.parametrize("registered_after_s", [1.0, 4.0])
-def test_no_stream_is_joined_where_replicas_restart_in_place(vms_count, seed, registered_after_s):
-    bench = GatewayBench(seed, vms_count, replicas_count=6, events_count=10)
-    bench.load(LOAD_PER_S, 4.0)
+def restart_replicas(bench: GatewayBench, per_s: float, registered_after_s: float) -> None:
+    """Let two replicas at a time restart in place while others break off their streams."""
+    bench.load(per_s, 4.0)
     for number in range(4):
         bench.store_away = registered_after_s > HEARTBEAT_S
         for index in (number % 6, (number + 1) % 6):
-            bench.restart_in_place(
-                f"replica-{index}",
-                f"v{2 + number}",
-                down_s=1.0,
-                registered_after_s=registered_after_s,
-            )
-        bench.load(LOAD_PER_S, 1.5)
+            bench.restart_in_place(f"replica-{index}", f"v{2 + number}", 1.0, registered_after_s)
+        bench.load(per_s, 1.5)
         # More replicas break off their streams meanwhile.
         bench.crash(f"replica-{(number + 2) % 6}")
         bench.crash(f"replica-{number % 6}")
-        bench.load(LOAD_PER_S, 1.5 + registered_after_s)
+        bench.load(per_s, 1.5 + registered_after_s)
         bench.store_away = False
-        bench.load(LOAD_PER_S, 3.0)
+        bench.load(per_s, 3.0)
+
+
+# Guards against streams that go on at a replica whose new version is not registered yet, and
+# against origins that are noted at the version before.
+@pytest.mark.parametrize("vms_count, seed", [(3, 0), (3, 1), (8, 2), (8, 3), (40, 4)])
+@pytest.mark.parametrize("registered_after_s", [1.0, 4.0])
+def test_no_stream_is_joined_where_replicas_restart_in_place(vms_count, seed, registered_after_s):
+    bench = GatewayBench(seed, vms_count, replicas_count=6, events_count=10)
+    restart_replicas(bench, LOAD_PER_S, registered_after_s)
     assert mixed_count(bench) <= MIXED_MAX_COUNT, f"seed {seed}: {mixed_count(bench)} joined"
     assert bench.resumptions.begun > 500
 
 
+# Guards against streams that go on at a replica which restarted while no VM was connected to it.
+def test_no_stream_is_joined_where_a_replica_restarts_that_no_vm_uses():
+    bench = GatewayBench(1, 3, replicas_count=6, events_count=30)
+    restart_replicas(bench, 30.0, 1.0)
+    assert mixed_count(bench) <= MIXED_MAX_COUNT, f"{mixed_count(bench)} joined"
+
+
 # Guards against streams that are lost because any broken connection casts doubt on its replica.
 @pytest.mark.parametrize("vms_count", [3, 8, 40])
 def test_streams_go_on_where_connections_break_and_no_replica_ends(vms_count):
