Logs: which refused requests take up a stream, what a cap had left, what a broken stream ends with

A resumption did not name the bytes after which it goes on, so that an event that is only nearly complete could not be told from a whole one.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
@@ -37,6 +37,7 @@
         self.responder.log(
             "request on a crashed replica", request, now_s,
             parts=parts, crashes=count, first_ms=first_ms(attempt),
+            events=attempt.events_count, in_flight=len(attempt.state.in_flight),
         )  # fmt: skip
         for part_id in found:
             self.emit(IncrementCounter("poisonous_parts", "found"))
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -78,7 +78,7 @@
 from coriandershelf_core.internal.gateway.relay import Relay
 from coriandershelf_core.internal.gateway.replica_paths import ReplicaPaths
 from coriandershelf_core.internal.gateway.request import ActiveRequest, Arrival
-from coriandershelf_core.internal.gateway.responder import RETRY_AFTER_SHARE, Responder
+from coriandershelf_core.internal.gateway.responder import RETRY_AFTER_SHARE, LogValue, Responder
 from coriandershelf_core.internal.gateway.response_ends import ResponseEnds
 from coriandershelf_core.internal.gateway.resumptions import Resumptions
 from coriandershelf_core.internal.gateway.retry_allowance import RetryAllowance
@@ -418,7 +418,11 @@
         if customer is not None:
             wait_s = self.caps.wait_s(customer, request.cost, now_s, request.resumes_stream)
             if wait_s > 0.0:
-                self._refuse(arrival, Refusal.CAP, wait_s, now_s)
+                level = round(self.caps.level(customer))
+                self._refuse(
+                    arrival, Refusal.CAP, wait_s, now_s,
+                    customer=customer.name, cost=request.cost, level=level,
+                )  # fmt: skip
                 return
         self.arrival_rates.add_arrival(request.service, arrival.prompt_tokens, now_s)
         self.relay.begin(request, now_s)
@@ -441,21 +445,28 @@
         retry_after_s: float | None,
         now_s: float,
         detail: str = "",
+        **more: LogValue,
     ) -> None:
+        """Reject a request that was not admitted.
+
+        :param more: further fields of the log line.
+        """
         if retry_after_s is not None and arrival.time_left_s is not None:
             retry_after_s = min(retry_after_s, arrival.time_left_s * RETRY_AFTER_SHARE)
         self._outbox.append(RejectRequest(arrival.handle, refusal, retry_after_s, detail))
         self._emit_count("refusals", refusal.value)
         fields = (
             ("request_id", arrival.request_id),
+            ("resumes", arrival.resumes_id),
             ("reason", refusal.value),
+            ("detail", detail or None),
             ("version", self.deployment.version if self.deployment is not None else None),
             (
                 "configuration_age_ms",
                 round(min(1e6, (now_s - self._versions.confirmed_at_s)) * 1e3),
             ),
         )
-        self._outbox.append(LogLine("refused", fields))
+        self._outbox.append(LogLine("refused", fields + tuple(more.items())))
 
     def _on_deployment(self, deployment: Deployment, now_s: float) -> None:
         if self.deployment is not None and deployment.version <= self.deployment.version:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -68,6 +68,8 @@
 CONNECT_RETRIES_MAX_COUNT = 4
 SERVER_ERROR = 500
 HEADER_LOGGED_MAX_CHARACTERS = 40
+# The end of an event takes up to four bytes.
+TAIL_LOGGED_BYTES = 4
 
 
 class Relay(Struct):
@@ -288,6 +290,7 @@
         if attempt is None:
             return
         request, state = attempt.request, attempt.state
+        request.sent_tail = event.payload[-TAIL_LOGGED_BYTES:]
         if not event.events_count:
             self.emit(ForwardEvents(request.arrival.handle, event.payload))
             return
@@ -621,7 +624,9 @@
             self.responder.refuse(request, Refusal.POISON, now_s)
             return
         self.emit(IncrementCounter("retries", reason.value))
-        self.responder.log("sent again", request, now_s, reason=reason.value)
+        after = {"after_id": request.last_event_id, "tail": request.sent_tail.hex()}
+        fields = after if request.headers_sent else {}
+        self.responder.log("sent again", request, now_s, reason=reason.value, **fields)
         self.send(request, now_s)
 
     def recover(self, request: ActiveRequest, reason: RetryReason, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -61,6 +61,7 @@
     :param headers_sent: whether the headers of a stream were sent to the caller.
     :param usage_counted: whether it was counted for the usage report.
     :param missed_objective: whether it has missed its latency objective.
+    :param sent_tail: last bytes of the stream that were sent to the caller, for the log.
     :param tried_ids: ids of the replicas it was sent to.
     :param replica_id: the replica it was last sent to.
     :param software_version: version of the replica that made the caller's first event; ``None``
@@ -91,6 +92,7 @@
     missed_objective: bool = False
     last_event_id: int | None = None
     bytes_sent: int = 0
+    sent_tail: bytes = b""
     tried_ids: set[str] = field(default_factory=set)
     connect_failures_count: int = 0
     replica_id: str | None = None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
@@ -107,6 +107,8 @@
             retry_after_s = self.retry_after_s(request, refusal, now_s)
         self.emit(RejectRequest(request.arrival.handle, refusal, retry_after_s))
         self.emit(IncrementCounter("refusals", refusal.value))
+        # Some callers of this method name the stream themselves.
+        fields.setdefault("resumes", request.arrival.resumes_id)
         self.log("refused", request, now_s, reason=refusal.value, **fields)
         self.remove(request)
 
@@ -114,7 +116,7 @@
         """Abort a stream so that the caller sees it as incomplete."""
         self.emit(AbortStream(request.arrival.handle))
         self.emit(IncrementCounter("streams_broken"))
-        self.log("stream broken", request, now_s)
+        self.log("stream broken", request, now_s, resumes=request.arrival.resumes_id)
         self.remove(request)
 
     def _observe(self, request: ActiveRequest, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/usage_caps.py
@@ -116,6 +116,10 @@
             return max(0.05, (needed - bucket.level) / bucket.rate_per_s)
         return self._local_wait_s(customer.name, bucket, now_s)
 
+    def level(self, customer: Customer) -> float:
+        """Return the usage that a customer has left, in the unit of its cap."""
+        return self._buckets[customer.name].level
+
     def spend(self, customer: Customer, cost: float) -> None:
         """Charge a request; a negative cost refunds one that did not run."""
         bucket = self._buckets[customer.name]
