--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 MINUTES ?= 0.5
 BIN := .venv/bin
 PACKAGES := core wire entry operator rig
-TOOLS := black ruff mypy pytest hypothesis rope types-PyYAML types-protobuf grpc-stubs
+TOOLS := black ruff mypy pytest hypothesis rope types-PyYAML types-protobuf grpc-stubs \
+	sseclient-py httpx httpx-sse
 
 .PHONY: test lint demo soak fault-soak setup generate format
 
--- /dev/null
+++ b/tests/cover/test_stock_parsers.py
@@ -0,0 +1,144 @@
+"""What stock clients of server-sent events read of streams that were broken off and resumed."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Sequence
+
+import httpx
+import pytest
+import sseclient
+from httpx_sse import EventSource
+from platform_site import HOST_NAME, KEY, Site
+
+from coriandershelf_platform.sse import EventCutter, EventIds
+from coriandershelf_rig.internal.standin_replica import chunk, receipt_head
+
+LINE_ENDS = {"lf": b"\n", "crlf": b"\r\n", "cr": b"\r"}
+EVENTS_COUNT = 3
+EXPECTED = [(str(number), f"n{number}") for number in range(1, EVENTS_COUNT + 1)]
+
+Events = list[tuple[str | None, str]]
+
+
+def event(event_id: int, line_end: bytes) -> bytes:
+    return line_end.join([b"id: %d" % event_id, b"data: n%d" % event_id, b"", b""])
+
+
+def events_after(event_id: int, line_end: bytes) -> bytes:
+    return b"".join(event(number, line_end) for number in range(event_id + 1, EVENTS_COUNT + 1))
+
+
+def read_by_sseclient(parts: Sequence[bytes]) -> Events:
+    return [(item.id, item.data) for item in sseclient.SSEClient(iter(parts)).events()]
+
+
+def read_by_httpx(parts: Sequence[bytes]) -> Events:
+    headers = {"Content-Type": "text/event-stream"}
+    source = EventSource(httpx.Response(200, headers=headers, content=iter(parts)))
+    # The standard drops events without data; this client yields them.
+    return [(item.id, item.data) for item in source.iter_sse() if item.data]
+
+
+READERS = {"sseclient-py": read_by_sseclient, "httpx-sse": read_by_httpx}
+
+
+def forward(received: Sequence[bytes], after_id: int) -> tuple[list[bytes], int]:
+    """Return what is forwarded of a run's bytes, and after which event its stream goes on."""
+    cutter, ids, parts = EventCutter(), EventIds(after_id), []
+    for data in received:
+        events = cutter.feed(data)
+        sound = None if events is None else ids.sound_part(events)
+        if sound is not None:
+            parts.append(sound.payload)
+            after_id = sound.last_event_id or after_id
+    return parts, after_id
+
+
+def pieces(data: bytes, size: int) -> list[bytes]:
+    return [data[begin : begin + size] for begin in range(0, len(data), size)]
+
+
+# Guards against an event that a client never gets, or gets joined with the next one, since the run
+# that sent it broke off between the CR and the LF at its end.
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("resumed_end", LINE_ENDS)
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_stream_is_whole_after_a_run_that_broke_off_at_any_byte(line_end, resumed_end, reader):
+    whole = events_after(0, LINE_ENDS[line_end])
+    spoilt = {}
+    for cut, size in itertools.product(range(len(whole) + 1), (1, 2, 5, len(whole))):
+        parts, last_id = forward(pieces(whole[:cut], size), 0)
+        resumed, _ = forward([events_after(last_id, LINE_ENDS[resumed_end])], last_id)
+        events = READERS[reader](parts + resumed)
+        if events != EXPECTED:
+            spoilt[cut, size] = events
+    assert spoilt == {}
+
+
+# Guards against the same between two runs of which the second one breaks off too.
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_stream_is_whole_after_two_runs_that_broke_off(line_end, reader):
+    end = LINE_ENDS[line_end]
+    spoilt = {}
+    for cut, cut_again in itertools.product(range(len(events_after(0, end)) + 1), repeat=2):
+        parts, last_id = forward([events_after(0, end)[:cut]], 0)
+        again, last_id = forward([events_after(last_id, end)[:cut_again]], last_id)
+        rest, _ = forward([events_after(last_id, end)], last_id)
+        events = READERS[reader](parts + again + rest)
+        if events != EXPECTED:
+            spoilt[cut, cut_again] = events
+    assert spoilt == {}
+
+
+# Guards against events that are held back until the next one comes, which a pause may delay.
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_each_event_is_forwarded_once_its_last_byte_is_received(line_end):
+    cutter = EventCutter()
+    for number in range(1, EVENTS_COUNT + 1):
+        data = event(number, LINE_ENDS[line_end])
+        forwarded = [cutter.feed(data[at : at + 1]) for at in range(len(data))]
+        assert forwarded[-1] is not None and forwarded[-1].payload.endswith(data[-1:])
+        assert forwarded[-1].last_event_id == number and not cutter.mid_event
+
+
+# Guards against the same faults in what a VM sends to a client over the network.
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_client_of_a_vm_reads_every_event_once_after_a_run_that_broke_off(line_end):
+    end = LINE_ENDS[line_end]
+    # From an end of one event to that of the next one.
+    first = len(event(1, end))
+    cuts = range(first - len(end) - 1, first + len(event(2, end)) + 1)
+    broken: set[str] = set()
+
+    async def script(request, connection) -> None:
+        after_id = int(request.headers.get("last-event-id", "0"))
+        head = receipt_head(request, Transfer_Encoding="chunked", Content_Type="text/event-stream")
+        await connection.send(head + b"\r\n")
+        if request.target in broken:
+            await connection.send(chunk(events_after(after_id, end)) + b"0\r\n\r\n")
+            return
+        broken.add(request.target)
+        cut = int(request.target.rpartition("/")[2])
+        await connection.send(chunk(events_after(0, end)[:cut]))
+        connection.close()
+
+    async def read(client: httpx.AsyncClient, url: str, cut: int) -> list[bytes]:
+        headers = {"Host": HOST_NAME, "X-Api-Key": KEY, "X-Deadline-Ms": "8000"}
+        headers["X-Request-Id"] = f"id-{cut}"
+        async with client.stream("POST", f"{url}/plan/{cut}", headers=headers) as response:
+            assert response.status_code == 200
+            return [part async for part in response.aiter_bytes()]
+
+    async def scenario() -> None:
+        async with Site(renews=True) as site, httpx.AsyncClient() as client:
+            for _ in range(2):
+                await site.add_replica("engine", script)
+            for cut in cuts:
+                parts = await read(client, f"http://{site.settings.listen.front}", cut)
+                for name, read_events in READERS.items():
+                    assert read_events(parts) == EXPECTED, f"{name}, cut after byte {cut}"
+
+    asyncio.run(asyncio.wait_for(scenario(), 60.0))
