--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -104,6 +104,16 @@
         assert forwarded[-1].last_event_id == number and not cutter.mid_event
 
 
+# Guards against a whole stream that looks broken off, or loses its last bytes, since a CR ends it.
+@pytest.mark.parametrize("tail", [b": done\r", b"\r", b"id: 4\r\ndata: n4\r\n\r"])
+def test_the_end_of_a_complete_response_ends_a_line_that_ends_with_cr(tail):
+    cutter = EventCutter()
+    assert cutter.feed(event(1, b"\r\n") + tail).payload == event(1, b"\r\n")
+    last = cutter.finish()
+    assert last is not None and last.payload == tail and not cutter.mid_event
+    assert last.last_event_id == (4 if b"id" in tail else None)
+
+
 # Guards against the same faults in what a VM sends to a client over the network.
 @pytest.mark.parametrize("line_end", LINE_ENDS)
 def test_a_client_of_a_vm_reads_every_event_once_after_a_run_that_broke_off(line_end):
