Streams without length: one that ends after a comment has been broken off

Cause: comments are forwarded as they come, so that nothing was held as the connection ended, and a response with neither length nor chunks counted as whole.

Why it works: every block of lines ends with an empty line in this format, so a block that was begun shows that more was to come.

--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -152,3 +152,43 @@
                     assert read_events(parts) == EXPECTED, f"{name}, cut after byte {cut}"
 
     asyncio.run(asyncio.wait_for(scenario(), 60.0))
+
+
+# Guards against a half of a stream that looks complete: it has no length, and ends after a comment
+# whose block of lines has no end yet.
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_stream_without_length_that_ends_within_comments_is_broken_off(line_end):
+    end = LINE_ENDS[line_end]
+
+    async def script(request, connection) -> None:
+        if request.target == "/health":
+            await connection.send(receipt_head(request) + b"Content-Length: 0\r\n\r\n")
+            return
+        await connection.send(receipt_head(request) + b"\r\n" + event(1, end))
+        # Events that arrive later show that the connection for checks leads to the same process.
+        await asyncio.sleep(0.6)
+        await connection.send(event(2, end) + b": more follows" + end)
+        connection.close()
+
+    async def scenario() -> None:
+        async with Site(renews=True) as site:
+            await site.add_replica("engine", script)
+            response = await site.request("/ask/1", "id-1")
+            assert not response.complete and response.body.startswith(event(1, end) + event(2, end))
+
+    asyncio.run(asyncio.wait_for(scenario(), 30.0))
+
+
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_comments_are_within_a_block_until_an_empty_line_ends_it(line_end):
+    end = LINE_ENDS[line_end]
+    cutter = EventCutter()
+    for data, is_within in (
+        (event(1, end), False),
+        (b": a" + end + b": b" + end, True),
+        (end, False),
+        (b": a" + end + event(2, end), False),
+        (event(3, end) + b": a" + end * 2 + b": b" + end, True),
+    ):
+        cutter.feed(data)
+        assert cutter.mid_block == is_within, data
