Streams: a byte order mark at the start of a replica's response is no part of an event

Change: ids are read behind the mark, and a run that goes on within a response is forwarded without one, since it is a mark at the start of a response only.

Found by reading; no run of a replica that writes one is known.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -92,6 +92,7 @@
     :param required_start_ms: send the request to this start of the replica only; ``None`` if any
         start will do.
     :param accepts_no_start: whether a replica will do as well that does not state its start.
+    :param continues_response: whether the caller has a part of the response already.
     """
 
     attempt_id: int
@@ -110,6 +111,7 @@
     asks_start: bool = False
     required_start_ms: int | None = None
     accepts_no_start: bool = False
+    continues_response: bool = False
 
 
 class ProbeReplica(Struct, frozen=True):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -184,6 +184,7 @@
                 asks_start,
                 state.start_ms if is_bound and asks_start else None,
                 accepts_no_start,
+                bool(request.sent_tail),
             )
         )
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -69,7 +69,7 @@
 SERVER_ERROR = 500
 HEADER_LOGGED_MAX_CHARACTERS = 40
 # The end of an event takes up to four bytes.
-TAIL_LOGGED_BYTES = 4
+TAIL_KEPT_BYTES = 4
 
 
 class Relay(Struct):
@@ -290,7 +290,7 @@
         if attempt is None:
             return
         request, state = attempt.request, attempt.state
-        request.sent_tail = event.payload[-TAIL_LOGGED_BYTES:]
+        request.sent_tail = event.payload[-TAIL_KEPT_BYTES:]
         if not event.events_count:
             self.emit(ForwardEvents(request.arrival.handle, event.payload))
             return
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -61,7 +61,7 @@
     :param headers_sent: whether the headers of a stream were sent to the caller.
     :param usage_counted: whether it was counted for the usage report.
     :param missed_objective: whether it has missed its latency objective.
-    :param sent_tail: last bytes of the stream that were sent to the caller, for the log.
+    :param sent_tail: last bytes of the stream that were sent to the caller.
     :param tried_ids: ids of the replicas it was sent to.
     :param replica_id: the replica it was last sent to.
     :param software_version: version of the replica that made the caller's first event; ``None``
--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -12,7 +12,7 @@
 from httpx_sse import EventSource
 from platform_site import HOST_NAME, KEY, Site
 
-from coriandershelf_platform.sse import EventCutter, EventIds
+from coriandershelf_platform.sse import BYTE_ORDER_MARK, EventCutter, EventIds
 from coriandershelf_rig.internal.standin_replica import chunk, receipt_head
 
 LINE_ENDS = {"lf": b"\n", "crlf": b"\r\n", "cr": b"\r"}
@@ -192,3 +192,29 @@
     ):
         cutter.feed(data)
         assert cutter.mid_block == is_within, data
+
+
+# Guards against a stream that ends broken, or without an id, since its replica writes a byte order
+# mark first: it is one at the start of a response only.
+@pytest.mark.parametrize("event_ids", [(1,), (1, 2)])
+def test_a_stream_goes_on_at_replicas_that_write_a_byte_order_mark(event_ids):
+    async def script(request, connection) -> None:
+        after_id = int(request.headers.get("last-event-id", "0"))
+        head = receipt_head(request, Transfer_Encoding="chunked")
+        await connection.send(head + b"\r\n" + chunk(BYTE_ORDER_MARK))
+        if after_id:
+            await connection.send(chunk(events_after(after_id, b"\n")) + b"0\r\n\r\n")
+            return
+        for number in event_ids:
+            await connection.send(chunk(event(number, b"\n")))
+        connection.close()
+
+    async def scenario() -> None:
+        async with Site(renews=True) as site:
+            for _ in range(2):
+                await site.add_replica("engine", script)
+            response = await site.request("/plan/1", "id-1")
+            assert response.complete
+            assert response.body == BYTE_ORDER_MARK + events_after(0, b"\n")
+
+    asyncio.run(asyncio.wait_for(scenario(), 30.0))
