Crash suspects: a stream that ran for a while did not crash its replica

Cause: each request in flight as a replica ends counted as a suspect, also a stream that had run there for seconds. Five replicas ended within 0.6 s, and who had run at three of them was taken for poison.

Of 54 suspects 29 had brought eight events or more, 14 none.

Change: an attempt that has brought eight events is no suspect, neither its request nor its prompt's parts, as at the product's own border (quarantine.py).

The test of it fails with the condition taken out.

Why it works: what crashes replicas does so as they begin to run it. A request that does is still refused after three crashes (test_a_stream_that_crashes_replicas_after_ its_first_events_is_refused, test_poisonous_parts).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
@@ -14,6 +14,10 @@
 from coriandershelf_core.internal.gateway.request import ActiveRequest, Arrival
 from coriandershelf_core.internal.gateway.responder import Responder
 
+# An attempt with as many events ran without crashing its replica: what crashes replicas does so as
+# they begin to run it.
+PROVEN_EVENTS_COUNT = 8
+
 
 class CrashSuspects(Struct):
     """Evidence of this VM and its peers on what crashes replicas.
@@ -27,12 +31,17 @@
     emit: Callable[[Action], None]
 
     def on_crash(self, attempt: AttemptState, now_s: float) -> None:
-        """Record an attempt whose replica broke its connection."""
+        """Record an attempt whose replica broke its connection.
+
+        Others that were in flight there may be the cause, or none of them.
+        """
         request = attempt.request
         arrival, replica = request.arrival, attempt.state.replica
-        count = self.requests.on_crash(arrival.fingerprint, now_s)
-        start = f"{replica.replica_id}/{replica.started_at_ms}"
-        found = self.parts.on_crash(arrival.parts, start, attempt.started_at_s, now_s)
+        count, found = 0, []
+        if attempt.events_count < PROVEN_EVENTS_COUNT:
+            count = self.requests.on_crash(arrival.fingerprint, now_s)
+            start = f"{replica.replica_id}/{replica.started_at_ms}"
+            found = self.parts.on_crash(arrival.parts, start, attempt.started_at_s, now_s)
         parts = ",".join(part.part_id for part in arrival.parts)
         self.responder.log(
             "request on a crashed replica", request, now_s,
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from gateway_driver import GatewayDriver, make_deployment
+from gateway_driver import PLAN, GatewayDriver, make_deployment
 from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
@@ -17,6 +17,7 @@
     StartStream,
     Stopped,
 )
+from coriandershelf_core.internal.gateway.crash_suspects import PROVEN_EVENTS_COUNT
 from coriandershelf_core.internal.gateway.deployment import Customer
 from coriandershelf_core.internal.gateway.events import (
     CallerLeft,
@@ -24,7 +25,9 @@
     ReplicasRead,
     StopAsked,
 )
+from coriandershelf_core.internal.gateway.poison_requests import CRASHES_MAX_COUNT
 from coriandershelf_core.internal.gateway.relay import CONNECT_RETRIES_MAX_COUNT
+from coriandershelf_core.internal.gateway.request import PromptPart
 from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 
 
@@ -190,6 +193,44 @@
     assert driver.refusals(handle)[0].refusal is Refusal.POISON
 
 
+# Guards against a caller that is refused its stream, as one whose prompt crashes replicas, after
+# replicas that had run it for a while crashed for another reason.
+def test_a_stream_that_ran_for_a_while_is_no_suspect_when_its_replica_crashes():
+    driver = GatewayDriver().begin(engines=8)
+    shared = (PromptPart("session", 200), PromptPart("own", 20))
+    changes: dict[str, object] = {}
+    event_id = 0
+    for crashes_count in range(0, 2 * CRASHES_MAX_COUNT, PLAN.attempts_max_count):
+        handle = driver.ask("/plan/1", fingerprint=7, time_left_s=15.0, parts=shared, **changes)
+        assert not driver.refusals(handle), f"after {crashes_count} crashes"
+        for number in range(PLAN.attempts_max_count):
+            attempt = driver.attempts(handle)[number]
+            driver.open(attempt.attempt_id)
+            for _ in range(PROVEN_EVENTS_COUNT):
+                event_id += 1
+                driver.read(attempt.attempt_id, event_id)
+            driver.run(0.2)
+            driver.fail(attempt.attempt_id)
+        assert AbortStream(handle) in driver.actions
+        changes = {"last_event_id": event_id, "resumes_id": "id-1"}
+
+
+# Guards against the opposite: a prompt that crashes each replica after its first events.
+def test_a_stream_that_crashes_replicas_after_its_first_events_is_refused():
+    driver = GatewayDriver().begin(engines=8)
+    for _ in range(2):
+        handle = driver.ask("/plan/1", fingerprint=7, time_left_s=15.0)
+        while driver.gateway.relay.active_requests:
+            attempt = driver.attempts(handle)[-1]
+            driver.open(attempt.attempt_id)
+            for event_id in range(1, PROVEN_EVENTS_COUNT):
+                driver.read(attempt.attempt_id, event_id)
+            driver.fail(attempt.attempt_id)
+            driver.run(0.2)
+    handle = driver.ask("/plan/1", fingerprint=7)
+    assert driver.refusals(handle)[0].refusal is Refusal.POISON
+
+
 def test_a_reclaimed_replica_does_not_make_its_requests_suspects():
     driver = GatewayDriver().begin()
     for _ in range(3):
