Fault soak: lines end with LF, CRLF or CR, streams are cut at any byte, and a stock client reads them

Each run of a stream has its own ends of lines, and breaks off after any byte of an event, in half of the cases within its last three. What a caller holds is what sseclient-py reads of the bytes it got, in place of the soak's own split at LF LF.

Also a test that a whole stream whose last byte is a CR reaches its caller whole.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := .venv/bin
 PACKAGES := core wire entry operator rig
 TOOLS := black ruff mypy pytest hypothesis rope types-PyYAML types-protobuf grpc-stubs \
-	sseclient-py httpx httpx-sse
+	httpx httpx-sse
 
 .PHONY: test lint demo soak fault-soak setup generate format
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/callers.py
@@ -9,6 +9,8 @@
 import time
 from dataclasses import dataclass
 
+import sseclient
+
 from coriandershelf_rig.internal.fault_soak.replicas import EVENT_COUNT, body_parts
 
 HOST = "site.example"
@@ -18,6 +20,9 @@
 READ_BYTES = 65_536
 REQUEST_KINDS = ("book", "read", "plan", "ask")
 RESUMPTIONS_MAX_COUNT = 4
+STREAM_KINDS = ("plan", "ask")
+# Where common clients split a stream.
+EVENT_END_PATTERN = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 # Replicas end the data of each event with their software version.
 VERSION_PATTERN = re.compile(rb" (v[0-9]+)!?\n\n")
 # Their mark tells that the replica stated another id than the event's number.
@@ -29,6 +34,7 @@
     """One request as seen by its caller.
 
     :param status: ``None`` if no response head arrived.
+    :param body: of a stream, its events as a common client reads them.
     :param is_complete: whether the response ended as its framing says.
     :param abandoned: whether the caller disconnected on purpose.
     :param resumes_id: id of the request that brought the first event of a stream that it resumes.
@@ -85,6 +91,18 @@
     return VERSION_PATTERN.sub(b"\n\n", WRONG_ID_PATTERN.sub(rb"id: \2\1\n\n", body))
 
 
+def events_as_read(body: bytes) -> bytes:
+    """Return the events that a common client reads of a stream, with lines that end with LF.
+
+    What follows the last complete event is returned as it is.
+    """
+    ends = [match.end() for match in EVENT_END_PATTERN.finditer(body)]
+    end = ends[-1] if ends else 0
+    events = sseclient.SSEClient(iter([body[:end]])).events()
+    read = "".join(f"id: {event.id}\ndata: {event.data}\n\n" for event in events)
+    return read.encode() + body[end:]
+
+
 def expected_events(request_id: str, last_event_id: int = 0) -> bytes:
     """Return the complete body of a stream after an event, without software versions."""
     numbers = range(last_event_id + 1, EVENT_COUNT + 1)
@@ -202,6 +220,8 @@
             record.abandoned = disconnect_after_s < DEADLINE_S
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
+        if record.kind in STREAM_KINDS:
+            record.body = events_as_read(record.body)
         record.ended_at_s = time.monotonic()
         return keeps_open
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/replicas.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/replicas.py
@@ -37,6 +37,8 @@
 EVENT_PERIOD_S = 0.02
 EVENT_COUNT = 24
 PAUSE_S = 2.0
+# What ends the lines of a stream's events; each run of a stream has its own.
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
 # A stream that breaks off goes on elsewhere; without any, versions are never joined.
 BREAK_SHARE = 0.015
 # A replica that states a wrong id goes back by this many events.
@@ -267,7 +269,10 @@
         numbers = range(first, EVENT_COUNT + 1)
         stated = self._stated(request_id)
         head = receipt_head(request, 200, Content_Type="text/event-stream", **stated)
-        events = [event_of(request_id, number, f"v{version}", number) for number in numbers]
+        line_end = rng.choice(LINE_ENDS)
+        events = [
+            event_of(request_id, number, f"v{version}", number, line_end) for number in numbers
+        ]
         await connection.send(framed_head(head, framing, events))
         for number in numbers:
             await asyncio.sleep(EVENT_PERIOD_S)
@@ -275,7 +280,8 @@
             if self.fault_mode in ("loses-answers", "garbles"):
                 breaks_off = breaks_off or number > EVENT_COUNT // 2
             if breaks_off:
-                part = f"id: {number}\nda".encode() if rng.random() < 0.5 else b""
+                event = event_of(request_id, number, f"v{version}", number, line_end)
+                part = _part_of(event, rng) if rng.random() < 0.5 else b""
                 part = framed_part(part, framing) if part else part
                 await connection.send(b"zz\r\n" if self.fault_mode == "garbles" else part)
                 if is_close_delimited or rng.random() < 0.5:
@@ -288,7 +294,7 @@
             may_be_wrong = framing is not Framing.LENGTH and self.fault_mode == "states-wrong-ids"
             if may_be_wrong and rng.random() < WRONG_ID_SHARE:
                 stated_id = max(1, number - WRONG_ID_STEP)
-            event = event_of(request_id, number, f"v{version}", stated_id)
+            event = event_of(request_id, number, f"v{version}", stated_id, line_end)
             await connection.send(framed_part(event, framing))
             if stated_id != number and rng.random() < BREAK_AFTER_WRONG_ID_SHARE:
                 connection.reset()
@@ -301,7 +307,17 @@
     return parts_of(request_id, False, PLAIN_PARTS_COUNT)
 
 
-def event_of(request_id: str, number: int, version: str, stated_id: int) -> bytes:
+def _part_of(event: bytes, rng: random.Random) -> bytes:
+    """Return an event without its end; in half of the cases only the last line ends are cut."""
+    if rng.random() < 0.5:
+        return event[: -rng.randint(1, 3)]
+    return event[: rng.randrange(1, len(event))]
+
+
+def event_of(
+    request_id: str, number: int, version: str, stated_id: int, line_end: bytes = b"\n"
+) -> bytes:
     """Return an event; its data tell its true number, and end in ``!`` if its id is wrong."""
     mark = "" if stated_id == number else "!"
-    return f"id: {stated_id}\ndata: {request_id} {number} {version}{mark}\n\n".encode()
+    data = f"data: {request_id} {number} {version}{mark}".encode()
+    return line_end.join([b"id: %d" % stated_id, data, b"", b""])
--- a/tests/cover/test_fault_soak.py
+++ b/tests/cover/test_fault_soak.py
@@ -13,6 +13,7 @@
 from coriandershelf_rig.internal.fault_soak.callers import (
     DEADLINE_S,
     RequestRecord,
+    events_as_read,
     expected_events,
 )
 from coriandershelf_rig.internal.fault_soak.judge import Disturbance, judge
@@ -26,6 +27,7 @@
 )
 from coriandershelf_rig.internal.fault_soak.replicas import (
     EVENT_COUNT,
+    LINE_ENDS,
     Executions,
     SoakReplica,
     body_parts,
@@ -146,6 +148,16 @@
     assert len(violations_of("v2")) == 1
 
 
+# Guards against a judge that forgives what common clients do not: an event without its last byte.
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_an_event_that_is_joined_with_the_next_one_is_seen(line_end):
+    events = [event_of("ask-1", number, "v1", number, line_end) for number in (1, 2, 3)]
+    cut = replace(STREAM, is_complete=False)
+    assert not find_violations(replace(cut, body=events_as_read(b"".join(events))), [10.05])
+    joined = events_as_read(events[0] + events[1][:-1] + events[2])
+    assert find_violations(replace(cut, body=joined), [10.05])
+
+
 def test_a_body_with_bytes_after_its_last_event_is_not_correct():
     assert STREAM.is_correct
     assert not replace(STREAM, body=STREAM.body + b"id: 13").is_correct
--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -114,6 +114,22 @@
     assert last.last_event_id == (4 if b"id" in tail else None)
 
 
+def test_a_complete_stream_that_ends_with_cr_is_whole_for_its_caller():
+    body = event(1, b"\r\n") + b": done\r"
+
+    async def script(request, connection) -> None:
+        head = receipt_head(request, Transfer_Encoding="chunked") + b"\r\n"
+        await connection.send(head + chunk(body) + b"0\r\n\r\n")
+
+    async def scenario() -> None:
+        async with Site(renews=True) as site:
+            await site.add_replica("engine", script)
+            response = await site.request("/ask/1", "id-1")
+            assert (response.complete, response.body) == (True, body)
+
+    asyncio.run(asyncio.wait_for(scenario(), 30.0))
+
+
 # Guards against the same faults in what a VM sends to a client over the network.
 @pytest.mark.parametrize("line_end", LINE_ENDS)
 def test_a_client_of_a_vm_reads_every_event_once_after_a_run_that_broke_off(line_end):
