Streams: a line that only begins like a field is no event

Callers saw a resumable stream broken off, and resumed at the cost of a second replica, or ended, where a replica writes a block such as "idle: 1" or "dataset: 7" between two events.

Clients pass over fields that they do not know.

No replica that writes them is known.

--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -218,3 +218,18 @@
             assert response.body == BYTE_ORDER_MARK + events_after(0, b"\n")
 
     asyncio.run(asyncio.wait_for(scenario(), 30.0))
+
+
+# Guards against a sound stream that is broken off since a line of it begins like the name of a
+# field: clients pass over such lines, and the block that holds nothing else is no event.
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("line", [b"idle: 1", b"dataset: 7", b"identity", b"x-weights-version: 2"])
+def test_a_line_that_only_begins_like_a_field_is_no_event(line, reader):
+    parts, last_id = forward([event(1, b"\n") + line + b"\n\n" + events_after(1, b"\n")], 0)
+    assert (READERS[reader](parts), last_id) == (EXPECTED, EVENTS_COUNT)
+
+
+@pytest.mark.parametrize("line", [b"id", b"id:", b"data", b"data: x"])
+def test_an_event_without_an_id_ends_what_is_forwarded_of_a_stream_with_ids(line):
+    parts, last_id = forward([event(1, b"\n") + line + b"\n\n" + event(2, b"\n")], 0)
+    assert (b"".join(parts), last_id) == (event(1, b"\n"), 1)
