Own border: an engine's lines may end with CRLF or CR

Callers got nothing of a stream whose engine ends its lines with CRLF or CR, until the attempt failed. Where only the line of the data ended so, the payload kept the CR, and clients take "[DONE]" and a CR for the end of a stream that the border did not end.

Cause: events were cut at two LF only, as on the platform's border before.

Evidence: found by reading; sseclient-py and httpx-sse on what the border passes on. It frames each payload itself, so that half a CRLF is not passed on, and streams are joined by position: an event was not lost or joined with another one in any of the cuts.

Change: all ends of lines become LF as bytes arrive; the LF of a CRLF that is cut in two ends no further line.

Measured: six of the eight tests of test_an_engines_stream_is_whole_after_a_run_that_broke_off_at_any_byte failed before (CRLF, CR, mixed) and pass, with LF they passed before.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/sse.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/sse.py
@@ -31,16 +31,17 @@
 
 
 class StreamParser:
-    """Splits the bytes of a stream into events."""
+    """Splits the bytes of a stream into events, whose lines end with LF, CRLF or CR."""
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._after_cr = False
 
     def feed(self, chunk: bytes) -> list[StreamEvent] | BadStream:
         """Return the events completed by ``chunk``."""
         # Only the new bytes are searched, and one before: the cost is linear in the bytes received.
         searched_from = max(0, len(self._buffer) - 1)
-        self._buffer += chunk
+        self._buffer += self._end_lines_with_lf(chunk)
         blocks: list[bytes] = []
         if self._buffer.find(b"\n\n", searched_from) >= 0:
             *blocks, rest = bytes(self._buffer).split(b"\n\n")
@@ -55,6 +56,17 @@
             events.append(event)
         return events
 
+    def _end_lines_with_lf(self, chunk: bytes) -> bytes:
+        """Return the bytes with one end of lines, so that no payload holds another one."""
+        if self._after_cr and chunk:
+            # The second half of a CRLF ends no further line.
+            chunk = chunk.removeprefix(b"\n")
+            self._after_cr = False
+        if b"\r" not in chunk:
+            return chunk
+        self._after_cr = chunk.endswith(b"\r")
+        return chunk.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
 
 def _parse_event(block: bytes) -> StreamEvent | BadStream:
     id_line, separator, payload = block.partition(b"\ndata: ")
--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -12,6 +12,7 @@
 from httpx_sse import EventSource
 from platform_site import HOST_NAME, KEY, Site
 
+from coriandershelf_entry.internal.sse import BadStream, StreamParser
 from coriandershelf_platform.sse import BYTE_ORDER_MARK, EventCutter, EventIds
 from coriandershelf_rig.internal.standin_replica import chunk, receipt_head
 
@@ -233,3 +234,33 @@
 def test_an_event_without_an_id_ends_what_is_forwarded_of_a_stream_with_ids(line):
     parts, last_id = forward([event(1, b"\n") + line + b"\n\n" + event(2, b"\n")], 0)
     assert (b"".join(parts), last_id) == (event(1, b"\n"), 1)
+
+
+def read_payloads(data: bytes, size: int) -> list[bytes]:
+    """Return the payloads that the product's own border reads of an engine's stream."""
+    parser, payloads = StreamParser(), []
+    for part in pieces(data, size):
+        events = parser.feed(part)
+        assert not isinstance(events, BadStream)
+        payloads += [item.payload for item in events]
+    return payloads
+
+
+# Guards against a stream of an engine that ends its lines with CRLF or CR, of which the product's
+# own border reads no event, and against a payload that clients take for the end of the stream.
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("line_ends", [*LINE_ENDS, "mixed"])
+def test_an_engines_stream_is_whole_after_a_run_that_broke_off_at_any_byte(line_ends, reader):
+    first, second = (LINE_ENDS.get(line_ends, end) for end in (b"\r\n", b"\n"))
+    events = [
+        b"id: a:%d" % number + first + b"data: n%d" % number + first + second for number in range(3)
+    ]
+    whole, spoilt = b"".join(events), {}
+    for cut, size in itertools.product(range(len(whole) + 1), (1, 2, 5, len(whole))):
+        payloads = read_payloads(whole[:cut], size)
+        payloads += read_payloads(b"".join(events[len(payloads) :]), size)
+        parts = [b"data: " + payload + b"\n\n" for payload in payloads]
+        texts = [text for _, text in READERS[reader](parts)]
+        if texts != ["n0", "n1", "n2"] or payloads != [b"n0", b"n1", b"n2"]:
+            spoilt[cut, size] = payloads
+    assert spoilt == {}
