Own border: a plain answer without a length is whole only if its upstream still runs

Cause: an orderly end of the connection counted as the end of the answer, as on the platform's border before; the kernel ends the connections of a killed process in order too.

Change: until the answers of an address have shown their ends themselves, a second connection is opened after the first one and before the call is sent. After such an answer the upstream is asked for its load on it, and must answer within 1.5 s. Otherwise the attempt fails as sent: what may be repeated is, the rest ends as "unknown".

Not chosen: to break off every answer of this form. An upstream that writes no other one would never give a result, and [False-Framing.CLOSE] and test_upstream_faults, which ask that a clean end is one, stay as they are.

What it costs: one connection more for the first call to an address at a VM, and for each call to an address that has sent such an answer. No load was measured.

Why it works: both connections lead to one process, since no two have one address at a time and the first one answered the call after the second was open; it has then answered something that was sent after the end. What is still given up: docs/design/response-ends.md.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/upstream.py
@@ -24,28 +24,37 @@
     AttemptOpened,
     AttemptPaused,
     AttemptResumed,
+    Event,
     FailureCause,
     PlainAnswered,
     StreamEnded,
     TokensArrived,
 )
 from coriandershelf_core.internal.vocabulary.inventory import ServiceKind
+from coriandershelf_entry.internal.answer_ends import AnswerEnds, still_runs
 from coriandershelf_entry.internal.core_task import Post
 from coriandershelf_entry.internal.sse import END_MARKER, BadStream, StreamEvent, StreamParser
 
 IDLE_CONNECTIONS_MAX_COUNT = 32
 # Responses below it are informational (1xx); the final one follows.
 FINAL_STATUS_MIN = 200
+BODILESS_STATUSES = (204, 304)
 BODY_LIMIT_BYTES = 1 << 30
 PLAIN_BODY_LIMIT_BYTES = 4 << 20
+# Within it a second connection is opened, or the call is sent without one.
+CHECK_CONNECT_TIMEOUT_S = 0.25
 
 WaitForSpace = Callable[[str], Awaitable[None] | None]
 
 
 class ConnectionPool:
-    """Idle connections to upstreams; the most recently used is reused first."""
+    """Idle connections to upstreams; the most recently used is reused first.
+
+    :ivar answer_ends: which upstreams' plain answers show their ends themselves.
+    """
 
     def __init__(self) -> None:
+        self.answer_ends = AnswerEnds()
         self._client = TCPClient()
         self._idle: dict[str, list[IOStream]] = {}
 
@@ -61,6 +70,17 @@
             if _is_usable(stream):
                 return stream
             stream.close()
+        return await self._open(address)
+
+    async def open_for_check(self, address: str) -> IOStream | None:
+        """Return a connection on which an upstream can be asked later, if it accepts one."""
+        try:
+            async with asyncio.timeout(CHECK_CONNECT_TIMEOUT_S):
+                return await self._open(address)
+        except (TimeoutError, OSError, StreamClosedError):
+            return None
+
+    async def _open(self, address: str) -> IOStream:
         host, _, port = address.rpartition(":")
         stream = await self._client.connect(host, int(port))
         stream.set_nodelay(True)
@@ -95,7 +115,7 @@
         self._parser = StreamParser()
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._ends_with_connection = False
+        self.ends_with_connection = False
         self.status = 0
         self.keep_alive = True
         self.ended = False
@@ -110,7 +130,7 @@
             return
         self.status = start_line.code
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        self._ends_with_connection = not framed
+        self.ends_with_connection = not framed and start_line.code not in BODILESS_STATUSES
         self.keep_alive = headers.get("Connection", "").lower() != "close"
         if self._action.kind is ServiceKind.PLAIN:
             return
@@ -180,7 +200,7 @@
 
     def finish(self) -> None:
         """Handle the end of the response."""
-        if self._ends_with_connection and self._stream.error is not None:
+        if self.ends_with_connection and self._stream.error is not None:
             # tornado takes a reset for the end of a response without length.
             return
         if self._action.kind is ServiceKind.PLAIN and self.failure is None:
@@ -254,9 +274,14 @@
     except (OSError, StreamClosedError):
         post(AttemptFailed(action.attempt_id, FailureCause.CONNECT, sent=False))
         return
-    response = _ResponseReader(action, stream, post, wait_for_space)
+    is_plain = action.kind is ServiceKind.PLAIN
+    answers: list[Event] = []
+    response = _ResponseReader(action, stream, answers.append if is_plain else post, wait_for_space)
+    check_stream: IOStream | None = None
     read_to_end = False
     try:
+        if is_plain and pool.answer_ends.may_be_unshown(action.address):
+            check_stream = await pool.open_for_check(action.address)
         parameters = HTTP1ConnectionParameters(max_body_size=BODY_LIMIT_BYTES)
         connection = HTTP1Connection(stream, True, parameters)
         path = "/" + action.path if action.path else "/v1/chat/completions"
@@ -265,9 +290,17 @@
         )
         connection.finish()
         read_to_end = await connection.read_response(response)
+        if answers:
+            pool.answer_ends.note(action.address, not response.ends_with_connection)
+            if response.ends_with_connection:
+                response.ended = check_stream is not None and await still_runs(
+                    check_stream, action.address
+                )
     except (OSError, StreamClosedError, asyncio.IncompleteReadError):
         read_to_end = False
     finally:
+        if check_stream is not None:
+            check_stream.close()
         if read_to_end and response.ended and response.keep_alive:
             pool.release(action.address, stream)
         else:
@@ -275,3 +308,6 @@
     if not response.ended:
         cause = response.failure or FailureCause.CLOSED
         post(AttemptFailed(action.attempt_id, cause, sent=True))
+        return
+    for answer in answers:
+        post(answer)
