Own border: comments and other fields are no part of an engine's events

Callers got nothing of a stream, and its attempts failed one after the other, where an engine writes a comment that keeps the connection alive, a further empty line, or the data before the id. A field after the data became a part of the payload, which answers that are not streamed cannot be built from.

Cause: a block had to be one line with the id and one with the data, with one space.

Evidence: found by reading; no engine that writes them is known.

Change: such blocks are read line by line, by the names of the fields; a block with neither an id nor data is none. One with only one of them is a bad stream as before.

Measured: the four cases of test_lines_that_clients_pass_over_are_no_part_of_an_engines_events failed before and pass.

--- a/packages/coriandershelf-entry/src/coriandershelf_entry/internal/sse.py
+++ b/packages/coriandershelf-entry/src/coriandershelf_entry/internal/sse.py
@@ -53,7 +53,8 @@
             event = _parse_event(block)
             if isinstance(event, BadStream):
                 return event
-            events.append(event)
+            if event is not None:
+                events.append(event)
         return events
 
     def _end_lines_with_lf(self, chunk: bytes) -> bytes:
@@ -68,11 +69,32 @@
         return chunk.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
-def _parse_event(block: bytes) -> StreamEvent | BadStream:
+def _parse_event(block: bytes) -> StreamEvent | BadStream | None:
+    """Return the event of a block of lines, or ``None`` if it holds nothing for callers."""
     id_line, separator, payload = block.partition(b"\ndata: ")
-    if not separator or not id_line.startswith(b"id: "):
-        return BadStream("an event lacks its id or data")
+    if not separator or not id_line.startswith(b"id: ") or b"\n" in id_line or b"\n" in payload:
+        # Comments and other fields may stand before, between and after the two lines.
+        values = _field_values(block)
+        if not values:
+            return None
+        if len(values) < 2:
+            return BadStream("an event lacks its id or data")
+        id_line, payload = b"id: " + values[b"id"], values[b"data"]
     attempt_id, colon, position = id_line[4:].rpartition(b":")
     if not colon or not position.isdigit() or len(position) > POSITION_MAX_DIGITS:
         return BadStream("an event's id is not attempt:position")
     return StreamEvent(attempt_id.decode("utf-8", "replace"), int(position), payload)
+
+
+def _field_values(block: bytes) -> dict[bytes, bytes]:
+    """Return the id and the data of a block; clients pass over all other lines."""
+    values: dict[bytes, bytes] = {}
+    for line in block.split(b"\n"):
+        name, colon, value = line.partition(b":")
+        if colon and name in (b"id", b"data"):
+            value = value.removeprefix(b" ")
+            if name == b"data" and name in values:
+                # As it is written to callers, who join the lines.
+                value = values[name] + b"\ndata: " + value
+            values[name] = value
+    return values
--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -264,3 +264,18 @@
         if texts != ["n0", "n1", "n2"] or payloads != [b"n0", b"n1", b"n2"]:
             spoilt[cut, size] = payloads
     assert spoilt == {}
+
+
+# Guards against a sound stream of an engine that fails for lines which clients pass over, such as
+# the comments that keep a connection alive.
+@pytest.mark.parametrize(
+    "stream",
+    [
+        b": ping\n\nid: a:0\ndata: n0\n\n",
+        b"id: a:0\ndata: n0\n\n\n: ping\n\n",
+        b": ping\nid: a:0\n: ping\ndata: n0\nretry: 5\n\nretry: 5\n\n",
+        b"data:n0\nid:a:0\n\n",
+    ],
+)
+def test_lines_that_clients_pass_over_are_no_part_of_an_engines_events(stream):
+    assert read_payloads(stream, 1) == [b"n0"]
