--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -326,3 +326,18 @@
     cutter = EventCutter()
     assert cutter.feed(b"data: " + b"x" * (EVENT_MAX_BYTES - 7) + b"\r") is None
     assert cutter.finish() is None and cutter.mid_event
+
+
+# Guards against a sound stream of an engine that fails for lines which clients pass over, such as
+# the comments that keep a connection alive.
+@pytest.mark.parametrize(
+    "stream",
+    [
+        b": ping\n\nid: a:0\ndata: n0\n\n",
+        b"id: a:0\ndata: n0\n\n\n: ping\n\n",
+        b": ping\nid: a:0\n: ping\ndata: n0\nretry: 5\n\nretry: 5\n\n",
+        b"data:n0\nid:a:0\n\n",
+    ],
+)
+def test_lines_that_clients_pass_over_are_no_part_of_an_engines_events(stream):
+    assert read_payloads(stream, 1) == [b"n0"]
