A taken-up stream looks on for a replica that is left, while that is quick

Callers: when several replicas crashed together, those that took up their streams were refused with 503 `replica-refused` within some 16 ms, while replicas of their version served (LOST).

Cause: a request is refused after five replicas that accept no connection, whatever that has cost. Right after a crash of many each VM has yet to find out which are gone, and the callers that lost their streams come at that moment; new requests come when it is known.

Change: a request that takes up a stream is refused for connections only after 0.3 s (then as before, by their count) or 25 tries. Nothing was sent in these tries, so the retry budget is not concerned; other requests stay as they are.

GatewayBench: a customer for all requests, and refusals by reason.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -66,6 +66,10 @@
 OVERDUE_GRACE_S = 0.25
 # Replicas tried after the first one that could not be connected.
 CONNECT_RETRIES_MAX_COUNT = 4
+# A caller that takes up a stream comes right after its replica ended, perhaps with others, and
+# before this VM has found out which; it is turned away only if that has cost it some time, too.
+RESUMED_CONNECT_S = 0.3
+RESUMED_CONNECT_RETRIES_MAX_COUNT = 24
 SERVER_ERROR = 500
 HEADER_LOGGED_MAX_CHARACTERS = 40
 # The end of an event takes up to four bytes.
@@ -654,8 +658,11 @@
 
         Nothing was sent, so the retry budget does not apply, but each try costs the caller time.
         """
-        has_time = request.deadline_s - now_s >= RETRY_TIME_LEFT_MIN_S
-        return has_time and request.connect_failures_count <= CONNECT_RETRIES_MAX_COUNT
+        if request.deadline_s - now_s < RETRY_TIME_LEFT_MIN_S:
+            return False
+        if request.resumes_stream and now_s - request.arrived_at_s < RESUMED_CONNECT_S:
+            return request.connect_failures_count <= RESUMED_CONNECT_RETRIES_MAX_COUNT
+        return request.connect_failures_count <= CONNECT_RETRIES_MAX_COUNT
 
     def _take_retry(self, request: ActiveRequest, now_s: float) -> bool:
         """Return whether a retry is allowed; if so, take it from the retry budget."""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -7,6 +7,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -23,6 +24,7 @@
     ProbeReplica,
     ReadOrigins,
     RecordVersions,
+    Refusal,
     RejectRequest,
     RetireVersion,
     ScheduleTick,
@@ -33,6 +35,7 @@
 )
 from coriandershelf_core.internal.gateway.deployment import (
     Backend,
+    Customer,
     Deployment,
     Replica,
     Route,
@@ -101,6 +104,10 @@
     "ask", HOST, "/ask/", RouteKind.STREAM, 0.5, 3.0, 1, 0, (Backend(SERVICE, 1.0),),
     public=True, gap_objective_s=0.5,
 )  # fmt: skip
+# Prompt and output tokens of each request.
+PROMPT_TOKENS_COUNT = 500
+OUTPUT_TOKENS_COUNT = 50
+TOKENS_COUNT = PROMPT_TOKENS_COUNT + OUTPUT_TOKENS_COUNT
 TICK_S = 0.05
 ZONES = ("zone-0", "zone-1", "zone-2")
 LINK_DELAY_S = 0.002
@@ -210,8 +217,10 @@
     :param slots_count: requests that each replica runs at once.
     :param honours_retry_after: whether callers come back when they are told, rather than at once.
     :param close_delimited_share: share of the responses that end with their connection.
+    :param customer: whose requests all are, if they are anybody's; it has one key.
     :ivar ended_early_count: streams that their callers took as complete before their last event.
     :ivar complete_count: all streams that they took as complete.
+    :ivar refusals: all refusals, by reason.
     :ivar crashing_parts: prompt parts under which replicas crash, by id.
     :ivar cuts: periods in which VMs had no path to replicas.
     :ivar first_tries: first tries of all requests without such a part.
@@ -229,6 +238,7 @@
         slots_count: int = 16,
         honours_retry_after: bool = False,
         close_delimited_share: float = 0.0,
+        customer: Customer | None = None,
     ) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
@@ -257,6 +267,9 @@
         self.complete_count = 0
         self._liveness = LivenessModel(self.time, LINK_DELAY_S)
         self._draw_shape = draw_shape
+        self._customers = () if customer is None else (customer,)
+        self._routes = tuple(replace(route, public=customer is None) for route in (PLAN, ASK))
+        self.refusals: Counter[Refusal] = Counter()
         self._slots_count = slots_count
         self._honours_retry_after = honours_retry_after
         self._loss_share = loss_share
@@ -297,7 +310,8 @@
         route_services = {
             SERVICE: Service(SERVICE, 1000, "/health", engine_slots_count=self._slots_count)
         }
-        self._post(vm_id, gateway, DeploymentRead(Deployment(1, (PLAN, ASK), route_services, ())))
+        deployment = Deployment(1, self._routes, route_services, self._customers)
+        self._post(vm_id, gateway, DeploymentRead(deployment))
         self._unread_vms.add(vm_id)
         if not self.store_away:
             self.register_all(vm_id)
@@ -437,9 +451,11 @@
         self._requests[number] = request
         self._note_parts(request)
         parts = tuple(PromptPart(part_id, 100) for part_id in shape.parts)
+        key = self._customers[0].keys[0] if self._customers else None
         arrival = Arrival(
-            number, request.request_id, "POST", HOST, f"{shape.route.path_prefix}x", None,
-            CALLER_TIMEOUT_S, number, prompt_tokens=500, output_tokens=50, parts=parts,
+            number, request.request_id, "POST", HOST, f"{shape.route.path_prefix}x", key,
+            CALLER_TIMEOUT_S, number, prompt_tokens=PROMPT_TOKENS_COUNT,
+            output_tokens=OUTPUT_TOKENS_COUNT, parts=parts,
             last_event_id=stream.events_count or None, resumes_id=resumes_id,
         )  # fmt: skip
         self._post(vm_id, self.gateways[vm_id], RequestArrived(arrival))
@@ -574,8 +590,9 @@
                 self._check_liveness(vm_id, gateway, action)
             case CancelAttempt(attempt_id):
                 self._cancel(vm_id, attempt_id)
-            case RejectRequest(handle, _, retry_after_s):
+            case RejectRequest(handle, refusal, retry_after_s):
                 self.refusals_count += 1
+                self.refusals[refusal] += 1
                 self._on_ended(handle, complete=False, retry_after_s=retry_after_s)
             case ForwardEvents(handle, payload):
                 self._on_event(handle, payload)
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -24,7 +24,10 @@
     ReplicasRead,
     StopAsked,
 )
-from coriandershelf_core.internal.gateway.relay import CONNECT_RETRIES_MAX_COUNT
+from coriandershelf_core.internal.gateway.relay import (
+    CONNECT_RETRIES_MAX_COUNT,
+    RESUMED_CONNECT_RETRIES_MAX_COUNT,
+)
 from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 
 
@@ -357,6 +360,27 @@
     assert refusal.retry_after_s is not None
 
 
+# Guards against a caller that holds events and is turned away because many replicas have ended
+# together with the one that ran its stream (LOST): its tries cost it next to nothing.
+@pytest.mark.parametrize("try_s, tries_count", [(0.002, 12), (0.1, CONNECT_RETRIES_MAX_COUNT + 1)])
+def test_a_stream_that_is_taken_up_looks_on_while_that_is_quick(try_s, tries_count):
+    driver = GatewayDriver().begin(engines=16)
+    handle = driver.ask("/plan/1", time_left_s=15.0, last_event_id=5, resumes_id="id-0")
+    while len(driver.attempts(handle)) < 12 and not driver.refusals(handle):
+        driver.now_s += try_s
+        driver.fail(driver.attempts(handle)[-1].attempt_id, sent=False)
+    assert len(driver.attempts(handle)) == tries_count
+    assert bool(driver.refusals(handle)) is (tries_count < 12)
+
+
+def test_a_stream_that_is_taken_up_is_refused_after_so_many_tries():
+    driver = GatewayDriver().begin(engines=60)
+    handle = driver.ask("/plan/1", time_left_s=15.0, last_event_id=5, resumes_id="id-0")
+    while not driver.refusals(handle):
+        driver.fail(driver.attempts(handle)[-1].attempt_id, sent=False)
+    assert len(driver.attempts(handle)) == RESUMED_CONNECT_RETRIES_MAX_COUNT + 1
+
+
 def test_a_request_near_its_deadline_is_not_tried_at_another_replica():
     driver = GatewayDriver().begin(plains=20)
     handle = driver.ask("/book/1", time_left_s=1.0)
