Streams: a replica that did not state its start before a stream is asked while it runs

What callers saw: streams refused once they broke, though replicas of their version served, where their own replica had been silent for the 0.5 s of the question (GET /report), had refused it or had ended the connection with it.

Cause: one question that comes to nothing stood for a replica that never says which start it is.

The origin becomes known with it, or open with that start as its claim.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/error_recovery.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/error_recovery.py
@@ -23,6 +23,7 @@
     Event,
     RequestArrived,
     ResponseHeadRead,
+    StartStated,
     StreamEnded,
     StreamPaused,
 )
@@ -52,7 +53,7 @@
             self._refuse_arrival(event, now_s)
             return
         attempt_id = getattr(event, "attempt_id", None)
-        if attempt_id is None or isinstance(event, ResponseHeadRead | StreamPaused):
+        if attempt_id is None or isinstance(event, ResponseHeadRead | StartStated | StreamPaused):
             # Nothing of an answer was lost; the attempt goes on.
             return
         request = self._request_of(attempt_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -110,6 +110,16 @@
     was_asked: bool = False
 
 
+class StartStated(Struct, frozen=True):
+    """A replica was asked again which start of it sends a stream that is under way.
+
+    :param start: the start that sends the stream, as the replica stated, or why it is not known.
+    """
+
+    attempt_id: int
+    start: StatedStart
+
+
 class LivenessChecked(Struct, frozen=True):
     """A replica was asked whether it still runs.
 
@@ -323,6 +333,7 @@
     RequestArrived
     | CallerLeft
     | ResponseHeadRead
+    | StartStated
     | AnswerRead
     | StreamOpened
     | StreamRead
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -53,6 +53,7 @@
     RolloutOrdered,
     RolloutStateRead,
     RoomMessageArrived,
+    StartStated,
     StopAsked,
     StreamEnded,
     StreamOpened,
@@ -317,6 +318,8 @@
                 self._on_request(arrival, now_s)
             case ResponseHeadRead():
                 self.relay.on_head(event, now_s)
+            case StartStated():
+                self.relay.on_start_stated(event, now_s)
             case AnswerRead():
                 self.relay.on_response(event, now_s)
             case StreamOpened():
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -34,6 +34,7 @@
     MalformedHeader,
     ReplicaProbed,
     ResponseHeadRead,
+    StartStated,
     StreamEnded,
     StreamOpened,
     StreamPaused,
@@ -158,6 +159,16 @@
         elif state.limit.on_response(stated, attempt.started_at_s, event.has_receipt, now_s):
             self.log_limit(state)
 
+    def on_start_stated(self, event: StartStated, now_s: float) -> None:
+        """Note which start sends a stream, which had begun before its replica stated that."""
+        attempt = self.attempts.by_id.get(event.attempt_id)
+        if attempt is None:
+            return
+        attempt.state.limit.on_sent(now_s)
+        if not isinstance(event.start, NoStart):
+            self._note_start(attempt, event.start)
+            self.resumptions.on_start_stated(attempt, now_s)
+
     def _leave_start(self, attempt: AttemptState, now_s: float) -> None:
         """Resume a stream elsewhere that was sent to a start of another version."""
         request = attempt.request
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -148,6 +148,18 @@
         self.note_origin(attempt, now_s)
         if request.is_origin_open:
             self._note_open(attempt, now_s)
+            self.emit(IncrementCounter("stream_origins", "open"))
+
+    def on_start_stated(self, attempt: AttemptState, now_s: float) -> None:
+        """Note the start that began a stream, which its replica has stated since."""
+        request, start = attempt.request, attempt.start
+        if isinstance(start, NoStart) or not request.is_origin_open:
+            return
+        version = self._version_of(attempt, now_s)
+        self.responder.log("start of stream stated", request, now_s, start=start, version=version)
+        self.note_origin(attempt, now_s)
+        if request.is_origin_open:
+            self._note_open(attempt, now_s)
 
     def note_origin(self, attempt: AttemptState, now_s: float) -> None:
         """Note the version that began a stream, if it is known."""
@@ -173,7 +185,6 @@
         self.open_origins.begin(stream_id, replica.service, claim, now_s)
         self.origin_batches.begin(stream_id, replica.service, UNKNOWN_VERSION, now_s, claim)
         self.origins.begin(stream_id, UNKNOWN_VERSION, now_s)
-        self.emit(IncrementCounter("stream_origins", "open"))
 
     def is_at_other_version(self, attempt: AttemptState) -> bool:
         """Return whether a stream that goes on was sent to a start of another version."""
--- a/tests/cover/test_gateway_lines.py
+++ b/tests/cover/test_gateway_lines.py
@@ -23,8 +23,10 @@
     DigestArrived,
     FailureCause,
     ReplicasRead,
+    StartStated,
     StopAsked,
 )
+from coriandershelf_core.internal.gateway.replica_starts import NoStart
 from coriandershelf_core.internal.gateway.response_ends import CONFIRMED_WITHIN_S
 
 
@@ -235,3 +237,19 @@
     registered = replace(make_replicas(engines=1)[f"{ENGINE}-0"], started_at_ms=5)
     driver.post(ReplicasRead({f"{ENGINE}-0": registered}))
     assert "origin known" in events_of(driver.run(0.2))
+
+
+def test_a_start_that_is_stated_while_a_stream_runs_has_its_line():
+    driver = GatewayDriver().begin(engines=1)
+    born = make_replicas(engines=1)[f"{ENGINE}-0"].started_at_ms
+    attempt = start(driver, "/plan/1", time_left_s=15.0)
+    driver.read_head(attempt, NoStart.NO_ANSWER)
+    driver.open(attempt)
+    assert "stream began" in events_of(driver.read(attempt, 1))
+    assert not events_of(driver.post(StartStated(attempt, NoStart.NO_ANSWER)))
+    lines = [item for item in driver.post(StartStated(attempt, born)) if isinstance(item, LogLine)]
+    (fields,) = [dict(item.fields) for item in lines if item.event == "start of stream stated"]
+    assert (fields["start"], fields["version"]) == (born, "")
+    # Neither a second answer nor one to an attempt that has ended changes anything.
+    assert not events_of(driver.post(StartStated(attempt, born)))
+    assert not events_of(driver.post(StartStated(99, born)))
