Crash suspects: a broken connection names the start of its replica

Cause: each broken connection counted as a crash. PoisonRequests counts by the start of the replica and the time at which the attempt was sent since, but a VM did not tell it either.

Measured: test_identical_requests_at_one_crash_of_a_replica_are_sent_again; five broken connections of one crash count once.

Why it works: an attempt that was sent before a replica's last crash says nothing new about it.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/crash_suspects.py
@@ -39,9 +39,10 @@
         arrival, replica = request.arrival, attempt.state.replica
         count, found = 0, []
         if attempt.events_count < PROVEN_EVENTS_COUNT:
-            count = self.requests.on_crash(arrival.fingerprint, now_s)
             start = f"{replica.replica_id}/{replica.started_at_ms}"
-            found = self.parts.on_crash(arrival.parts, start, attempt.started_at_s, now_s)
+            sent_at_s = attempt.started_at_s
+            count = self.requests.on_crash(arrival.fingerprint, now_s, start, sent_at_s)
+            found = self.parts.on_crash(arrival.parts, start, sent_at_s, now_s)
         parts = ",".join(part.part_id for part in arrival.parts)
         self.responder.log(
             "request on a crashed replica", request, now_s,
@@ -55,6 +56,7 @@
 
     def on_completed(self, request: ActiveRequest, now_s: float) -> None:
         """Record a request that a replica completed."""
+        self.requests.on_completed(request.arrival.fingerprint)
         for part_id in self.parts.on_completed(request.arrival.parts, now_s):
             self.emit(IncrementCounter("poisonous_parts", "cleared"))
             self.emit(LogLine("prompt part is sound again", (("part", part_id),)))
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -264,7 +264,6 @@
             baseline_s = attempt.baseline_s * state.current_slowdown(now_s)
             state.on_latency(taken_s, baseline_s, now_s, attempt.low_load)
             self.crash_suspects.on_completed(request, now_s)
-            self.crash_suspects.requests.on_completed(request.arrival.fingerprint)
         elif is_error:
             self._record_failure(state, now_s, request.route.kind)
             if request.route.repeatable and self._take_retry(request, now_s):
@@ -388,7 +387,6 @@
         request = attempt.request
         self.resumptions.on_ended(request.stream_id)
         self.crash_suspects.on_completed(request, now_s)
-        self.crash_suspects.requests.on_completed(request.arrival.fingerprint)
         inputs = dict(attempt.inputs)
         gap_ms = round(attempt.longest_gap_s * 1e3)
         self.responder.end_stream(
--- a/tests/cover/test_gateway_relay.py
+++ b/tests/cover/test_gateway_relay.py
@@ -26,12 +26,11 @@
     StopAsked,
 )
 from coriandershelf_core.internal.gateway.poison_requests import CRASHES_MAX_COUNT
-from coriandershelf_core.internal.gateway.relay import CONNECT_RETRIES_MAX_COUNT
-from coriandershelf_core.internal.gateway.request import PromptPart
 from coriandershelf_core.internal.gateway.relay import (
     CONNECT_RETRIES_MAX_COUNT,
     RESUMED_CONNECT_RETRIES_MAX_COUNT,
 )
+from coriandershelf_core.internal.gateway.request import PromptPart
 from coriandershelf_core.internal.vocabulary.outcome import NOT_RUN_STATUSES
 
 
--- a/tests/cover/test_poison_requests.py
+++ b/tests/cover/test_poison_requests.py
@@ -147,3 +147,15 @@
             driver.answer(driver.attempts(handle)[-1].attempt_id)
         driver.run(3.0)
     assert not [item for item in driver.actions if getattr(item, "refusal", 0) is Refusal.POISON]
+
+
+# Guards against the same where the broken connections are a VM's own: identical requests that were
+# in flight at one crash are no evidence of several.
+def test_identical_requests_at_one_crash_of_a_replica_are_sent_again():
+    driver = GatewayDriver().begin(plains=1)
+    broken = [driver.ask("/read/popular", fingerprint=FINGERPRINT) for _ in range(5)]
+    attempts = [driver.attempts(handle)[0] for handle in broken]
+    assert len({attempt.replica_id for attempt in attempts}) == 1
+    for attempt in attempts:
+        driver.fail(attempt.attempt_id)
+    assert not driver.gateway.poison_requests.is_poison(FINGERPRINT)
