Poison requests: an attempt that was sent as its replica's last crash was noted counts

An attempt counts unless it was sent before the last crash; the driver's test of identical requests lets time pass between the requests and the crash.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/poison_requests.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/poison_requests.py
@@ -72,14 +72,14 @@
         """Count a broken attempt; return the count over all entry VMs.
 
         :param replica: what tells this start of the replica from others, if it is known.
-        :param started_at_s: when the attempt was sent. It counts if that was after the last crash
-            of this replica.
+        :param started_at_s: when the attempt was sent. It counts unless that was before the last
+            crash of this replica.
         """
         crash_counts = self._entry(fingerprint)
         self._touch(fingerprint, now_s)
         crash_counts.own_updated_at_s = now_s
         key = UNNAMED if replica is None else xxhash.xxh32_intdigest(replica.encode())
-        is_known = crash_counts.last_at_s.get(key, -math.inf) >= started_at_s
+        is_known = crash_counts.last_at_s.get(key, -math.inf) > started_at_s
         # More than are needed to refuse it would only make digests longer.
         if not is_known and sum(crash_counts.own.values()) < CRASHES_MAX_COUNT:
             crash_counts.own[key] = crash_counts.own.get(key, 0) + 1
--- a/tests/cover/test_poison_requests.py
+++ b/tests/cover/test_poison_requests.py
@@ -156,6 +156,7 @@
     broken = [driver.ask("/read/popular", fingerprint=FINGERPRINT) for _ in range(5)]
     attempts = [driver.attempts(handle)[0] for handle in broken]
     assert len({attempt.replica_id for attempt in attempts}) == 1
+    driver.now_s += 0.1
     for attempt in attempts:
         driver.fail(attempt.attempt_id)
     assert not driver.gateway.poison_requests.is_poison(FINGERPRINT)
