Logs: how the version of a resumed stream is known, and how old the registry was

The lines could not tell a stream that goes on at an origin that a VM or the store told from one that goes on since its service has had no other version, nor how long the registry had not been read. Both hypotheses of the incident predict the same lines otherwise.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -374,6 +374,11 @@
             self._in_order_since_s = at_s
         self._in_order_until_s = max(self._in_order_until_s, at_s)
 
+    def registry_age_ms(self, now_s: float) -> int | None:
+        """Return how old the last proof of the registry is, for the log; ``None`` without one."""
+        age_s = now_s - self._in_order_until_s
+        return None if math.isinf(age_s) else round(age_s * 1e3)
+
     def is_settled(self, now_s: float) -> bool:
         """Return whether replicas had time to register since the first read and any outage.
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from msgspec import Struct, field
 
 from coriandershelf_core.internal.gateway.deployment import Customer, Route
@@ -15,6 +17,17 @@
     tokens_count: int
 
 
+class OriginSource(Enum):
+    """How a VM came to know the version that began a stream."""
+
+    # It forwarded the first event in the same response.
+    OWN = "own"
+    # A VM or the store told it, or it forwarded an earlier response of the stream.
+    TOLD = "told"
+    # Nobody knew, and the service has had no other version.
+    ONLY_VERSION = "only-version"
+
+
 class Arrival(Struct, frozen=True):
     """The properties of an incoming request that decisions depend on.
 
@@ -67,6 +80,7 @@
     :param software_version: version of the replica that made the caller's first event; ``None``
         before that, or if it is not known.
     :param is_origin_open: whether that version is not known yet.
+    :param origin_source: how that version became known.
     :param waits_since_s: since when it has waited for its stream's version, without an event.
     :param rollout_counted: whether it was counted as sent during a roll-out of its service.
     :param last_failure: what went wrong there, for the log.
@@ -98,6 +112,7 @@
     replica_id: str | None = None
     software_version: str | None = None
     is_origin_open: bool = False
+    origin_source: OriginSource = OriginSource.OWN
     waits_since_s: float | None = None
     rollout_counted: bool = False
     last_failure: str | None = None
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -29,7 +29,7 @@
 from coriandershelf_core.internal.gateway.pool import Pool
 from coriandershelf_core.internal.gateway.recorded_versions import RecordedVersions
 from coriandershelf_core.internal.gateway.replica_starts import NoStart
-from coriandershelf_core.internal.gateway.request import ActiveRequest
+from coriandershelf_core.internal.gateway.request import ActiveRequest, OriginSource
 from coriandershelf_core.internal.gateway.responder import LogValue, Responder
 from coriandershelf_core.internal.gateway.stream_origins import StreamOrigins
 
@@ -138,10 +138,12 @@
             "start": start.value if isinstance(start, NoStart) else start,
             "registered_start": state.replica.started_at_ms,
             "registered_version": state.replica.software_version,
+            "registry_age_ms": self.pool.registry_age_ms(now_s),
         }
         if request.software_version is not None:
             resumes_id = request.arrival.resumes_id
-            self.responder.log("stream resumed", request, now_s, resumes=resumes_id, **fields)
+            fields |= {"resumes": resumes_id, "origin": request.origin_source.value}
+            self.responder.log("stream resumed", request, now_s, **fields)
         else:
             self.responder.log("stream began", request, now_s, **fields)
         request.is_origin_open = True
@@ -230,12 +232,13 @@
         stream_id = request.stream_id
         version = self.origins.version_of(stream_id)
         is_awaited = False
+        source = OriginSource.TOLD
         if version == UNKNOWN_VERSION:
             is_awaited = self.open_origins.may_become_known(stream_id)
             version = None
         elif version is None and (is_read or self.origins.was_read):
             # Without the origin, only a service that has had a single version is safe.
-            version = self.only_version(request.service, now_s)
+            version, source = self.only_version(request.service, now_s), OriginSource.ONLY_VERSION
             # A replica may serve that has not registered yet.
             is_single = self.pool.only_version(request.service, now_s) is not None
             is_awaited = is_single and not self.pool.is_settled(now_s)
@@ -244,6 +247,7 @@
                 self.responder.refuse(request, Refusal.UNKNOWN_VERSION, now_s, resumes=stream_id)
             return
         request.software_version, request.is_origin_open = version, False
+        request.origin_source = source
         if request.headers_sent:
             self.send_again(request, now_s)
         else:
