Streams: a replica that states no start is known by old connections only

Cause: such a replica counted as of the only registered version while the registry had been read within 5 s. In an outage a read from before it stood for the process that answered.

Change: a connection that the replica had accepted 8 s before the registry was last read in order leads to the registered start, since any other one would have registered by then; a younger one leads to no start that is known. Such streams are resumed on such connections only, now also beside other versions.

Two tests asked for the former inference; they are replaced by tests of what old and young connections prove, with one and two versions and in an outage.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/actions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 from msgspec import Struct
@@ -91,7 +92,8 @@
         before the request is sent, unless that is known.
     :param required_start_ms: send the request to this start of the replica only; ``None`` if any
         start will do.
-    :param accepts_no_start: whether a replica will do as well that does not state its start.
+    :param registered_by_s: a connection that the replica had accepted by this time, and on which it
+        does not state its start, leads to the required one.
     :param continues_response: whether the caller has a part of the response already.
     """
 
@@ -110,7 +112,7 @@
     checks_liveness: bool = False
     asks_start: bool = False
     required_start_ms: int | None = None
-    accepts_no_start: bool = False
+    registered_by_s: float = -math.inf
     continues_response: bool = False
 
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -59,6 +59,8 @@
     :param alive_at_s: until when the process that answers it is known to have run, if it does.
     :param process_number: the number of that process at this VM, if it is known.
     :param start: the start of the replica that answers it, as the replica stated.
+    :param registered_start_ms: the same if the replica does not state it, but its registrations
+        tell which one that is.
     :param ended_at_s: when its close-delimited response ended, if it did.
     """
 
@@ -84,8 +86,14 @@
     alive_at_s: float = -math.inf
     process_number: int | None = None
     start: StatedStart = NoStart.NOT_ASKED
+    registered_start_ms: int | None = None
     ended_at_s: float | None = None
 
+    @property
+    def known_start(self) -> StatedStart:
+        """Return the start that answers it, stated or told by registrations, or why none is."""
+        return self.start if self.registered_start_ms is None else self.registered_start_ms
+
 
 class Attempts(Struct):
     """Owns the attempts of one entry VM.
@@ -116,12 +124,11 @@
         service: Service,
         selected: ScoredReplica,
         now_s: float,
-        accepts_no_start: bool = False,
+        registered_by_s: float = -math.inf,
     ) -> None:
         """Send a request to the selected replica.
 
-        :param accepts_no_start: whether its stream may go on at a replica that does not state its
-            start.
+        :param registered_by_s: by when a process had to run that would be registered by now.
         """
         attempt_id = self._next_id
         self._next_id += 1
@@ -183,7 +190,7 @@
                 not asks_start and self.checks_liveness(request.service, now_s),
                 asks_start,
                 state.start_ms if is_bound and asks_start else None,
-                accepts_no_start,
+                registered_by_s if state.start_ms == state.replica.started_at_ms else -math.inf,
                 bool(request.sent_tail),
             )
         )
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -20,6 +20,9 @@
 REREGISTRATION_GRACE_S = 1.9
 # Time that a registration takes to be read, in addition.
 REGISTRATION_READ_S = 0.3
+# A process that has run for longer is registered, if it reaches the store: the users' platform
+# executes writes up to 6 s late, and a heartbeat may be under way. Their pages state no bound.
+UNREGISTERED_MAX_S = 8.0
 # While the store is read, proofs of the registry are not older: two long polls.
 PROOF_AGE_MAX_S = 5.0
 LATENCY_RATIO_WEIGHT = 0.25
@@ -397,6 +400,16 @@
         settling_s = max(self._heartbeat_s, REREGISTRATION_GRACE_S) + REGISTRATION_READ_S
         return now_s - self._in_order_since_s > settling_s
 
+    def registered_by_s(self) -> float:
+        """Return by when a process had to run to be registered by now, if it reaches the store."""
+        by_s = self._in_order_until_s - UNREGISTERED_MAX_S
+        return by_s if by_s > self._in_order_since_s else -math.inf
+
+    def registered_start_ms(self, replica_id: str) -> int | None:
+        """Return the start of a replica that is registered, if one is."""
+        state = self._states.get(replica_id)
+        return None if state is None else state.replica.started_at_ms
+
     def on_stated_start(self, replica_id: str, start: StatedStart) -> bool:
         """Note which start of a replica answers; return whether it is news that it is another."""
         state = self._states.get(replica_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -134,8 +134,9 @@
             return
         start = attempt.start
         fields: dict[str, LogValue] = {
-            "version": self._version_of(attempt, now_s),
+            "version": self._version_of(attempt),
             "start": start.value if isinstance(start, NoStart) else start,
+            "start_by_registration": attempt.registered_start_ms,
             "registered_start": state.replica.started_at_ms,
             "registered_version": state.replica.software_version,
             "registry_age_ms": self.pool.registry_age_ms(now_s),
@@ -157,7 +158,7 @@
         request, start = attempt.request, attempt.start
         if isinstance(start, NoStart) or not request.is_origin_open:
             return
-        version = self._version_of(attempt, now_s)
+        version = self._version_of(attempt)
         self.responder.log("start of stream stated", request, now_s, start=start, version=version)
         self.note_origin(attempt, now_s)
         if request.is_origin_open:
@@ -166,7 +167,7 @@
     def note_origin(self, attempt: AttemptState, now_s: float) -> None:
         """Note the version that began a stream, if it is known."""
         request = attempt.request
-        version = request.software_version or self._version_of(attempt, now_s)
+        version = request.software_version or self._version_of(attempt)
         if version is None:
             return
         request.software_version, request.is_origin_open = version, False
@@ -188,26 +189,33 @@
         self.origin_batches.begin(stream_id, replica.service, UNKNOWN_VERSION, now_s, claim)
         self.origins.begin(stream_id, UNKNOWN_VERSION, now_s)
 
+    def note_registered_start(self, attempt: AttemptState, connected_at_s: float | None) -> None:
+        """Note which start answers an attempt if its replica states none.
+
+        The process that accepted the connection still answers on it. If it has run for so long that
+        it must be registered, it is the start that is.
+        """
+        if attempt.start is not NoStart.NOT_STATED or connected_at_s is None:
+            return
+        if connected_at_s <= self.pool.registered_by_s():
+            name = attempt.state.replica.replica_id
+            attempt.registered_start_ms = self.pool.registered_start_ms(name)
+
     def is_at_other_version(self, attempt: AttemptState) -> bool:
         """Return whether a stream that goes on was sent to a start of another version."""
         version = attempt.request.software_version
-        if version is None or isinstance(attempt.start, NoStart):
+        if version is None or isinstance(attempt.known_start, NoStart):
             return False
-        name = attempt.state.replica.replica_id
-        return self.pool.version_of_start(name, attempt.start) != version
+        return self._version_of(attempt) != version
 
-    def _version_of(self, attempt: AttemptState, now_s: float) -> str | None:
+    def _version_of(self, attempt: AttemptState) -> str | None:
         """Return the version of the start that answers; ``None`` if it is not known."""
-        replica = attempt.state.replica
-        if attempt.start is NoStart.NOT_STATED:
-            return self.only_version(replica.service, now_s)
-        return self.pool.version_of_start(replica.replica_id, attempt.start)
+        return self.pool.version_of_start(attempt.state.replica.replica_id, attempt.known_start)
 
     def only_version(self, service: str, now_s: float) -> str | None:
         """Return the version of a service that has had no other one, as far as is known.
 
-        Replicas that state no start count as of that version. A start that has not registered may
-        be of another one.
+        A start that has not registered may be of another one.
         """
         if not self.pool.is_settled(now_s) or self.open_origins.has_any_of(service):
             return None
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -662,7 +662,8 @@
             connection.was_asked = action.asks_start and not connection.is_asked
             connection.is_asked |= action.asks_start
             start = _start_of(replica, connection, action)
-            is_accepted = action.accepts_no_start and start is NoStart.NOT_STATED
+            is_old = connection.accepted_at_s <= action.registered_by_s
+            is_accepted = is_old and start is NoStart.NOT_STATED
             if not is_accepted and action.required_start_ms not in (None, start):
                 self._kept[vm_id, action.replica_id].append(connection)
                 cause = FailureCause.OTHER_START
--- a/tests/cover/test_replica_start.py
+++ b/tests/cover/test_replica_start.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
-from gateway_driver import PLAN, GatewayDriver, make_replicas
+from gateway_driver import PLAN, PROVED_S, GatewayDriver, make_replicas
 from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
@@ -35,9 +37,9 @@
     StreamOrigin,
 )
 from coriandershelf_core.internal.gateway.pool import (
-    PROOF_AGE_MAX_S,
     REGISTRATION_READ_S,
     REREGISTRATION_GRACE_S,
+    UNREGISTERED_MAX_S,
     Pool,
 )
 from coriandershelf_core.internal.gateway.replica_starts import (
@@ -276,34 +278,85 @@
     assert driver.refusals(handle)[0].refusal is Refusal.UNKNOWN_VERSION
 
 
-# Guards against services whose replicas make no reports: their streams go on as well.
-def test_streams_of_replicas_that_state_no_start_go_on_while_there_is_one_version():
-    driver = make_driver("v1", "v1")
+# Guards against services whose replicas make no reports: their streams go on as well, where a
+# connection is older than any process that may not have registered yet.
+@pytest.mark.parametrize("versions", [("v1", "v1"), ("v1", "v1", "v2")])
+def test_streams_of_replicas_that_state_no_start_go_on_by_their_registrations(versions):
+    driver = make_driver(*versions)
     driver.prove_registry()
-    for _ in range(2):
-        answer(driver, driver.ask("/plan/1"), start=NoStart.NOT_STATED)
-        assert version_of(driver, f"id-{driver.last_handle}") == "v1"
-    handle = take_up(driver)
-    assert driver.attempts(handle)[0].accepts_no_start
+    handles = []
+    while len(handles) < 2:
+        handle = driver.ask("/plan/1")
+        answer(driver, handle, start=NoStart.NOT_STATED)
+        (attempt,) = driver.attempts(handle)
+        began_at = versions[int(attempt.replica_id.removeprefix("engine-"))]
+        assert version_of(driver, f"id-{handle}") == began_at
+        if began_at == "v1":
+            handles.append(handle)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id=f"id-{handles[0]}")
+    (attempt,) = driver.attempts(handle)
+    assert versions[int(attempt.replica_id.removeprefix("engine-"))] == "v1"
+    assert attempt.required_start_ms == 0
+    assert attempt.registered_by_s == driver.now_s - UNREGISTERED_MAX_S
     answer(driver, handle, start=NoStart.NOT_STATED)
     assert forwarded(driver, handle)
 
 
-# Guards against streams of such services that are joined once there is another version, or may be:
-# replicas that have started since an outage of the store began have not registered.
+# Guards against streams that are joined (ORDER): a replica that states no start counted as of the
+# only registered version, though it may have started again and not be registered yet.
 @pytest.mark.parametrize("is_away", [False, True])
-def test_streams_of_replicas_that_state_no_start_do_not_go_on_beside_another_version(is_away):
+def test_a_young_connection_to_a_replica_that_states_no_start_is_of_no_known_version(is_away):
     driver = make_driver("v1", "v1")
+    driver.prove_registry()
     if is_away:
-        driver.run(PROOF_AGE_MAX_S + 0.1)
-    else:
-        second = make_versions("v1", "v2", started_at_ms=5)["engine-1"]
-        driver.post(ReplicasRead({"engine-1": second}))
-        driver.prove_registry()
-    answer(driver, driver.ask("/plan/1"), start=NoStart.NOT_STATED)
+        driver.run(1.0)
+    handle = driver.ask("/plan/1")
+    (attempt,) = driver.attempts(handle)
+    driver.read_head(attempt.attempt_id, NoStart.NOT_STATED, age_s=UNREGISTERED_MAX_S - 0.1)
+    driver.open(attempt.attempt_id)
+    driver.read(attempt.attempt_id, 1)
     assert version_of(driver, "id-1") == UNKNOWN_VERSION
-    (attempt,) = driver.attempts(take_up(driver))
-    assert (attempt.required_start_ms, attempt.accepts_no_start) == (0, False)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="id-1")
+    assert driver.refusals(handle)[0].refusal is Refusal.UNKNOWN_VERSION
+
+
+# Guards against registrations that stand for what runs after an outage of the store, in which
+# replicas that start cannot register.
+def test_registrations_tell_nothing_of_young_connections_after_an_outage_of_the_store():
+    pool = make_pool()
+    pool.on_registry_proved(0.0, False, HEARTBEAT_S)
+    assert pool.registered_by_s() == -math.inf
+    pool.on_registry_proved(20.0, False, HEARTBEAT_S)
+    assert pool.registered_by_s() == 20.0 - UNREGISTERED_MAX_S
+    pool.on_registry_proved(30.0, True, HEARTBEAT_S)
+    assert pool.registered_by_s() == -math.inf
+    pool.on_registry_proved(29.9 + UNREGISTERED_MAX_S, False, HEARTBEAT_S)
+    assert pool.registered_by_s() == -math.inf
+    pool.on_registry_proved(30.1 + UNREGISTERED_MAX_S, False, HEARTBEAT_S)
+    assert pool.registered_by_s() > 30.0
+
+
+# Guards against streams joined of two versions in an outage of the store (ORDER, issue 70): by a
+# read of the registry from before it, replicas that state no start counted as of the version there.
+@pytest.mark.parametrize("vms_count", [3, 8])
+def test_no_stream_is_joined_in_an_outage_where_replicas_state_no_start(vms_count):
+    bench = GatewayBench(70, vms_count, replicas_count=6, events_count=10)
+    for replica in bench.replicas.values():
+        replica.states_start = False
+    bench.time.run(PROVED_S)
+    bench.load(LOAD_PER_S, 2.0)
+    begun_count = bench.resumptions.begun
+    bench.store_away = True
+    for index in range(3):
+        bench.restart_in_place(f"replica-{index}", "v2", 0.3, registered_after_s=8.0)
+    for number in range(10):
+        bench.load(LOAD_PER_S, 0.4)
+        bench.crash(f"replica-{number % 6}")
+    bench.load(LOAD_PER_S, 2.0)
+    bench.store_away = False
+    bench.load(LOAD_PER_S, 4.0)
+    assert mixed_count(bench) == 0, f"{mixed_count(bench)} joined"
+    assert bench.resumptions.begun > begun_count + 300
 
 
 # Guards against a replica that has started again while its load was queried, and against a check of
--- a/tests/cover/test_stated_starts.py
+++ b/tests/cover/test_stated_starts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from functools import wraps
 
 import pytest
@@ -15,6 +16,7 @@
     add_replica,
     asks_to_close,
     is_silent,
+    responds,
     states,
     stream_and_close,
 )
@@ -26,6 +28,7 @@
     ResponseHeadRead,
     StreamEnded,
 )
+from coriandershelf_core.internal.gateway.replica_starts import NoStart
 from coriandershelf_platform.application import steady_s
 from coriandershelf_platform.replica_client import ConnectionPool, ForwardedRequest, run_attempt
 from coriandershelf_platform.replica_tunnels import TunnelServer
@@ -351,6 +354,38 @@
         assert joined == ({"id-3"} if response.status == 200 else set())
 
 
+# Guards against a stream that goes on at a replica that states no start, on a connection that a
+# process may have accepted which has not registered yet (ORDER).
+@on_loop
+async def test_a_stream_goes_on_without_a_stated_start_on_an_old_connection_only() -> None:
+    async with Site() as site:
+        replica = await add_replica(site, Reporter(responds(b"no report")))
+        pool = ConnectionPool(steady_s, lambda: None)
+
+        async def attempt(number: int, registered_by_s: float) -> list[object]:
+            action = StartAttempt(
+                number, number, "engine-1", replica.address, 5.0, None, None, True, False,
+                resumable=True, asks_start=True, required_start_ms=1 if number else None,
+                registered_by_s=registered_by_s,
+            )  # fmt: skip
+            headers = (("Host", "x"), ("X-Request-Id", f"id-{number}"))
+            forwarded = ForwardedRequest("POST", "/plan/1", headers, b"", f"id-{number}")
+            posted: list[object] = []
+            await run_attempt(action, forwarded, pool, posted.append, lambda handle: None)
+            return posted
+
+        before_s = steady_s()
+        head, *_, last = await attempt(0, -math.inf)
+        assert head.start is NoStart.NOT_STATED and isinstance(last, StreamEnded)
+        (failed,) = await attempt(1, before_s)
+        assert isinstance(failed, AttemptFailed) and failed.cause is FailureCause.OTHER_START
+        assert not failed.sent and failed.start is NoStart.NOT_STATED
+        head, *_, last = await attempt(2, steady_s())
+        assert head.connected_at_s < steady_s() and isinstance(last, StreamEnded)
+        assert targets(replica).count("/plan/1") == 2
+        assert replica.connection_count == 1
+
+
 async def attempt_through(
     relay_address: str, address: str, pool: ConnectionPool, number: int, start_ms: int | None
 ) -> list[object]:
--- a/tests/support/gateway_driver.py
+++ b/tests/support/gateway_driver.py
@@ -201,11 +201,17 @@
         return self.post(StreamOpened(attempt_id, 200, ()))
 
     def read_head(
-        self, attempt_id: int, start: StatedStart, was_asked: bool = False
+        self,
+        attempt_id: int,
+        start: StatedStart,
+        was_asked: bool = False,
+        age_s: float = KNOWN_CONNECTION_AGE_S,
     ) -> list[Action]:
         """Let the head of a response arrive, on a connection that leads to a start.
 
         Only those that are asked for it state their start.
+
+        :param age_s: how long ago the replica had accepted the connection.
         """
         asked = [
             item
@@ -214,7 +220,7 @@
         ]
         self.heads_read.add(attempt_id)
         stated = start if asked and asked[0].asks_start else NoStart.NOT_ASKED
-        connected_at_s = self.now_s - KNOWN_CONNECTION_AGE_S
+        connected_at_s = self.now_s - age_s
         return self.post(
             ResponseHeadRead(
                 attempt_id, False, connected_at_s=connected_at_s, start=stated, was_asked=was_asked
