Streams: the only version counts once the registry was read after the caller came

What callers saw: three of 447 streams joined of two software versions, with replicas that state their start, where the store was away, replicas started again as the next version and no VM could ask another one (streams of real VMs, all datagrams lost, callers that wait 0.3 s).

Cause: a VM that finds nobody who knows a stream takes the only version of its service for the one that began it, by a registry read up to 5 s before. In an outage of the store that says nothing of a start that could not register.

Change: such a caller waits until the registry has been read after it came.

The new tests fail without the change: the caller is sent to the version of the old read.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -390,6 +390,10 @@
         is_recent = now_s - self._in_order_until_s <= PROOF_AGE_MAX_S
         return is_recent and self.would_be_registered(-math.inf)
 
+    def is_proved_since(self, at_s: float) -> bool:
+        """Return whether all registrations that were written before a time are known."""
+        return self._in_order_until_s >= at_s
+
     def would_be_registered(self, since_s: float) -> bool:
         """Return whether a start that ran at a time and reaches the store would be registered."""
         settling_s = max(self._heartbeat_s, REREGISTRATION_GRACE_S) + REGISTRATION_READ_S
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -93,13 +93,15 @@
         for request in waiting:
             if not self.responder.is_active(request):
                 self.awaited_origins.remove(request)
-            elif self.origins.version_of(request.stream_id) not in (None, UNKNOWN_VERSION):
+            elif self._may_be_sent(request, now_s):
                 self.awaited_origins.remove(request)
                 self._send_at_origin(request, now_s, is_read=True)
         for request in self.awaited_origins.pop_due(now_s):
             if not self.origins.query(request, request.stream_id, now_s):
                 self._send_or_read(request, now_s)
-        if waiting and not self.pool.is_settled(now_s) and self.pool.may_be_settled(now_s):
+        if self.pool.may_be_settled(now_s) and any(
+            not self._knows_versions(request, now_s) for request in waiting
+        ):
             self._prove_registry(now_s)
         for request in self.origins.pop_overdue(now_s):
             self._send_or_read(request, now_s)
@@ -246,13 +248,18 @@
             version = None
         elif version is None and (is_read or self.origins.was_read):
             # Without the origin, only a service that has had a single version is safe.
-            version, source = self.only_version(request.service, now_s), OriginSource.ONLY_VERSION
-            # A replica may serve that has not registered yet.
             is_single = self.pool.only_version(request.service, now_s) is not None
-            is_awaited = is_single and not self.pool.is_settled(now_s)
+            is_known = self._knows_versions(request, now_s)
+            if is_known:
+                version = self.only_version(request.service, now_s)
+                source = OriginSource.ONLY_VERSION
+            # A replica may serve that has not registered yet.
+            is_awaited = is_single and not is_known
         if version is None:
             if not (is_awaited and self.await_origin(request, now_s)):
                 self.responder.refuse(request, Refusal.UNKNOWN_VERSION, now_s, resumes=stream_id)
+            elif self.pool.may_be_settled(now_s):
+                self._prove_registry(now_s)
             return
         request.software_version, request.is_origin_open = version, False
         request.origin_source = source
@@ -261,6 +268,22 @@
         else:
             self.send(request, now_s)
 
+    def _may_be_sent(self, request: ActiveRequest, now_s: float) -> bool:
+        """Return whether what a waiting request has waited for is known."""
+        version = self.origins.version_of(request.stream_id)
+        if version is None:
+            return self._knows_versions(request, now_s)
+        return version != UNKNOWN_VERSION
+
+    def _knows_versions(self, request: ActiveRequest, now_s: float) -> bool:
+        """Return whether the registry shows all versions at which a stream may have begun.
+
+        What was read before its caller came says nothing of a version that has begun since, least
+        of all in an outage of the store.
+        """
+        is_settled = self.pool.is_settled(now_s)
+        return is_settled and self.pool.is_proved_since(request.arrived_at_s)
+
     def _on_known(self, known: KnownOrigin, now_s: float) -> None:
         if known.is_own:
             self.origins.begin(known.stream_id, known.version, now_s)
--- a/tests/cover/test_partial_reads.py
+++ b/tests/cover/test_partial_reads.py
@@ -108,7 +108,7 @@
         else:
             assert read is StoreFailure.MALFORMED
         following.consumer._shared.on_loaded(0, 0.0)
-        await following.consumer.prove(following.store, time.monotonic())
+        await following.consumer.prove(following.store)
         assert not following.watermarks
         following.store.close()
         await server.stop()
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import pytest
-from gateway_driver import PROVED_S, GatewayDriver, make_replicas
+from gateway_driver import PLAN, PROVED_S, GatewayDriver, make_replicas
 from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
     IncrementCounter,
+    ProveRegistry,
     Refusal,
     SendOriginMessage,
 )
+from coriandershelf_core.internal.gateway.attempts import wait_max_s
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
-from coriandershelf_core.internal.gateway.events import OriginMessageArrived, ReplicasRead
+from coriandershelf_core.internal.gateway.events import (
+    OriginMessageArrived,
+    RegistryProved,
+    ReplicasRead,
+)
 from coriandershelf_core.internal.gateway.open_origins import OpenOrigins
 from coriandershelf_core.internal.gateway.origin_messages import OriginReply, StreamOrigin
 from coriandershelf_core.internal.gateway.pool import VERSION_KEPT_S, Pool
@@ -156,12 +162,51 @@
 
 
 def take_up(driver: GatewayDriver, **changes: object) -> int:
-    """Resume a stream, and let the store be read."""
+    """Resume a stream, and let the store be read, the registry too."""
     handle = driver.ask("/plan/1", last_event_id=1, **changes)
     driver.run(0.1)
+    driver.post(RegistryProved(driver.now_s))
+    driver.run(0.1)
     return handle
 
 
+# Guards against streams that are joined in an outage of the store (ORDER, issue 70): where no VM
+# could be asked for the origin, the only version of an earlier read stood in for it.
+@pytest.mark.parametrize("is_read_again", [False, True])
+def test_the_only_version_counts_once_the_registry_was_read_after_the_caller_came(is_read_again):
+    driver = make_driver("v1", "v1")
+    driver.run(1.0)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="gone", time_left_s=14.0)
+    arrived_at_s = driver.now_s
+    driver.run(0.5)
+    driver.post(RegistryProved(arrived_at_s - 0.01))
+    driver.run(0.5)
+    assert not driver.attempts(handle) and not driver.refusals(handle)
+    assert ProveRegistry() in driver.actions
+    if is_read_again:
+        driver.post(RegistryProved(arrived_at_s + 0.01))
+        driver.run(0.1)
+        (attempt,) = driver.attempts(handle)
+        assert attempt.required_start_ms == 0
+    else:
+        driver.run(wait_max_s(PLAN) - 0.5)
+        assert driver.refusals(handle)[0].refusal is Refusal.UNKNOWN_VERSION
+        assert not driver.attempts(handle)
+
+
+# Guards against the same where a version appears in the read that the caller waits for.
+def test_a_version_that_registers_while_a_caller_waits_leaves_its_origin_unknown():
+    driver = make_driver("v1", "v1")
+    driver.run(1.0)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="gone", time_left_s=14.0)
+    driver.run(0.2)
+    driver.post(ReplicasRead({"engine-1": make_versions("v1", "v2")["engine-1"]}))
+    driver.post(RegistryProved(driver.now_s))
+    driver.run(1.0)
+    assert driver.refusals(handle)[0].refusal is Refusal.UNKNOWN_VERSION
+    assert not driver.attempts(handle)
+
+
 def test_a_stream_of_unknown_origin_is_refused_unless_there_was_only_one_version():
     driver = make_driver("v1", "v1")
     assert driver.attempts(take_up(driver, resumes_id="gone"))
