Logs: what a cap had left is not overwritten by the line's own level

Cause: both lines had a field `level`, the name under which the logger writes the line's own level after them.

Why it works: no line of the gateway has a field named `level`, `at_s` or `unix_s` any more (searched for).

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/digest_exchange.py
@@ -118,7 +118,7 @@
             return
         self.entry_vms.lowest_level = level
         below = self.peers.vm_ids_below(PROTOCOL_LEVEL)
-        fields = (("level", level), ("below", len(below)), ("first", ",".join(below[:3])))
+        fields = (("protocol_level", level), ("below", len(below)), ("first", ",".join(below[:3])))
         self.emit(LogLine("lowest protocol level", fields))
 
     def _update_trackers(self, stopping: bool, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -421,10 +421,10 @@
         if customer is not None:
             wait_s = self.caps.wait_s(customer, request.cost, now_s, request.resumes_stream)
             if wait_s > 0.0:
-                level = round(self.caps.level(customer))
+                left = round(self.caps.level(customer))
                 self._refuse(
                     arrival, Refusal.CAP, wait_s, now_s,
-                    customer=customer.name, cost=request.cost, level=level,
+                    customer=customer.name, cost=request.cost, cap_left=left,
                 )  # fmt: skip
                 return
         self.arrival_rates.add_arrival(request.service, arrival.prompt_tokens, now_s)
--- a/tests/cover/test_gateway_caps.py
+++ b/tests/cover/test_gateway_caps.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import pytest
+from gateway_driver import KEY, GatewayDriver, make_deployment
 from hypothesis import given
 from hypothesis import strategies as st
 
+from coriandershelf_core.internal.gateway.actions import LogLine
 from coriandershelf_core.internal.gateway.deployment import Customer
 from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.usage_caps import UsageCaps
@@ -243,6 +245,22 @@
     assert 40.0 * admitted[True] + 20.0 * admitted[False] >= 0.8 * RATE * 16.0
 
 
+# Guards against log lines without what a cap had left, as its name was that of the log's level.
+def test_a_refusal_at_a_cap_logs_what_was_left():
+    driver = GatewayDriver()
+    cap = Customer("customer-1", (KEY,), None, 2000.0, 2000.0, True)
+    driver.begin(make_deployment(customers=(cap,)))
+    driver.gateway.caps.spend(cap, driver.gateway.caps.level(cap))
+    driver.ask("/plan/1")
+    (line,) = [
+        dict(action.fields)
+        for action in driver.actions
+        if isinstance(action, LogLine) and action.event == "refused"
+    ]
+    assert line["cap_left"] == 0
+    assert "level" not in line
+
+
 # Guards against a process that cannot handle any request once another one waits: a customer that
 # asked here and then, for 25 minutes, at other VMs had a part of 0, by which capacity is divided.
 @pytest.mark.parametrize("tick_s", [0.05, 0.5, 1.9])
--- a/tests/cover/test_protocol_levels.py
+++ b/tests/cover/test_protocol_levels.py
@@ -117,7 +117,9 @@
         digest = Digest("vm-2", "vm-2:7500", "z", 1, sequence, 0.0, build=build)
         driver.post(DigestArrived(digest))
         lines = [action for action in driver.run(0.3) if isinstance(action, LogLine)]
-        levels += [dict(x.fields)["level"] for x in lines if x.event == "lowest protocol level"]
+        levels += [
+            dict(x.fields)["protocol_level"] for x in lines if x.event == "lowest protocol level"
+        ]
         assert driver.gateway.relay.paths._entry_vms.lowest_level == level_of(build)
     assert levels == [PROTOCOL_LEVEL, 0, PROTOCOL_LEVEL]
 
