Close-delimited streams that end after a comment: ask for more after the last event

Callers saw a stream end as complete before its last event, where a replica that runs on had closed the connection between a block of comments, written to keep it alive, and the next event. The stream had neither a length nor chunks.

Cause: the check of such an end asks whether the replica's process still runs. It does, so the end was confirmed. That the last block was a comment, which replicas write while an event is to come, counted only if the block lacked its empty line (EndInCommentsError).

Change: StreamEnded says whether a block of comments came last. Once the end is confirmed, a stream that may be resumed and whose last event's id is known goes on with one more attempt after that event. If the attempt brings no event, the stream is whole. A silent attempt is given up before the caller would abandon the stream. Other routes and forms do not change.

Evidence: test_a_stream_without_length_that_ends_after_a_comment_goes_on failed on the code before, for each line end.

Why it works: the replica that resumes the stream knows whether there are more events, and a run that resumes it after its last event repeats none.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/events.py
@@ -196,10 +196,12 @@
     """A stream ended cleanly at an event boundary.
 
     :param is_close_delimited: whether only the end of its connection showed its end.
+    :param after_comment: whether a block of comments came last, with no event after it.
     """
 
     attempt_id: int
     is_close_delimited: bool = False
+    after_comment: bool = False
 
 
 class AttemptFailed(Struct, frozen=True):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -24,6 +24,7 @@
     AttemptState,
     first_ms,
     gap_timeout_s,
+    wait_max_s,
 )
 from coriandershelf_core.internal.gateway.crash_suspects import CrashSuspects
 from coriandershelf_core.internal.gateway.deployment import Deployment, RouteKind, Service
@@ -313,6 +314,9 @@
             return
         self.ends.on_read(attempt, now_s)
         request.waits_since_s = None
+        if request.may_be_whole_since_s is not None:
+            request.may_be_whole_since_s = None
+            self.ends.on_more_after_comment(request.service, now_s)
         self._check_lateness(attempt, now_s)
         if attempt.first_event_at_s is not None:
             gap_s = now_s - attempt.last_event_at_s
@@ -373,9 +377,40 @@
             return
         if isinstance(event, AnswerRead):
             self._handle_response(attempt, event, now_s)
-        else:
+        elif not (event.after_comment and self._go_on_after_comment(attempt, now_s)):
             self._end_stream(attempt, event, now_s)
 
+    def _go_on_after_comment(self, attempt: AttemptState, now_s: float) -> bool:
+        """Ask for more of a stream that ended with its connection after a comment.
+
+        Its replica runs, but may have broken it off: replicas write comments while the next event
+        is to come. Returns false if the stream is to end: this attempt has brought no event, or no
+        other one can go on and streams of the service are not known to break off so.
+        """
+        request = attempt.request
+        if not attempt.events_count:
+            self.ends.on_whole_after_comment(request.service)
+            return False
+        self.resumptions.settle(request)
+        is_bound = request.last_event_id is not None and not request.is_origin_open
+        if not (request.route.resumable and is_bound):
+            return False
+        is_known_to_break = self.ends.break_after_comments(request.service, now_s)
+        may_retry = self._take_retry(request, now_s)
+        if not (may_retry or is_known_to_break):
+            return False
+        self.attempts.end(attempt, now_s)
+        request.last_failure = FailureCause.UNCONFIRMED.value
+        if not may_retry:
+            self.responder.refuse(request, Refusal.UNKNOWN_OUTCOME, now_s)
+            return True
+        if not is_known_to_break:
+            request.may_be_whole_since_s = attempt.last_event_at_s
+        if not self._has_untried(request):
+            request.tried_ids.discard(attempt.state.replica.replica_id)
+        self._retry(request, RetryReason.UNCONFIRMED, now_s, budgeted=True)
+        return True
+
     def on_end_unconfirmed(self, attempt: AttemptState, cause: FailureCause, now_s: float) -> None:
         """Treat a response that ended with its connection as broken off."""
         self.on_failed(AttemptFailed(attempt.attempt_id, cause, sent=True), now_s)
@@ -504,6 +539,7 @@
         self.send_waiting(now_s)
         self.admission.refuse_unlikely(now_s)
         self._end_overdue(now_s)
+        self._end_without_more(now_s)
 
     def _end_overdue(self, now_s: float) -> None:
         """End the requests that are past their time limit and have no attempt that could end."""
@@ -513,6 +549,17 @@
                 request.may_have_run |= request.sent_count > 0
                 self.responder.refuse(request, Refusal.TIMEOUT, now_s, overdue=1)
 
+    def _end_without_more(self, now_s: float) -> None:
+        """End the streams that may be whole before their callers abandon them."""
+        for request in list(self.responder.active_requests.values()):
+            since_s = request.may_be_whole_since_s
+            if since_s is None or now_s - since_s < wait_max_s(request.route):
+                continue
+            attempt = self.attempts.for_request(request)
+            if attempt is not None:
+                self.attempts.cancel(attempt, now_s)
+            self.responder.abort_stream(request, now_s)
+
     def send_waiting(self, now_s: float) -> None:
         """Send the waiting requests for which there is capacity now."""
         for request in self.admission.due(now_s):
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/request.py
@@ -74,6 +74,8 @@
     :param headers_sent: whether the headers of a stream were sent to the caller.
     :param usage_counted: whether it was counted for the usage report.
     :param missed_objective: whether it has missed its latency objective.
+    :param may_be_whole_since_s: time of the last event of a stream that ended in order after a
+        comment and is whole unless another attempt brings more; ``None`` if it did not end so.
     :param sent_tail: last bytes of the stream that were sent to the caller.
     :param tried_ids: ids of the replicas it was sent to.
     :param replica_id: the replica it was last sent to.
@@ -106,6 +108,7 @@
     missed_objective: bool = False
     last_event_id: int | None = None
     bytes_sent: int = 0
+    may_be_whole_since_s: float | None = None
     sent_tail: bytes = b""
     tried_ids: set[str] = field(default_factory=set)
     connect_failures_count: int = 0
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/responder.py
@@ -113,7 +113,13 @@
         self.remove(request)
 
     def abort_stream(self, request: ActiveRequest, now_s: float) -> None:
-        """Abort a stream so that the caller sees it as incomplete."""
+        """Abort a stream so that the caller sees it as incomplete.
+
+        One that had ended, and of which no other attempt has brought more, is ended.
+        """
+        if request.may_be_whole_since_s is not None:
+            self.end_stream(request, now_s, no_more=1)
+            return
         self.emit(AbortStream(request.arrival.handle))
         self.emit(IncrementCounter("streams_broken"))
         self.log("stream broken", request, now_s, resumes=request.arrival.resumes_id)
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/response_ends.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/response_ends.py
@@ -91,6 +91,7 @@
     _by_attempt: dict[int, UnconfirmedEnd] = field(default_factory=dict)
     _asked_at_s: dict[ReplicaPath, float] = field(default_factory=dict)
     _seen_at_s: dict[str, float] = field(default_factory=dict)
+    _broken_after_comment_at_s: dict[str, float] = field(default_factory=dict)
     _timing: ReadTiming = field(default_factory=ReadTiming)
 
     def on_head(self, attempt: AttemptState, event: ResponseHeadRead, now_s: float) -> None:
@@ -117,6 +118,19 @@
         """Return whether a service's replicas have sent such responses of late."""
         return now_s - self._seen_at_s.get(service, -math.inf) <= EXPECTED_S
 
+    def break_after_comments(self, service: str, now_s: float) -> bool:
+        """Return whether a service's streams that end after a comment have more events to come."""
+        broken_at_s = self._broken_after_comment_at_s.get(service, -math.inf)
+        return now_s - broken_at_s <= EXPECTED_S
+
+    def on_more_after_comment(self, service: str, now_s: float) -> None:
+        """Note that a stream that had ended after a comment was not whole."""
+        self._broken_after_comment_at_s[service] = now_s
+
+    def on_whole_after_comment(self, service: str) -> None:
+        """Note that a stream that ended after a comment was whole."""
+        self._broken_after_comment_at_s.pop(service, None)
+
     def add(
         self, attempt: AttemptState, event: ResponseEnd, service: Service, now_s: float
     ) -> None:
--- a/tests/cover/test_response_ends.py
+++ b/tests/cover/test_response_ends.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from gateway_driver import GatewayDriver
+from gateway_driver import PLAN, GatewayDriver, make_deployment, make_replicas
+from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
@@ -14,6 +15,7 @@
     SendResponse,
     StartAttempt,
 )
+from coriandershelf_core.internal.gateway.attempts import wait_max_s
 from coriandershelf_core.internal.gateway.events import (
     CallerLeft,
     Liveness,
@@ -21,6 +23,7 @@
     RegistryProved,
     ReplicasRead,
     ResponseHeadRead,
+    StreamOpened,
 )
 from coriandershelf_core.internal.gateway.replica_starts import NoStart, StatedStart
 from coriandershelf_core.internal.gateway.response_ends import (
@@ -316,3 +319,149 @@
     assert not [
         item for item in response.driver.actions if item == IncrementCounter("errors", "event")
     ]
+
+
+class EndAfterComment:
+    """A close-delimited stream of a replica that runs on, which ended right after a comment."""
+
+    def __init__(self, path: str = "/plan/1", attempts_max_count: int = 3) -> None:
+        self.driver = GatewayDriver()
+        deployment = make_deployment()
+        routes = tuple(
+            replace(route, attempts_max_count=attempts_max_count) for route in deployment.routes
+        )
+        self.driver.begin(replace(deployment, routes=routes))
+        self.begin(path)
+
+    def begin(self, path: str = "/plan/1") -> None:
+        """Let another stream of the same service begin, and end after a comment."""
+        self.driver.actions.clear()
+        self.handle = self.driver.ask(path, time_left_s=15.0)
+        self.open(event_id=1)
+        self.end()
+
+    @property
+    def attempts(self) -> list[StartAttempt]:
+        return self.driver.attempts(self.handle)
+
+    @property
+    def has_ended(self) -> bool:
+        return any(isinstance(item, EndStream) for item in self.driver.actions)
+
+    def open(self, event_id: int | None) -> None:
+        """Let the last attempt begin to answer, with an event if there is one to come."""
+        attempt, now_s = self.attempts[-1], self.driver.now_s
+        start = 0 if attempt.asks_start else NoStart.NOT_ASKED
+        self.driver.post(
+            ResponseHeadRead(
+                attempt.attempt_id, True, connected_at_s=now_s - 8.0, sent_at_s=now_s, start=start
+            )
+        )
+        self.driver.post(StreamOpened(attempt.attempt_id, 200, ()))
+        if event_id is not None:
+            self.driver.read(attempt.attempt_id, event_id)
+
+    def end(self, after_comment: bool = True) -> None:
+        """End the last attempt with its connection; its replica answers a check after that."""
+        attempt = self.attempts[-1]
+        self.driver.end(attempt.attempt_id, is_close_delimited=True, after_comment=after_comment)
+        connected_at_s = self.driver.now_s - 8.0
+        answered = LivenessChecked(attempt.replica_id, Liveness.ANSWERED, connected_at_s, start=0)
+        self.driver.post(answered)
+
+
+# Guards against a stream that looks complete though its replica, which runs on, closed its
+# connection between a comment and the next event.
+def test_a_stream_that_ended_after_a_comment_goes_on_after_its_last_event():
+    stream = EndAfterComment()
+    assert not stream.has_ended
+    assert [item.last_event_id for item in stream.attempts] == [None, 1]
+    stream.open(event_id=2)
+    stream.end(after_comment=False)
+    assert stream.has_ended and len(stream.attempts) == 2
+
+
+# Guards against a whole stream that its caller loses, or gets after many attempts, since its
+# replicas write a comment last.
+@pytest.mark.parametrize("after_comment", [False, True])
+def test_an_attempt_that_brings_no_event_shows_that_a_stream_was_whole(after_comment):
+    stream = EndAfterComment()
+    stream.open(event_id=None)
+    stream.end(after_comment)
+    assert stream.has_ended and len(stream.attempts) == 2
+
+
+@pytest.mark.parametrize("path, attempts_max_count", [("/plan/1", 1), ("/ask/1", 3)])
+def test_a_stream_that_cannot_go_on_may_end_after_a_comment(path, attempts_max_count):
+    stream = EndAfterComment(path, attempts_max_count)
+    assert stream.has_ended and len(stream.attempts) == 1
+
+
+# Guards against a whole stream that its caller loses since no replica could show that it was.
+@pytest.mark.parametrize("trouble", ["fails", "cannot be connected", "answers an error", "leaves"])
+def test_a_stream_whose_rest_cannot_be_asked_for_is_whole_as_before(trouble):
+    stream = EndAfterComment()
+    driver = stream.driver
+    for _ in range(9):
+        if stream.has_ended:
+            break
+        attempt_id = stream.attempts[-1].attempt_id
+        if trouble == "answers an error":
+            driver.answer(attempt_id, 404)
+        elif trouble == "leaves":
+            driver.post(ReplicasRead(make_replicas(0, 0), complete=True))
+            driver.fail(attempt_id)
+        else:
+            driver.fail(attempt_id, sent=trouble == "fails")
+    assert stream.has_ended
+    assert not any(isinstance(item, AbortStream) for item in driver.actions)
+
+
+# Guards against a half of a stream that looks complete since all of its attempts ended so.
+def test_a_stream_breaks_off_after_a_comment_where_others_did():
+    stream = EndAfterComment(attempts_max_count=2)
+    stream.open(event_id=2)
+    stream.end()
+    assert not stream.has_ended
+    assert AbortStream(stream.handle) in stream.driver.actions
+    # A stream that was whole shows that such ends of the service may be sound.
+    stream.begin()
+    stream.open(event_id=None)
+    stream.end()
+    assert stream.has_ended
+    stream.begin()
+    stream.driver.fail(stream.attempts[-1].attempt_id)
+    assert stream.has_ended
+
+
+def test_others_that_broke_off_after_a_comment_are_forgotten():
+    stream = EndAfterComment(attempts_max_count=2)
+    stream.open(event_id=2)
+    stream.end()
+    stream.begin()
+    stream.driver.fail(stream.attempts[-1].attempt_id)
+    assert not stream.has_ended
+    stream.driver.now_s += EXPECTED_S + 1.0
+    stream.driver.confirm_configuration()
+    stream.begin()
+    stream.driver.fail(stream.attempts[-1].attempt_id)
+    assert stream.has_ended
+
+
+# Guards against a whole stream that its caller abandons while a silent replica is asked for more.
+def test_a_stream_ends_before_its_caller_abandons_it():
+    stream = EndAfterComment(attempts_max_count=2)
+    stream.driver.run(wait_max_s(PLAN) + 0.1)
+    assert stream.has_ended
+    assert not any(isinstance(item, AbortStream) for item in stream.driver.actions)
+    stream.driver.end(stream.attempts[-1].attempt_id, is_close_delimited=True)
+    assert sum(isinstance(item, EndStream) for item in stream.driver.actions) == 1
+
+
+# Guards against a stream that looks whole though another attempt has shown that it is not.
+def test_a_stream_that_went_on_and_breaks_again_is_broken_off():
+    stream = EndAfterComment(attempts_max_count=2)
+    stream.open(event_id=2)
+    stream.driver.fail(stream.attempts[-1].attempt_id)
+    assert not stream.has_ended
+    assert any(isinstance(item, AbortStream) for item in stream.driver.actions)
--- a/tests/cover/test_stock_parsers.py
+++ b/tests/cover/test_stock_parsers.py
@@ -222,6 +222,59 @@
         assert cutter.mid_block == is_within, data
 
 
+@pytest.mark.parametrize("size", [1, 2, 100])
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_block_of_comments_comes_last_until_the_next_event(line_end, size):
+    end = LINE_ENDS[line_end]
+    cutter = EventCutter()
+    for data, is_after in (
+        (event(1, end), False),
+        (b": a" + end + b": b" + end * 2, True),
+        (end, True),
+        (event(2, end), False),
+        (b": a" + end + event(3, end), False),
+        (event(4, end) + b": a" + end * 2, True),
+        (b"data: x" + end + b": a" + end * 2, False),
+        (b":" + end * 2, True),
+        (b"id: 5", False),
+    ):
+        for part in pieces(data, size):
+            cutter.feed(part)
+        assert cutter.after_comment == is_after, data
+
+
+# Guards against a half of a stream that looks complete: it has no length, and its replica, which
+# runs on, closed the connection between a comment that keeps it alive and the next event.
+@pytest.mark.parametrize("line_end", LINE_ENDS)
+def test_a_stream_without_length_that_ends_after_a_comment_goes_on(line_end):
+    end = LINE_ENDS[line_end]
+    comment = b": ping" + end * 2
+
+    async def script(request, connection) -> None:
+        if request.target == "/health":
+            await connection.send(receipt_head(request) + b"Content-Length: 0\r\n\r\n")
+            return
+        await connection.send(receipt_head(request) + b"\r\n")
+        if request.headers.get("last-event-id") is None:
+            await connection.send(event(1, end))
+            # Later events show that the connection for checks leads to the same process.
+            await asyncio.sleep(0.6)
+            await connection.send(event(2, end) + comment)
+        else:
+            await connection.send(event(3, end))
+        connection.close()
+
+    async def scenario() -> None:
+        async with Site(renews=True) as site:
+            await site.add_replica("engine", script)
+            response = await site.request("/plan/1", "id-1")
+            assert response.complete
+            begun = event(1, end) + event(2, end) + comment
+            assert response.body == begun + event(3, end)
+
+    asyncio.run(asyncio.wait_for(scenario(), 30.0))
+
+
 # Guards against a stream that ends broken, or without an id, since its replica writes a byte order
 # mark first: it is one at the start of a response only.
 @pytest.mark.parametrize("event_ids", [(1,), (1, 2)])
--- a/tests/support/gateway_driver.py
+++ b/tests/support/gateway_driver.py
@@ -225,5 +225,7 @@
         payload = f"id: {event_id}\ndata: x\n\n".encode()
         return self.post(StreamRead(attempt_id, payload, 1, event_id))
 
-    def end(self, attempt_id: int, is_close_delimited: bool = False) -> list[Action]:
-        return self.post(StreamEnded(attempt_id, is_close_delimited))
+    def end(
+        self, attempt_id: int, is_close_delimited: bool = False, after_comment: bool = False
+    ) -> list[Action]:
+        return self.post(StreamEnded(attempt_id, is_close_delimited, after_comment))
