Streams: the only version does not count while VMs may be behind a network cut

What callers saw (in virtual time, with replicas that state their start): while a zone is cut off from the other ones and the store, replicas in it start again as the next version and cannot register.

Cause: nobody outside the zone can be asked for the origin, the store is read in order, and the only version that it shows stood in. That a read is recent says nothing of what cannot write.

Change: the inference counts only if no VM that was heard of late is silent, and none was until replicas have had time to register since. A caller waits for that, and is refused in the end.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/gateway.py
@@ -220,6 +220,7 @@
             ),
             Resumptions(
                 self.pool,
+                self.peers,
                 responder,
                 origins,
                 OriginBatches(address, self.pool, entry_vms, emit),
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from heapq import nlargest
 
 from msgspec import Struct, field
@@ -23,6 +24,8 @@
 # On sites with many peers, the digests of a period are spread over its ticks: sent at once, they
 # would overflow the queue of a small VM's link, and the same peers would never get theirs.
 DIGESTS_PER_TICK_MAX_COUNT = 12
+# A peer that was silent for longer, and for some digest periods, may be behind a network cut.
+SILENT_MIN_S = 1.0
 # On sites with more peers than this, the usage and demand of customers, which make up most of a
 # digest, are sent at this longer period only, since links of small VMs carry 5 Mbit/s.
 SMALL_SITE_PEERS_COUNT = 12
@@ -74,6 +77,8 @@
     vm_id: str
     registrations_read: bool = False
     _peers: dict[str, Peer] = field(default_factory=dict)
+    # When a VM that had been silent was last heard again.
+    _returned_at_s: float = -math.inf
 
     @property
     def count(self) -> int:
@@ -103,6 +108,8 @@
         order = (digest.incarnation, digest.sequence)
         if known is not None and order <= (known.incarnation, known.sequence):
             return False
+        if known is not None and self._is_silent(peer, now_s):
+            self._returned_at_s = now_s
         peer.digest = digest
         if peer.address != digest.address or peer.digest_port != digest.digest_port:
             peer.address, peer.digest_port = digest.address, digest.digest_port
@@ -197,6 +204,22 @@
             if peer.digest is not None and now_s - peer.received_at_s <= max_age_s
         ]
 
+    def cut_until_s(self, now_s: float) -> float:
+        """Return until when a VM may have served on the other side of a network cut.
+
+        It is now, if one that was heard of late, and does not stop, is silent.
+        """
+        is_cut = any(
+            self._is_silent(peer, now_s)
+            for peer in self._peers.values()
+            if peer.digest is not None and not peer.digest.stopping
+        )
+        return now_s if is_cut else self._returned_at_s
+
+    def _is_silent(self, peer: Peer, now_s: float) -> bool:
+        periods_s = DIGEST_MAX_AGE_PERIODS_COUNT * self.longest_period_s
+        return now_s - peer.received_at_s > max(SILENT_MIN_S, periods_s)
+
     def rank(self, now_s: float) -> int:
         """Return this VM's position by id among itself and the live peers that are not stopping."""
         return sum(
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -382,13 +382,15 @@
         age_s = now_s - self._in_order_until_s
         return None if math.isinf(age_s) else round(age_s * 1e3)
 
-    def is_settled(self, now_s: float) -> bool:
+    def is_settled(self, now_s: float, cut_until_s: float = -math.inf) -> bool:
         """Return whether replicas had time to register since the first read and any outage.
 
         What was read before an outage tells nothing of replicas that have started since.
+
+        :param cut_until_s: until when replicas may have been cut off from the store.
         """
         is_recent = now_s - self._in_order_until_s <= PROOF_AGE_MAX_S
-        return is_recent and self.would_be_registered(-math.inf)
+        return is_recent and self.would_be_registered(cut_until_s)
 
     def is_proved_since(self, at_s: float) -> bool:
         """Return whether all registrations that were written before a time are known."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -26,6 +26,7 @@
     OriginMessage,
     OriginsStored,
 )
+from coriandershelf_core.internal.gateway.peers import Peers
 from coriandershelf_core.internal.gateway.pool import Pool
 from coriandershelf_core.internal.gateway.recorded_versions import RecordedVersions
 from coriandershelf_core.internal.gateway.replica_starts import NoStart
@@ -47,6 +48,7 @@
     """
 
     pool: Pool
+    peers: Peers
     responder: Responder
     origins: StreamOrigins
     origin_batches: OriginBatches
@@ -279,9 +281,10 @@
         """Return whether the registry shows all versions at which a stream may have begun.
 
         What was read before its caller came says nothing of a version that has begun since, least
-        of all in an outage of the store.
+        of all in an outage of the store. Behind a network cut, VMs may serve replicas that cannot
+        register.
         """
-        is_settled = self.pool.is_settled(now_s)
+        is_settled = self.pool.is_settled(now_s, self.peers.cut_until_s(now_s))
         return is_settled and self.pool.is_proved_since(request.arrived_at_s)
 
     def _on_known(self, known: KnownOrigin, now_s: float) -> None:
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -5,6 +5,7 @@
 import pytest
 from gateway_driver import PLAN, PROVED_S, GatewayDriver, make_replicas
 from msgspec.structs import replace
+from zone_cut_bench import ZoneCutBench
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
@@ -14,14 +15,17 @@
     SendOriginMessage,
 )
 from coriandershelf_core.internal.gateway.attempts import wait_max_s
+from coriandershelf_core.internal.gateway.digest import Digest
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.events import (
+    DigestArrived,
     OriginMessageArrived,
     RegistryProved,
     ReplicasRead,
 )
 from coriandershelf_core.internal.gateway.open_origins import OpenOrigins
 from coriandershelf_core.internal.gateway.origin_messages import OriginReply, StreamOrigin
+from coriandershelf_core.internal.gateway.peers import SILENT_MIN_S
 from coriandershelf_core.internal.gateway.pool import VERSION_KEPT_S, Pool
 from coriandershelf_core.internal.gateway.stream_origins import (
     KEEPERS_COUNT,
@@ -194,6 +198,62 @@
         assert not driver.attempts(handle)
 
 
+# Guards against streams that are joined while a zone is cut off (ORDER, issue 70): its VMs serve
+# replicas that start again and cannot register, and callers of theirs come to VMs elsewhere, which
+# see one version only and can ask nobody.
+@pytest.mark.parametrize(
+    "seed, load_per_s, cut_s, is_vm_killed",
+    [(1, 15.0, 6.0, False), (2, 15.0, 10.0, False), (5, 40.0, 5.0, True), (11, 60.0, 5.0, False)],
+)
+def test_no_stream_is_joined_where_a_zone_is_cut_off(seed, load_per_s, cut_s, is_vm_killed):
+    bench = ZoneCutBench(seed, 8, replicas_count=9, events_count=30)
+    bench.time.run(PROVED_S)
+    bench.load(load_per_s, 14.0)
+    bench.cut()
+    for name in ("replica-0", "replica-3"):
+        bench.restart_in_place(name, "v2", 0.3, registered_after_s=cut_s + 1.0)
+    bench.load(load_per_s, 1.5)
+    for number in range(round(cut_s - 1.5)):
+        bench.load(load_per_s, 1.0)
+        if is_vm_killed and number % 2:
+            bench.start_vm("vm-03")
+        else:
+            bench.crash(f"replica-{3 * (number % 2)}")
+    bench.heal()
+    bench.load(load_per_s, 8.0)
+    mixed = [stream for stream in bench.streams if len(stream.versions) > 1]
+    assert not mixed, f"seed {seed}: {len(mixed)} joined"
+    assert bench.resumptions.begun > 300
+
+
+def test_the_only_version_does_not_count_while_a_vm_may_be_behind_a_network_cut():
+    driver = make_driver("v1", "v1")
+
+    def hear(sequence: int) -> None:
+        driver.post(DigestArrived(Digest("vm-2", "vm-2:7500", "z", 1, sequence, 0.0)))
+
+    def resume() -> int:
+        handle = driver.ask("/plan/1", last_event_id=1, resumes_id="gone", time_left_s=14.0)
+        for _ in range(4):
+            driver.run(0.1)
+            driver.post(RegistryProved(driver.now_s))
+        driver.run(0.1)
+        return handle
+
+    hear(1)
+    assert driver.attempts(resume())
+    driver.run(SILENT_MIN_S)
+    assert not driver.attempts(resume())
+    hear(2)
+    # Replicas that were cut off need some time to register.
+    assert not driver.attempts(resume())
+    for sequence in range(3, 30):
+        hear(sequence)
+        driver.run(0.1)
+    driver.post(RegistryProved(driver.now_s))
+    assert driver.attempts(resume())
+
+
 # Guards against the same where a version appears in the read that the caller waits for.
 def test_a_version_that_registers_while_a_caller_waits_leaves_its_origin_unknown():
     driver = make_driver("v1", "v1")
