--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/attempts.py
@@ -59,8 +59,11 @@
     :param alive_at_s: until when the process that answers it is known to have run, if it does.
     :param process_number: the number of that process at this VM, if it is known.
     :param start: the start of the replica that answers it, as the replica stated.
-    :param registered_start_ms: the same if the replica does not state it, but its registrations
-        tell which one that is.
+    :param registered_by_s: a connection that the replica had accepted by this time leads to the
+        start that was registered as the request was sent.
+    :param connected_at_s: when the replica had accepted the attempt's connection, once it answers.
+    :param registered_start_ms: the start that answers it if the replica does not state that, but
+        registrations tell which one it is.
     :param ended_at_s: when its close-delimited response ended, if it did.
     """
 
@@ -86,6 +89,8 @@
     alive_at_s: float = -math.inf
     process_number: int | None = None
     start: StatedStart = NoStart.NOT_ASKED
+    registered_by_s: float = -math.inf
+    connected_at_s: float = math.inf
     registered_start_ms: int | None = None
     ended_at_s: float | None = None
 
@@ -154,7 +159,7 @@
         attempt = AttemptState(
             attempt_id, request, state, now_s, selected.baseline_s, silence_deadline_s, low_load,
             selected.waiting_tokens > 0, inputs,
-            relay_address=self.paths.relay_address(name, now_s),
+            relay_address=self.paths.relay_address(name, now_s), registered_by_s=registered_by_s,
         )  # fmt: skip
         self.by_id[attempt_id] = attempt
         request.attempt_id = attempt_id
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/pool.py
@@ -11,7 +11,7 @@
 from coriandershelf_core.internal.gateway.digest import ReplicaDigest
 from coriandershelf_core.internal.gateway.events import ReportedLoad
 from coriandershelf_core.internal.gateway.origin_messages import ServiceVersion
-from coriandershelf_core.internal.gateway.process_tracking import AnsweringProcess
+from coriandershelf_core.internal.gateway.process_tracking import AnsweredSpan, AnsweringProcess
 from coriandershelf_core.internal.gateway.replica_starts import KnownStarts, NoStart, StatedStart
 from coriandershelf_core.internal.gateway.request_limits import LimitDigest, RequestLimit
 
@@ -79,6 +79,7 @@
     :param registered_at_s: when this VM learnt of the start that is registered.
     :param stated_start_ms: the start that the replica stated last to this VM, if it did.
     :param process: the process that answered this VM last.
+    :param answered: when it is known to have run, by its answers alone.
     """
 
     replica: Replica
@@ -108,6 +109,7 @@
     registered_at_s: float | None = None
     stated_start_ms: int | None = None
     process: AnsweringProcess = field(default_factory=AnsweringProcess)
+    answered: AnsweredSpan = field(default_factory=AnsweredSpan)
 
     @property
     def start_ms(self) -> int:
@@ -264,6 +266,8 @@
         # Since when the registry has been read without a failure, and up to when.
         self._in_order_since_s = math.inf
         self._in_order_until_s = -math.inf
+        # Since when there was no long pause between two proofs.
+        self._proved_since_s = -math.inf
         # Replicas register within a heartbeat after a start.
         self._heartbeat_s = 0.0
 
@@ -375,6 +379,8 @@
             self._in_order_since_s = in_order_since_s
         elif after_failure or math.isinf(self._in_order_since_s):
             self._in_order_since_s = at_s
+        if at_s - self._in_order_until_s > PROOF_AGE_MAX_S:
+            self._proved_since_s = at_s
         self._in_order_until_s = max(self._in_order_until_s, at_s)
 
     def registry_age_ms(self, now_s: float) -> int | None:
@@ -409,12 +415,7 @@
     def registered_by_s(self) -> float:
         """Return by when a process had to run to be registered by now, if it reaches the store."""
         by_s = self._in_order_until_s - UNREGISTERED_MAX_S
-        return by_s if by_s > self._in_order_since_s else -math.inf
-
-    def registered_start_ms(self, replica_id: str) -> int | None:
-        """Return the start of a replica that is registered, if one is."""
-        state = self._states.get(replica_id)
-        return None if state is None else state.replica.started_at_ms
+        return by_s if by_s > max(self._in_order_since_s, self._proved_since_s) else -math.inf
 
     def on_stated_start(self, replica_id: str, start: StatedStart) -> bool:
         """Note which start of a replica answers; return whether it is news that it is another."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/process_tracking.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/process_tracking.py
@@ -44,6 +44,35 @@
         return self.number
 
 
+class AnsweredSpan(Struct):
+    """A time in which one process of a replica is known to have run, by its answers alone.
+
+    A process that answers a request had the address from when it accepted the connection until
+    the request was sent. Where two such times overlap, both answers are of one process.
+    """
+
+    from_s: float = math.inf
+    until_s: float = -math.inf
+
+    def on_answered(self, connected_at_s: float, sent_at_s: float) -> None:
+        """Note an answer to a request that was sent on a connection.
+
+        :param connected_at_s: a time by which the replica had accepted the connection.
+        """
+        if connected_at_s > self.until_s:
+            self.from_s, self.until_s = connected_at_s, sent_at_s
+        elif sent_at_s >= self.from_s:
+            self.from_s = min(self.from_s, connected_at_s)
+            self.until_s = max(self.until_s, sent_at_s)
+
+    def accepted_by_s(self, ran_at_s: float) -> float:
+        """Return by when a process that ran at a time had accepted the connections it answers on.
+
+        It is that time, or later if the process is known to have run on.
+        """
+        return max(ran_at_s, self.until_s) if self.from_s <= ran_at_s else ran_at_s
+
+
 class ReadTiming(Struct):
     """Tells whether this VM reads what arrives in time."""
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/relay.py
@@ -140,7 +140,8 @@
             return
         state, stated = attempt.state, event.requests_max_per_s
         self._note_start(attempt, event.start)
-        self.resumptions.note_registered_start(attempt, event.connected_at_s)
+        if not event.is_mismatched:
+            self.resumptions.note_connection(attempt, event)
         if event.was_asked:
             state.limit.on_sent(now_s)
         if self.resumptions.is_at_other_version(attempt):
@@ -647,7 +648,7 @@
             return
         self.admission.on_selected(request, now_s)
         self.rollouts.on_started(request, selected.state)
-        registered_by_s = self.pool.registered_by_s()
+        registered_by_s = selected.state.answered.accepted_by_s(self.pool.registered_by_s())
         self.attempts.start(request, candidate_set.service, selected, now_s, registered_by_s)
 
     def _on_silence(self, attempt: AttemptState, now_s: float) -> None:
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -16,7 +16,7 @@
 )
 from coriandershelf_core.internal.gateway.attempts import AttemptState
 from coriandershelf_core.internal.gateway.awaited_origins import AwaitedOrigins
-from coriandershelf_core.internal.gateway.events import OriginsRead
+from coriandershelf_core.internal.gateway.events import OriginsRead, ResponseHeadRead
 from coriandershelf_core.internal.gateway.open_origins import KnownOrigin, OpenOrigins
 from coriandershelf_core.internal.gateway.origin_batches import OriginBatches
 from coriandershelf_core.internal.gateway.origin_messages import (
@@ -171,6 +171,7 @@
     def note_origin(self, attempt: AttemptState, now_s: float) -> None:
         """Note the version that began a stream, if it is known."""
         request = attempt.request
+        self._note_registered_start(attempt)
         version = request.software_version or self._version_of(attempt)
         if version is None:
             return
@@ -193,17 +194,26 @@
         self.origin_batches.begin(stream_id, replica.service, UNKNOWN_VERSION, now_s, claim)
         self.origins.begin(stream_id, UNKNOWN_VERSION, now_s)
 
-    def note_registered_start(self, attempt: AttemptState, connected_at_s: float | None) -> None:
+    def note_connection(self, attempt: AttemptState, event: ResponseHeadRead) -> None:
+        """Note which connection a replica answers on, and when its process ran."""
+        if event.connected_at_s is None:
+            return
+        attempt.connected_at_s = event.connected_at_s
+        if event.sent_at_s is not None:
+            attempt.state.answered.on_answered(event.connected_at_s, event.sent_at_s)
+        self._note_registered_start(attempt)
+
+    def _note_registered_start(self, attempt: AttemptState) -> None:
         """Note which start answers an attempt if its replica states none.
 
-        The process that accepted the connection still answers on it. If it has run for so long that
-        it must be registered, it is the start that is.
+        The process that accepted the connection still answers on it. If it had run for so long as
+        the request was sent that it had to be registered, it is the start that was.
         """
-        if attempt.start is not NoStart.NOT_STATED or connected_at_s is None:
+        if attempt.start is not NoStart.NOT_STATED:
             return
-        if connected_at_s <= self.pool.registered_by_s():
-            name = attempt.state.replica.replica_id
-            attempt.registered_start_ms = self.pool.registered_start_ms(name)
+        by_s = attempt.state.answered.accepted_by_s(attempt.registered_by_s)
+        if attempt.connected_at_s <= by_s:
+            attempt.registered_start_ms = attempt.state.replica.started_at_ms
 
     def is_at_other_version(self, attempt: AttemptState) -> bool:
         """Return whether a stream that goes on was sent to a start of another version."""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/gateway_bench.py
@@ -745,6 +745,8 @@
         if kept and action.relay_address is None:
             required_ms = action.required_start_ms
             known = [item for item in kept if required_ms in (None, item.started_at_ms)]
+            if required_ms is not None and not replica.states_start:
+                known = [item for item in kept if item.accepted_at_s <= action.registered_by_s]
             if known:
                 kept.remove(known[-1])
                 return known[-1]
