Tries under one id that begin at two versions: refuse to resume either

Callers that send all tries of a stream under one id got text joined of two versions: two tries began at two versions, and the caller that took the stream up was served at either. Callers with an id per try were never affected.

Cause: the first version that a VM learnt of an id held, and different VMs had learnt different ones. A VM that knew one from its own try asked nobody.

Change: an id that has begun at two known versions has the reserved version SEVERAL_VERSIONS, which no replica registers, at VMs, in batches and for readers of the store; a take-up of it is refused as unknown-version. While a service has or had several versions, or streams of an unknown one, a VM also asks the keepers for ids that it knows, and goes on by itself after REPLY_TIMEOUT_S. A VM that still forwards a stream goes on with it at that stream's own version. No message or record changes its form; earlier builds take the reserved version for one that nobody runs.

test_origins_are_bounded_in_number_and_age asserted that the first version holds, which is the fault; it now asserts that a second one makes it several, an unknown one changes nothing, and the age counts from the last change.

Why it works: keepers are chosen by the id, so those of one try are told of the others too, and the caller's next VM asks them before it sends anything.

--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_batches.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_batches.py
@@ -27,6 +27,7 @@
     OriginClaim,
     OriginsStored,
     StreamOrigin,
+    joined_version,
 )
 from coriandershelf_core.internal.gateway.pool import VERSION_KEPT_S, Pool
 from coriandershelf_core.internal.gateway.topic_sharing import reader_ids
@@ -102,6 +103,11 @@
         """
         if len(stream_id) > STREAM_ID_MAX_CHARACTERS:
             return
+        known = self._open.pop(stream_id, None)
+        if known is not None:
+            version = joined_version(known.version, version)
+            claim = known.claim if claim is None else claim
+        claim = claim if version == UNKNOWN_VERSION else None
         self._open[stream_id] = OpenStream(service, version, claim, now_s)
         if len(self._open) > STREAMS_MAX_COUNT:
             self._open.popitem(last=False)
@@ -110,7 +116,8 @@
         """Note the version of a stream under way that has become known."""
         stream = self._open.get(stream_id)
         if stream is not None:
-            stream.version, stream.claim, stream.is_stored = version, None, False
+            stream.version = joined_version(stream.version, version)
+            stream.claim, stream.is_stored = None, False
             stream.sent_at_s, stream.tries_count = float("-inf"), 0
 
     def end(self, stream_id: str) -> None:
@@ -121,9 +128,12 @@
         """Write the origins of another VM together with the own ones."""
         for origin in batch.origins:
             pending = self._to_write.get(origin.stream_id)
-            is_known = pending is not None and pending[0].version != UNKNOWN_VERSION
-            if is_known and origin.version == UNKNOWN_VERSION:
-                continue
+            if pending is not None:
+                version = joined_version(pending[0].version, origin.version)
+                if version != UNKNOWN_VERSION and origin.version == UNKNOWN_VERSION:
+                    continue
+                if version != origin.version:
+                    origin = StreamOrigin(origin.stream_id, version)
             if len(self._to_write) < STREAMS_MAX_COUNT:
                 self._to_write[origin.stream_id] = (origin, batch.address)
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/origin_messages.py
@@ -7,6 +7,9 @@
 # The version of a stream while it is not known which start of its replica began it. No replica
 # registers it, so a VM that does not know its meaning resumes the stream nowhere.
 UNKNOWN_VERSION = "\0"
+# The version of streams that began at several versions under one id. No replica registers it
+# either. Which of the streams a caller holds events of is not known.
+SEVERAL_VERSIONS = "\0\0"
 
 
 # The version in a claim on a start that was not registered yet. Builds before this one claim the
@@ -14,6 +17,13 @@
 UNREGISTERED_VERSION = ""
 
 
+def joined_version(known: str | None, told: str) -> str:
+    """Return the version of a stream of which one was known, if any, and another one is told."""
+    if known in (None, UNKNOWN_VERSION, told):
+        return told
+    return known if told == UNKNOWN_VERSION else SEVERAL_VERSIONS
+
+
 class OriginClaim(Struct, frozen=True):
     """The start at which a stream began, as it stated itself; its registration tells the version.
 
@@ -32,7 +42,8 @@
     """Tells that the first event of a stream comes from a replica of a software version.
 
     :param stream_id: id of the caller's request that brings the first event.
-    :param version: ``UNKNOWN_VERSION`` if it is not known yet.
+    :param version: ``UNKNOWN_VERSION`` if it is not known yet, ``SEVERAL_VERSIONS`` if several
+        streams began under the id, at different ones.
     :param claim: what would make it known.
     """
 
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -20,6 +20,7 @@
 from coriandershelf_core.internal.gateway.open_origins import KnownOrigin, OpenOrigins
 from coriandershelf_core.internal.gateway.origin_batches import OriginBatches
 from coriandershelf_core.internal.gateway.origin_messages import (
+    SEVERAL_VERSIONS,
     UNKNOWN_VERSION,
     OriginBatch,
     OriginClaim,
@@ -61,10 +62,23 @@
     def begin(self, request: ActiveRequest, now_s: float) -> None:
         """Resume a caller's stream once the version that began it is known."""
         stream_id = request.arrival.resumes_id
-        known = stream_id is None or self.origins.version_of(stream_id) is not None
-        if known or stream_id is None or not self.origins.query(request, stream_id, now_s):
+        asks = stream_id is not None and self._needs_query(stream_id, request.service, now_s)
+        if not (asks and self.origins.query(request, request.stream_id, now_s)):
             self._send_or_read(request, now_s)
 
+    def _needs_query(self, stream_id: str, service: str, now_s: float) -> bool:
+        """Return whether other VMs may know more of a stream's origin than this one.
+
+        They may know of a stream under the same id that began at another version.
+        """
+        version = self.origins.version_of(stream_id)
+        if version is None:
+            return True
+        if version in (UNKNOWN_VERSION, SEVERAL_VERSIONS):
+            return False
+        is_mixed = len(self.pool.versions_of(service, now_s)) > 1
+        return is_mixed or self.open_origins.has_any_of(service)
+
     def on_message(self, message: OriginMessage, now_s: float) -> None:
         """Handle another VM's message on the origin of a stream."""
         match message:
@@ -110,7 +124,7 @@
     def settle(self, request: ActiveRequest) -> None:
         """Take over the version that began a stream, if it has become known since."""
         version = self.origins.version_of(request.stream_id)
-        if request.is_origin_open and version not in (None, UNKNOWN_VERSION):
+        if request.is_origin_open and version not in (None, UNKNOWN_VERSION, SEVERAL_VERSIONS):
             request.software_version, request.is_origin_open = version, False
 
     def awaits_origin(self, request: ActiveRequest) -> bool:
@@ -236,6 +250,8 @@
         if version == UNKNOWN_VERSION:
             is_awaited = self.open_origins.may_become_known(stream_id)
             version = None
+        elif version == SEVERAL_VERSIONS:
+            version = None
         elif version is None and (is_read or self.origins.was_read):
             # Without the origin, only a service that has had a single version is safe.
             version, source = self.only_version(request.service, now_s), OriginSource.ONLY_VERSION
@@ -244,7 +260,11 @@
             is_awaited = is_single and not self.pool.is_settled(now_s)
         if version is None:
             if not (is_awaited and self.await_origin(request, now_s)):
-                self.responder.refuse(request, Refusal.UNKNOWN_VERSION, now_s, resumes=stream_id)
+                origin = self.origins.version_of(stream_id)
+                fields: dict[str, LogValue] = {"resumes": stream_id}
+                if origin == SEVERAL_VERSIONS:
+                    fields["several_versions"] = 1
+                self.responder.refuse(request, Refusal.UNKNOWN_VERSION, now_s, **fields)
             return
         request.software_version, request.is_origin_open = version, False
         request.origin_source = source
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/stream_origins.py
@@ -27,12 +27,14 @@
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.open_origins import OpenOrigins
 from coriandershelf_core.internal.gateway.origin_messages import (
+    SEVERAL_VERSIONS,
     UNKNOWN_VERSION,
     OriginClaim,
     OriginMessage,
     OriginQuery,
     OriginReply,
     StreamOrigin,
+    joined_version,
 )
 from coriandershelf_core.internal.gateway.request import ActiveRequest
 
@@ -88,6 +90,8 @@
     def begin(self, stream_id: str, version: str, now_s: float) -> None:
         """Record the version of a stream whose first event is about to be forwarded."""
         self.learn(stream_id, version, now_s)
+        if self.version_of(stream_id) == SEVERAL_VERSIONS:
+            version = SEVERAL_VERSIONS
         message = StreamOrigin(stream_id, version, self._claim_of(stream_id, version))
         for vm_id in keeper_ids(stream_id, self.entry_vms):
             self._send(vm_id, message)
@@ -95,7 +99,8 @@
     def version_of(self, stream_id: str) -> str | None:
         """Return the version that began a stream, or ``None`` if this VM does not know the stream.
 
-        It is ``UNKNOWN_VERSION`` if no VM knew it when the stream began.
+        It is ``UNKNOWN_VERSION`` if no VM knew it when the stream began, and ``SEVERAL_VERSIONS``
+        if streams began at different versions under this id.
         """
         known = self._versions.get(stream_id)
         return known[0] if known is not None else None
@@ -207,10 +212,17 @@
     def learn(
         self, stream_id: str, version: str, now_s: float, claim: OriginClaim | None = None
     ) -> None:
-        """Store an origin; the first known version of a stream holds."""
-        known = self._versions.get(stream_id)
-        if known is not None and known[0] != UNKNOWN_VERSION:
-            return
+        """Store an origin.
+
+        A caller may send each try of a request under the same id, and tries may begin at different
+        versions. Only the caller knows which of them brought the events that it holds.
+        """
+        known = self.version_of(stream_id)
+        if known not in (None, UNKNOWN_VERSION):
+            if joined_version(known, version) == known:
+                return
+            self.emit(IncrementCounter("stream_origins", "several-versions"))
+            version = SEVERAL_VERSIONS
         if version != UNKNOWN_VERSION:
             self.open_origins.end(stream_id)
         elif claim is not None:
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from itertools import permutations
+
 import pytest
 from gateway_driver import PROVED_S, GatewayDriver, make_replicas
 from msgspec.structs import replace
 
 from coriandershelf_core.internal.gateway.actions import (
     AbortStream,
+    AppendOrigins,
     IncrementCounter,
     Refusal,
     SendOriginMessage,
@@ -15,7 +18,15 @@
 from coriandershelf_core.internal.gateway.entry_vms import EntryVms
 from coriandershelf_core.internal.gateway.events import OriginMessageArrived, ReplicasRead
 from coriandershelf_core.internal.gateway.open_origins import OpenOrigins
-from coriandershelf_core.internal.gateway.origin_messages import OriginReply, StreamOrigin
+from coriandershelf_core.internal.gateway.origin_batches import OriginBatches
+from coriandershelf_core.internal.gateway.origin_messages import (
+    SEVERAL_VERSIONS,
+    UNKNOWN_VERSION,
+    OriginBatch,
+    OriginQuery,
+    OriginReply,
+    StreamOrigin,
+)
 from coriandershelf_core.internal.gateway.pool import VERSION_KEPT_S, Pool
 from coriandershelf_core.internal.gateway.stream_origins import (
     KEEPERS_COUNT,
@@ -25,6 +36,7 @@
     StreamOrigins,
     keeper_ids,
 )
+from coriandershelf_platform.origin_store import decode_origins, encode_origins
 from coriandershelf_rig.internal.gateway_bench import GatewayBench
 from coriandershelf_rig.internal.replica_rules import (
     ObservedStream,
@@ -249,9 +261,11 @@
         origins.on_message(StreamOrigin(f"stream-{number}", "v1"), 10.0)
     assert origins.version_of("stream-4") is None
     assert origins.version_of("stream-5") == "v1"
-    origins.on_message(StreamOrigin("stream-5", "v2"), 11.0)
+    origins.on_message(StreamOrigin("stream-5", UNKNOWN_VERSION), 11.0)
     assert origins.version_of("stream-5") == "v1"
-    origins.pop_overdue(10.1 + KEPT_S)
+    origins.on_message(StreamOrigin("stream-5", "v2"), 11.0)
+    assert origins.version_of("stream-5") == SEVERAL_VERSIONS
+    origins.pop_overdue(11.1 + KEPT_S)
     assert origins.version_of("stream-5") is None
 
 
@@ -259,3 +273,131 @@
     driver = make_driver("v1", "v2")
     begin_stream(driver, driver.ask("/ask/1"))
     assert driver.gateway.relay.resumptions.origins.version_of("id-1") is None
+
+
+def begin_at(driver: GatewayDriver, version: str) -> int:
+    """Let a try under the id "id-x" begin at a version; return its handle."""
+    for _ in range(20):
+        handle = driver.ask("/plan/1", request_id="id-x", time_left_s=15.0)
+        if version_of_last_attempt(driver, handle) == version:
+            begin_stream(driver, handle)
+            return handle
+    raise AssertionError(f"no request was sent to {version}")
+
+
+def version_of_last_attempt(driver: GatewayDriver, handle: int) -> str:
+    replica_id = driver.attempts(handle)[-1].replica_id
+    return driver.gateway.relay.pool.get(replica_id).replica.software_version
+
+
+# Guards against a stream joined of two versions for a caller whose tries bear one id: the events
+# that it holds came from another version than the first one under that id.
+@pytest.mark.parametrize("versions", [("v1", "v2"), ("v2", "v1")])
+def test_an_id_that_began_at_two_versions_is_resumed_at_neither(versions):
+    driver = make_driver("v1", "v2")
+    for version in versions:
+        begin_at(driver, version)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="id-x")
+    assert [item.refusal for item in driver.refusals(handle)] == [Refusal.UNKNOWN_VERSION]
+    assert IncrementCounter("stream_origins", "several-versions") in driver.actions
+
+
+def test_tries_that_began_at_one_version_are_resumed_there():
+    driver = make_driver("v1", "v2", "v2")
+    for _ in range(2):
+        begin_at(driver, "v2")
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="id-x")
+    begin_stream(driver, handle)
+    assert version_of_last_attempt(driver, handle) == "v2"
+    assert driver.gateway.relay.resumptions.origins.version_of("id-x") == "v2"
+
+
+# Guards against a broken stream that its own VM, which knows its version, goes on with no more.
+def test_a_vm_goes_on_with_its_own_response_whatever_else_began_under_its_id():
+    driver = make_driver("v1", "v2", "v1", "v2")
+    handle = begin_at(driver, "v2")
+    begin_at(driver, "v1")
+    driver.fail(driver.attempts(handle)[-1].attempt_id)
+    assert [item.last_event_id for item in driver.attempts(handle)] == [None, 1]
+    assert version_of_last_attempt(driver, handle) == "v2"
+
+
+@pytest.mark.parametrize("told", list(permutations(["v1", "v2", UNKNOWN_VERSION])))
+def test_each_vm_that_is_told_of_two_versions_tells_others_that_there_are_several(told):
+    actions = []
+    origins = StreamOrigins("vm-0:1", make_vms(), OpenOrigins(Pool()), actions.append)
+    for version in told:
+        origins.on_message(StreamOrigin("id-x", version), 10.0)
+    origins.on_message(StreamOrigin("id-x", "v1"), 10.0)
+    assert origins.version_of("id-x") == SEVERAL_VERSIONS
+    origins.on_message(OriginQuery("vm-1", "vm-1:1", 7, "id-x"), 10.0)
+    origins.begin("id-x", "v2", 10.0)
+    messages = [item.message for item in actions if isinstance(item, SendOriginMessage)]
+    assert messages[0] == OriginReply("vm-0", 7, "id-x", SEVERAL_VERSIONS)
+    assert set(messages[1:]) == {StreamOrigin("id-x", SEVERAL_VERSIONS)}
+
+
+def queries_of(driver: GatewayDriver) -> list[OriginQuery]:
+    messages = [item.message for item in driver.actions if isinstance(item, SendOriginMessage)]
+    return [message for message in messages if isinstance(message, OriginQuery)]
+
+
+# Guards against the VM that forwarded one of the tries and knows of no other one.
+@pytest.mark.parametrize(
+    "replied, is_resumed",
+    [(SEVERAL_VERSIONS, False), ("v1", False), ("v2", True), (None, True)],
+)
+def test_a_vm_asks_others_of_a_stream_that_it_knows_while_there_are_two_versions(
+    replied, is_resumed
+):
+    driver = make_driver("v1", "v2")
+    begin_at(driver, "v2")
+    origins = driver.gateway.relay.resumptions.origins
+    origins.entry_vms = make_vms(vms_count=4)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="id-x")
+    queries = queries_of(driver)
+    assert queries and not driver.attempts(handle)
+    for vm_id in keeper_ids("id-x", origins.entry_vms):
+        reply = OriginReply(vm_id, queries[0].query_id, "id-x", replied)
+        driver.post(OriginMessageArrived(reply))
+    assert bool(driver.attempts(handle)) == is_resumed
+    refusals = [item.refusal for item in driver.refusals(handle)]
+    assert refusals == ([] if is_resumed else [Refusal.UNKNOWN_VERSION])
+
+
+def test_a_vm_that_knows_a_stream_waits_for_no_reply():
+    driver = make_driver("v1", "v2")
+    begin_at(driver, "v2")
+    driver.gateway.relay.resumptions.origins.entry_vms = make_vms(vms_count=4)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="id-x")
+    driver.now_s += REPLY_TIMEOUT_S
+    driver.run(0.05)
+    assert [item.replica_id for item in driver.attempts(handle)] == ["engine-1"]
+
+
+# Guards against a query for each stream of a fleet of one version.
+def test_a_vm_asks_nobody_of_a_stream_that_it_knows_while_there_is_one_version():
+    driver = make_driver("v1", "v1")
+    begin_at(driver, "v1")
+    driver.gateway.relay.resumptions.origins.entry_vms = make_vms(vms_count=4)
+    handle = driver.ask("/plan/1", last_event_id=1, resumes_id="id-x")
+    assert driver.attempts(handle) and not queries_of(driver)
+
+
+# Guards against a record of one of two versions, which is all that is left after a loss of all VMs.
+@pytest.mark.parametrize("versions", list(permutations(["v1", "v2"])))
+def test_origins_of_two_versions_are_stored_as_several(versions):
+    for is_told in (False, True):
+        actions: list[object] = []
+        pool = make_driver("v1", "v2").gateway.relay.pool
+        batches = OriginBatches("vm-0:1", pool, EntryVms("vm-0"), actions.append)
+        for version in versions:
+            if is_told:
+                batches.on_batch(OriginBatch("vm-1:1", (StreamOrigin("id-x", version),)))
+            else:
+                batches.begin("id-x", "engine", version, 1.0)
+        for now_s in (2.0, 3.0):
+            batches.on_tick(now_s)
+        (append,) = [item for item in actions if isinstance(item, AppendOrigins)]
+        assert append.origins == (StreamOrigin("id-x", SEVERAL_VERSIONS),)
+        assert decode_origins(encode_origins(append.origins)) == list(append.origins)
