--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -22,6 +22,8 @@
 from coriandershelf_rig.internal.load import Mix, run_load
 from coriandershelf_rig.internal.reference import reference_page
 from coriandershelf_rig.internal.registry import find_modules
+from coriandershelf_rig.internal.site_day.run import play_seeds
+from coriandershelf_rig.internal.site_day.site_file import FileError, read_site
 from coriandershelf_rig.internal.soak_command import soak_command
 from coriandershelf_rig.internal.standin_engine import serve_engine
 from coriandershelf_rig.internal.standin_plain import serve_plain
@@ -29,6 +31,7 @@
 from coriandershelf_rig.internal.start_cost import compare_starts
 
 EXIT_FAILURE = 1
+EXIT_WRONG_FILE = 2
 deployment_option = click.option(
     "--deployment", type=click.Choice(sorted(DEPLOYMENTS)), default="consorcio"
 )
@@ -213,6 +216,37 @@
     sys.exit(EXIT_FAILURE if violation_count else 0)
 
 
+@main.command("site-day")
+@click.option("--site", "site_file", required=True, type=click.Path(path_type=Path))
+@click.option("--day", required=True, help="Name of a day in the site file, or a day file.")
+@seed_option
+@click.option(
+    "--seeds", type=int, default=1, show_default=True, help="Number of consecutive seeds."
+)
+@click.option(
+    "--share", type=float, default=1.0, show_default=True, help="Share of the file's rates."
+)
+@click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="Folder for logs.")
+@click.option("--quiet", is_flag=True, help="Do not print each entry as it starts.")
+def site_day(
+    site_file: Path, day: str, seed: int, seeds: int, share: float, keep: Path | None, quiet: bool
+) -> None:
+    """Play a day of a users' site with entry VMs as real processes, and judge it from outside.
+
+    Exits with 1 if a rule was broken, with 2 if a file is wrong, with 3 if a run is void.
+
+    \b
+    Example:
+      python -m coriandershelf_rig site-day --site SITE.toml --day trouble-1 --seed 7
+    """
+    try:
+        site = read_site(site_file, day)
+    except FileError as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(EXIT_WRONG_FILE)
+    sys.exit(play_seeds(site, range(seed, seed + seeds), share, keep, quiet))
+
+
 @main.command()
 @click.argument("folder", type=click.Path(file_okay=False))
 def examples(folder: str) -> None:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/registrations.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/fault_soak/registrations.py
@@ -83,18 +83,23 @@
             "version": f"v{replica.version}", "slots": 16, "state": replica.state,
             "cold_left_ms": 0, "born": replica.started_at_ms,
         }  # fmt: skip
+        self.write_entry(replica.replica_id, entry)
+
+    def write_entry(self, replica_id: str, entry: dict[str, object]) -> bool:
+        """Write an entry, or renew it if it has not changed; return ``False`` if it comes late."""
         delay_s = self.store.draw_delay_s()
         if delay_s is not None:
-            self._late_writes.append(LateWrite(replica.replica_id, entry, delay_s))
+            self._late_writes.append(LateWrite(replica_id, entry, delay_s))
             rng = self.store.late_rng
             if rng.random() < REPEAT_SHARE:
                 delay_s += rng.uniform(0.0, REPEAT_DELAY_MAX_S)
-                self._late_writes.append(LateWrite(replica.replica_id, entry, delay_s))
-            return
-        held = self._held.get(replica.replica_id)
-        self._held[replica.replica_id] = Registration(entry)
+                self._late_writes.append(LateWrite(replica_id, entry, delay_s))
+            return False
+        held = self._held.get(replica_id)
+        self._held[replica_id] = Registration(entry)
         if held is None or held.entry != entry:
-            self.store.put(REGISTRY_TOPIC, replica.replica_id, {**entry, "seq": 1})
+            self.store.put(REGISTRY_TOPIC, replica_id, {**entry, "seq": 1})
+        return True
 
     def _execute_late_writes(self, replicas: list[SoakReplica], elapsed_s: float) -> None:
         running = {(item.replica_id, item.started_at_ms) for item in replicas if item.is_running}
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/processes.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import os
 import signal
@@ -59,14 +60,26 @@
         self._log_folder = log_folder
         self._children: dict[str, subprocess.Popen[bytes]] = {}
 
-    def start(self, name: str, module: str, *arguments: str) -> None:
-        """Start ``python -m module`` with its output in a log file named after it."""
+    def start(self, name: str, module: str, *arguments: str, takes_commands: bool = False) -> None:
+        """Start ``python -m module`` with its output in a log file named after it.
+
+        :param takes_commands: whether :meth:`write` reaches its standard input.
+        """
         command = [sys.executable, "-m", module, *arguments]
+        stdin = subprocess.PIPE if takes_commands else subprocess.DEVNULL
         with open(self._log_folder / f"{name}.log", "ab") as output:
             self._children[name] = subprocess.Popen(
-                command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+                command, stdout=output, stderr=output, stdin=stdin
             )
 
+    def write(self, name: str, line: str) -> None:
+        """Write a line to a child's standard input if it is still running."""
+        stdin = self._children[name].stdin
+        assert stdin is not None, "the child takes no commands"
+        with contextlib.suppress(BrokenPipeError):
+            stdin.write(line.encode() + b"\n")
+            stdin.flush()
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a child if it is still running."""
         child = self._children[name]
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/standin_store.py
@@ -8,6 +8,7 @@
 import json
 import random
 import struct
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from tornado.http1connection import HTTP1Connection
@@ -72,6 +73,8 @@
     :param bytes_per_s: rate at which the link to the caller carries an answer; ``None`` for no
         limit.
     :param calls: method and path of each call, in order.
+    :param disturb: awaited before a call is performed and before its answer; it may answer the
+        call itself.
     """
 
     topics: dict[str, Topic] = field(default_factory=dict)
@@ -82,6 +85,7 @@
     late_rng: random.Random = field(default_factory=lambda: random.Random(0))
     bytes_per_s: float | None = None
     calls: list[tuple[str, str]] = field(default_factory=list)
+    disturb: Callable[[RequestHandler], Awaitable[None]] | None = None
 
     def topic(self, name: str) -> Topic:
         """Return a topic, creating it on first use."""
@@ -103,13 +107,20 @@
         """Store the shared state."""
         self._state = state
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Record the call; refuse it if the store refuses calls."""
         self._state.calls.append((self.request.method or "", self.request.path))
+        await self._disturb()
+        if self._finished:
+            return
         if self._state.refuse or self.get_query_argument("topic") in self._state.refuse_topics:
             self.set_status(503)
             self.finish()
 
+    async def _disturb(self) -> None:
+        if self._state.disturb is not None:
+            await self._state.disturb(self)
+
     def _topic(self) -> Topic:
         return self._state.topic(self.get_query_argument("topic"))
 
@@ -118,6 +129,9 @@
 
     async def _respond(self, body: bytes) -> None:
         """Send an answer at the rate of the link."""
+        await self._disturb()
+        if self._finished:
+            return
         rate = self._state.bytes_per_s
         if rate is None:
             self.finish(body)
@@ -152,7 +166,11 @@
             return
         topic = self._topic()
         first_offset = topic.end_offset
-        if not self._append():
+        is_appended = self._append()
+        await self._disturb()
+        if self._finished:
+            return
+        if not is_appended:
             self.set_status(412)
             self.finish({"end": topic.end_offset})
             return
@@ -230,8 +248,10 @@
         await self._respond(json.dumps(answer).encode())
 
 
-async def start_store(state: StoreState, host: str = "127.0.0.1") -> tuple[HTTPServer, str]:
-    """Start the store on a free port; return the server and its address."""
+async def start_store(
+    state: StoreState, host: str = "127.0.0.1", port: int = 0
+) -> tuple[HTTPServer, str]:
+    """Start the store on a port, or on a free one; return the server and its address."""
     arguments = {"state": state}
     application = Application(
         [
@@ -242,7 +262,7 @@
         log_function=lambda handler: None,
     )
     server = HTTPServer(application)
-    sockets = bind_sockets(0, host)
+    sockets = bind_sockets(port, host)
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
     return server, f"{host}:{port}"
