Rig: a replica that is reborn behind a cut stays cut off from the store

Its new process registered at once, as its command to stay silent came after its first heartbeat. What an entry hits no longer depends on which processes are busy, and the result counts the streams of several runs.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/faults.py
@@ -200,14 +200,12 @@
         services = list(self._site.site.services)
         service = entry.service or rng.choice(services)
         candidates = [
-            item
-            for item in self._site.of_service(service)
-            if not item.is_busy and entry.zone in (None, item.zone)
+            item for item in self._site.of_service(service) if entry.zone in (None, item.zone)
         ]
         drawn = _drawn(candidates, entry, rng, default)
         if spares_one and "all" not in entry.how and len(drawn) == len(candidates):
-            return drawn[1:]
-        return drawn
+            drawn = drawn[1:]
+        return [item for item in drawn if not item.is_busy]
 
     async def _crash_replicas(self, entry: Entry, rng: random.Random) -> None:
         replicas = self._replicas(entry, rng, 0.15)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/judge.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/judge.py
@@ -69,6 +69,8 @@
             verdict.counts["streams taken up"] += sum(
                 1 for item in request["tries"] if item["resumes"]
             )
+            if len({row[3] for row in request["events"]}) > 1:
+                verdict.counts["streams of several runs"] += 1
             found = _stream_breaks(request, kind)
         else:
             found = _plain_breaks(request)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/replica.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/replica.py
@@ -50,7 +50,7 @@
         self._records = Records(Path(spec["records"]))
         self._faults: dict[str, dict[str, Any]] = {}
         self._state = "ready"
-        self._reaches_store = True
+        self._reaches_store: bool = spec["reaches_store"]
         self._active_count = 0
         self._runs_count = 0
         self._seq = 0
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site.py
@@ -282,6 +282,7 @@
             step_ms_per_slot=spec.step_ms_per_slot, first_ms=spec.first_ms,
             prefill_tokens_per_ms=spec.prefill_tokens_per_ms, part_bytes=PLAIN_PART_BYTES,
             work_ms=sum(work_ms) / max(1, len(work_ms)),
+            reaches_store=not any((replica.ip, STORE_IP) in cut.pairs for cut in self.cuts),
         )  # fmt: skip
         await _listening(address)
         for vm in self.vms.values():
