--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/callers.py
@@ -36,6 +36,7 @@
 
     :param is_complete: whether the response ended as its framing says.
     :param left: whether the caller gave up on it.
+    :param is_framed: whether the response has chunks or a length.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     resumes_id: str | None = None
     last_event_id: int = 0
     fault: str = ""
+    is_framed: bool = False
 
 
 @dataclass
@@ -307,6 +309,7 @@
         attempt.status = int(head[0].split(" ")[1])
         with contextlib.suppress(ValueError):
             attempt.retry_after_s = float(headers.get("retry-after", 0.0))
+        attempt.is_framed = "transfer-encoding" in headers or "content-length" in headers
         pieces: list[bytes] = []
         try:
             if "transfer-encoding" in headers:
@@ -342,8 +345,8 @@
             return
         read = events_as_read(attempt.body)
         events, _, rest = read.rpartition(b"\n\n")
-        if rest:
-            # A stream that ends inside an event has been broken off.
+        if rest and not attempt.is_framed:
+            # Where no framing shows the end, a stream that ends inside an event is broken off.
             attempt.is_complete = False
         for block in events.split(b"\n\n") if events else []:
             words = block.decode(errors="replace").partition("data: ")[2].split(" ")
