--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/callers.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/callers.py
@@ -26,6 +26,7 @@
 FINAL = (400, 401, 404, 413, 431)
 TRY_DELAY_S = 0.05
 READ_BYTES = 65_536
+PARTS_COUNT = 40
 WAVE_SWING = 0.3
 WAVE_PERIOD_S = 40.0
 
@@ -175,11 +176,14 @@
             events_count = self._draw_size(kind["events"], 1.0)
             tokens = self._draw_size(kind["prompt_tokens"], 16.0)
             shared = min(tokens - 8, 512)
-            part = self._rng.randrange(40)
+            hot = self._in_force("hot_key")
+            is_hot = hot is not None and hot["request_kind"] in (None, name)
+            part = 0 if is_hot else self._rng.randrange(1, PARTS_COUNT)
+            own = part if is_hot else self._rng.getrandbits(32)
             head_lines += [
                 "X-Model: m",
                 f"X-Token-Usage: {tokens},{events_count * kind['stride_tokens']}",
-                f"X-Prefix-Hash: {part:08x}:{max(1, shared)},{self._rng.getrandbits(32):08x}:"
+                f"X-Prefix-Hash: {part:08x}:{max(1, shared)},{own:08x}:"
                 f"{max(1, tokens - shared)}",
             ]
         body = b"x" * self._draw_size(kind["request_bytes"]) if kind["method"] == "POST" else b""
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/faults.py
@@ -26,7 +26,15 @@
 SLOW_PERIOD_S = 0.1
 STATE_FORMS = ("silent", "busy", "reset", "many")
 GREY_FORMS = ("errors", "shed", "busy", "hang", "reset", "mute")
-CALLER_FAULTS = ("burst", "hot_tenant", "retry_abuse", "give_up")
+CALLER_FAULTS = ("burst", "hot_key", "hot_tenant", "retry_abuse", "give_up")
+
+# Name of the fault at a replica, with the usual figure and the usual share of the replicas.
+MARRED = {
+    "srv_grey": ("grey", 0.4, 0.15),
+    "srv_slow": ("slow", 4.0, 0.15),
+    "answer_lost": ("lost", 0.03, 0.5),
+    "garble": ("garble", 0.02, 0.5),
+}
 
 Item = TypeVar("Item")
 
@@ -49,8 +57,7 @@
             "node_freeze": self._freeze_vms, "node_slow": self._slow_vms,
             "roll_term": self._roll_vms, "add_nodes": self._add_vms,
             "replace_core": self._replace_vm, "hup": self._reload_vms,
-            "srv_crash": self._crash_replicas, "srv_grey": self._mar_replicas,
-            "answer_lost": self._mar_replicas, "garble": self._mar_replicas,
+            "srv_crash": self._crash_replicas, **dict.fromkeys(MARRED, self._mar_replicas),
             "release": self._release, "scale_in": self._scale_in, "scale_out": self._scale_out,
             "replace_with_reuse": self._reuse_addresses, "reset_conns": self._reset_connections,
             "srv_cut": self._cut_replicas, "node_cut": self._cut_vms, "core_cut": self._cut_vms,
@@ -256,9 +263,7 @@
         replica.is_busy = False
 
     async def _mar_replicas(self, entry: Entry, rng: random.Random) -> None:
-        name = {"srv_grey": "grey", "answer_lost": "lost", "garble": "garble"}[entry.kind]
-        usual = {"srv_grey": 0.4, "answer_lost": 0.03, "garble": 0.02}[entry.kind]
-        default = 0.15 if name == "grey" else 0.5
+        name, usual, default = MARRED[entry.kind]
         form = next((word for word in GREY_FORMS if word in entry.how), "errors")
         how = form if name == "grey" else sorted(entry.how)
         services = [entry.service] if entry.service else list(self._site.site.services)
@@ -266,12 +271,11 @@
         for service in services:
             candidates = self._site.of_service(service)
             hit += _drawn(candidates, entry, rng, default)
-        fault = f"{name}"
         for replica in hit:
-            self._site.tell(replica, do="fault", name=fault, x=entry.x or usual, how=how)
+            self._site.tell(replica, do="fault", name=name, x=entry.x or usual, how=how)
         await asyncio.sleep(entry.duration_s)
         for replica in hit:
-            self._site.tell(replica, do="mend", name=fault)
+            self._site.tell(replica, do="mend", name=name)
 
     async def _release(self, entry: Entry, rng: random.Random) -> None:
         services = list(self._site.site.services)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/replica.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/replica.py
@@ -162,6 +162,7 @@
         spec = self._spec
         while True:
             step_ms = spec["step_ms"] + spec["step_ms_per_slot"] * self._active_count
+            step_ms *= self._faults.get("slow", {}).get("x", 1.0)
             await asyncio.sleep(max(0.005, spec["stride_tokens"] * step_ms / 1e3 / spec["speed"]))
             step, self._step = self._step, asyncio.get_running_loop().create_future()
             step.set_result(None)
