--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/judge.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/judge.py
@@ -76,6 +76,8 @@
             found = _plain_breaks(request)
         found += _run_breaks(request, kind, runs_of)
         verdict.breaks += [Break(rule, text, request) for rule, text in found]
+        for rule in {rule for rule, _ in found}:
+            verdict.counts[f"with {rule} broken"] += 1
     return verdict
 
 
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site.py
@@ -137,10 +137,12 @@
             configuration=configuration,
         )  # fmt: skip
         await _listening(self._beat_address)
+        rng = random.Random(f"{self.seed}/versions")
+        versions = rng.choice(((1,), (1, 2)))
         for service in self.site.services.values():
             for zone, count in service.replica_counts.items():
                 for _ in range(count):
-                    await self.add_replica(service.name, zone)
+                    await self.add_replica(service.name, zone, rng.choice(versions))
         for zone, count in self.site.vm_counts.items():
             for _ in range(count):
                 self.add_vm(zone)
