--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/cli.py
@@ -218,7 +218,7 @@
 
 @main.command("site-day")
 @click.option("--site", "site_file", required=True, type=click.Path(path_type=Path))
-@click.option("--day", required=True, help="Name of a day in the site file, or a day file.")
+@click.option("--day", required=True, help="Day of the site file, day file, or drawn.")
 @seed_option
 @click.option(
     "--seeds", type=int, default=1, show_default=True, help="Number of consecutive seeds."
@@ -240,11 +240,11 @@
       python -m coriandershelf_rig site-day --site SITE.toml --day trouble-1 --seed 7
     """
     try:
-        site = read_site(site_file, day)
+        sites = {number: read_site(site_file, day, number) for number in range(seed, seed + seeds)}
     except FileError as error:
         click.echo(f"error: {error}", err=True)
         sys.exit(EXIT_WRONG_FILE)
-    sys.exit(play_seeds(site, range(seed, seed + seeds), share, keep, quiet))
+    sys.exit(play_seeds(sites, share, keep, quiet))
 
 
 @main.command()
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/run.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/run.py
@@ -6,7 +6,7 @@
 import shutil
 import tempfile
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -67,15 +67,13 @@
 EXIT_VOID = 3
 
 
-def play_seeds(
-    site: Site, seeds: Iterable[int], share: float, keep: Path | None, quiet: bool
-) -> int:
-    """Play a day with several seeds, print the results and return the exit code.
+def play_seeds(sites: Mapping[int, Site], share: float, keep: Path | None, quiet: bool) -> int:
+    """Play days by their seeds, print the results and return the exit code.
 
     :param keep: folder for the logs; those of a run that breaks a rule are kept in any case.
     """
     exit_code = 0
-    for seed in seeds:
+    for seed, site in sites.items():
         if keep is not None:
             folder = keep / f"{site.name}-{site.day}-{seed}"
             shutil.rmtree(folder, ignore_errors=True)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site_file.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
@@ -10,6 +11,11 @@
 
 ROUTE_KINDS = {"stream": "streaming", "unsafe": "non_idempotent", "safe": "idempotent"}
 DEFAULT_DURATION_S = 5.0
+DRAWN_DAY = "drawn"
+DRAWN_COUNT = 22
+DRAWN_RETRIES = 3
+# At its end a drawn day has no new entries.
+DRAWN_QUIET_S = 8.0
 
 
 class FileError(ValueError):
@@ -139,14 +145,18 @@
     entries: tuple[Entry, ...] = field(default=())
 
 
-def read_site(site_path: Path, day: str) -> Site:
+def read_site(site_path: Path, day: str, seed: int = 0) -> Site:
     """Read a site file and a day.
 
-    :param day: name of a day in the site file, or path of a day file.
+    :param day: name of a day in the site file, path of a day file, or ``drawn`` for a day with
+        entries that are drawn from the site's kinds of trouble.
+    :param seed: decides a drawn day.
     :raises FileError: a file cannot be used.
     """
     document = _read(site_path)
     site = _checked(site_path, lambda: _make_site(document))
+    if day == DRAWN_DAY:
+        return _checked(site_path, lambda: _with_day(site, _draw_day(document, seed), document))
     named = [item for item in document.get("day", []) if item.get("name") == day]
     if named:
         return _checked(site_path, lambda: _with_day(site, named[0], document))
@@ -158,6 +168,21 @@
     return _checked(day_path, lambda: _with_day(site, day_document, document))
 
 
+def _draw_day(document: Mapping[str, Any], seed: int) -> dict[str, Any]:
+    rng = random.Random(f"{seed}/day")
+    length_s = document.get("length_s", 52.0)
+    until_s = length_s - DRAWN_QUIET_S
+    troubles = rng.sample(document["troubles"], min(DRAWN_COUNT, len(document["troubles"])))
+    # Streams are taken up more often than on days where callers try again only once.
+    retried = [item["name"] for item in document["classes"] if item["kind"] == "stream"]
+    return {
+        "name": DRAWN_DAY,
+        "length_s": length_s,
+        "classes": [{"name": name, "retries": DRAWN_RETRIES} for name in retried],
+        "faults": [item | {"at": round(rng.uniform(1.0, until_s), 2)} for item in troubles],
+    }
+
+
 def _read(path: Path) -> dict[str, Any]:
     try:
         return tomllib.loads(path.read_text())
--- a/tests/cover/test_site_day.py
+++ b/tests/cover/test_site_day.py
@@ -110,6 +110,15 @@
     assert "day.toml" in result.output
 
 
+def test_a_seed_repeats_a_drawn_day(tmp_path):
+    troubles = "\n".join(f'[[troubles]]\nkind = "garble"\nx = 0.{number}' for number in range(1, 9))
+    file = tmp_path / "site.toml"
+    file.write_text(f"{SITE_FILE.read_text()}\n{troubles}\n")
+    days = [read_site(file, "drawn", seed).entries for seed in (3, 3, 4)]
+    assert len(days[0]) == 8
+    assert days[0] == days[1] != days[2]
+
+
 def test_an_unknown_day_is_answered_with_the_known_ones():
     with pytest.raises(FileError, match="it has: mixed"):
         read_site(SITE_FILE, "none")
