--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site_file.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site_file.py
@@ -14,6 +14,8 @@
 DRAWN_DAY = "drawn"
 DRAWN_COUNT = 22
 DRAWN_RETRIES = 3
+# Requests come for so long after a day's final loss of all VMs.
+CLOSING_LEAD_S = 7.0
 # At its end a drawn day has no new entries.
 DRAWN_QUIET_S = 8.0
 
@@ -316,8 +318,9 @@
     length_s = float(day.get("length_s", document.get("length_s", 52.0)))
     closing = day.get("closing")
     if closing is not None:
-        item = {"kind": "herd_kill", "at": length_s - 7.0, "for_s": closing.get("down_s", 1.0)}
-        entries.append(_make_entry(item | {"share": 1.0}, site))
+        how = "power" if closing["kind"].startswith("power") else ""
+        item = {"kind": "herd_kill", "at": length_s - CLOSING_LEAD_S, "share": 1.0, "how": how}
+        entries.append(_make_entry(item | {"for_s": closing.get("down_s", 1.0)}, site))
     return replace(
         site,
         day=day["name"],
