Rig: a reset of a closed connection ends no stand-in, and a run without one is void

A zone_cut with how = reset ended replicas for good: resetting a connection that was closed already raised, and the replica stopped reading commands and exited. A run in which a stand-in ends by itself is void now. A cut of the store for VMs of which none is free no longer hits all of them.

--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/faults.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/faults.py
@@ -461,6 +461,8 @@
         vms: list[str] = []
         if "nodes" in entry.how:
             vms = [vm.ip for vm in self._vms(entry, rng, 0.35)]
+            if not vms:
+                return
         name = f"down-{next(self._names)}"
         self._site.tell_store(do="fault", name=name, form=form, vms=vms, lapse="lapse" in entry.how)
         if "revoke" in entry.how:
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/replica.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/replica.py
@@ -95,7 +95,7 @@
                     self._path(ip).set()
                     self._one_way.discard(ip)
             case "reset":
-                for connection in list(self._connections):
+                for connection in self._open_connections():
                     if self._rng.random() < command["share"]:
                         connection.reset()
             case "store":
@@ -124,7 +124,7 @@
     def _cut(self, vms: list[str], how: str) -> None:
         for ip in vms:
             if how == "reset":
-                for connection in list(self._connections):
+                for connection in self._open_connections():
                     if _ip_of(connection) == ip:
                         connection.reset()
                 continue
@@ -132,6 +132,9 @@
                 self._one_way.add(ip)
             self._path(ip).clear()
 
+    def _open_connections(self) -> list[ReplicaConnection]:
+        return [item for item in self._connections if not item.writer.is_closing()]
+
     async def _send(self, connection: ReplicaConnection, data: bytes) -> None:
         await self._path(_ip_of(connection)).wait()
         if connection.writer.is_closing():
@@ -172,9 +175,7 @@
         if connection not in self._connections:
             self._connections.add(connection)
             if len(self._connections) > 2 * self._spec["max_connections"]:
-                self._connections = {
-                    item for item in self._connections if not item.writer.is_closing()
-                }
+                self._connections = set(self._open_connections())
         if ip not in self._one_way:
             await self._path(ip).wait()
         load = f"X-Server-Load: {self._active_count},0,{self._spec['slots']},100\r\n"
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/run.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/run.py
@@ -117,6 +117,8 @@
             processes.start_callers(start_at_s)
             await player.play(site.entries, start_at_s)
             await _await_callers(processes, folder, start_at_s + site.length_s + TAIL_S)
+            if ended := processes.ended_stand_ins():
+                problem = f"ended by themselves: {', '.join(ended)}"
     finally:
         processes.stop()
     return _judge(site, seed, folder, player, processes.start_at_s, problem)
--- a/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site.py
+++ b/packages/coriandershelf-rig/src/coriandershelf_rig/internal/site_day/site.py
@@ -398,6 +398,11 @@
             "tenants": tenants,
         }  # fmt: skip
 
+    def ended_stand_ins(self) -> list[str]:
+        """Return the stand-ins whose processes ended by themselves."""
+        names = [item.process for item in self.replicas.values() if not item.is_busy]
+        return [name for name in ("store", *names) if not self.processes.is_running(name)]
+
     def stop(self) -> None:
         """Kill every process."""
         self.processes.stop_all()
