--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/peers.py
@@ -108,7 +108,7 @@
         order = (digest.incarnation, digest.sequence)
         if known is not None and order <= (known.incarnation, known.sequence):
             return False
-        if known is not None and self._is_silent(peer, now_s):
+        if known is not None and now_s - peer.received_at_s > self._silent_after_s:
             self._returned_at_s = now_s
         peer.digest = digest
         if peer.address != digest.address or peer.digest_port != digest.digest_port:
@@ -209,16 +209,18 @@
 
         It is now, if one that was heard of late, and does not stop, is silent.
         """
+        silent_since_s = now_s - self._silent_after_s
         is_cut = any(
-            self._is_silent(peer, now_s)
+            peer.received_at_s < silent_since_s
             for peer in self._peers.values()
             if peer.digest is not None and not peer.digest.stopping
         )
         return now_s if is_cut else self._returned_at_s
 
-    def _is_silent(self, peer: Peer, now_s: float) -> bool:
+    @property
+    def _silent_after_s(self) -> float:
         periods_s = DIGEST_MAX_AGE_PERIODS_COUNT * self.longest_period_s
-        return now_s - peer.received_at_s > max(SILENT_MIN_S, periods_s)
+        return max(SILENT_MIN_S, periods_s)
 
     def rank(self, now_s: float) -> int:
         """Return this VM's position by id among itself and the live peers that are not stopping."""
--- a/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
+++ b/packages/coriandershelf-core/src/coriandershelf_core/internal/gateway/resumptions.py
@@ -106,17 +106,18 @@
         for known in self.open_origins.pop_known(now_s):
             self._on_known(known, now_s)
         waiting = self.awaited_origins.waiting()
+        is_settled = bool(waiting) and self._is_settled(now_s)
         for request in waiting:
             if not self.responder.is_active(request):
                 self.awaited_origins.remove(request)
-            elif self._may_be_sent(request, now_s):
+            elif self._may_be_sent(request, is_settled):
                 self.awaited_origins.remove(request)
                 self._send_at_origin(request, now_s, is_read=True)
         for request in self.awaited_origins.pop_due(now_s):
             if not self.origins.query(request, request.stream_id, now_s):
                 self._send_or_read(request, now_s)
         if self.pool.may_be_settled(now_s) and any(
-            not self._knows_versions(request, now_s) for request in waiting
+            not self._knows_versions(request, is_settled) for request in waiting
         ):
             self._prove_registry(now_s)
         for request in self.origins.pop_overdue(now_s):
@@ -277,7 +278,7 @@
         elif version is None and (is_read or self.origins.was_read):
             # Without the origin, only a service that has had a single version is safe.
             is_single = self.pool.only_version(request.service, now_s) is not None
-            is_known = self._knows_versions(request, now_s)
+            is_known = self._knows_versions(request, self._is_settled(now_s))
             if is_known:
                 version = self.only_version(request.service, now_s)
                 source = OriginSource.ONLY_VERSION
@@ -300,21 +301,26 @@
         else:
             self.send(request, now_s)
 
-    def _may_be_sent(self, request: ActiveRequest, now_s: float) -> bool:
+    def _may_be_sent(self, request: ActiveRequest, is_settled: bool) -> bool:
         """Return whether what a waiting request has waited for is known."""
         version = self.origins.version_of(request.stream_id)
         if version is None:
-            return self._knows_versions(request, now_s)
+            return self._knows_versions(request, is_settled)
         return version != UNKNOWN_VERSION
 
-    def _knows_versions(self, request: ActiveRequest, now_s: float) -> bool:
+    def _is_settled(self, now_s: float) -> bool:
+        """Return whether replicas had time to register since any outage and any network cut.
+
+        Behind a cut, VMs may serve replicas that cannot register.
+        """
+        return self.pool.is_settled(now_s, self.peers.cut_until_s(now_s))
+
+    def _knows_versions(self, request: ActiveRequest, is_settled: bool) -> bool:
         """Return whether the registry shows all versions at which a stream may have begun.
 
         What was read before its caller came says nothing of a version that has begun since, least
-        of all in an outage of the store. Behind a network cut, VMs may serve replicas that cannot
-        register.
+        of all in an outage of the store.
         """
-        is_settled = self.pool.is_settled(now_s, self.peers.cut_until_s(now_s))
         return is_settled and self.pool.is_proved_since(request.arrived_at_s)
 
     def _on_known(self, known: KnownOrigin, now_s: float) -> None:
